Serve a request end to end in separate processes

A caller's request travels to any entry instance, to the owner of the chosen worker, to the endpoint and back as a stream. The platform, the engines, the store and the plain services are stand-ins.

--- /dev/null
+++ b/cmd/bulrushctl/main.go
@@ -0,0 +1,32 @@
+// Command bulrushctl is the operators' tool.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := command().ExecuteContext(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "bulrushctl",
+		Short:         "Operate, check and measure bulrushwick",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(demoCommand(), standinCommand())
+	return root
+}
--- /dev/null
+++ b/cmd/bulrushctl/standin.go
@@ -0,0 +1,105 @@
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/bulrushwick/bulrushwick/standin"
+)
+
+// listener is a stand-in that has been started.
+type listener interface {
+	Address() string
+	Close() error
+}
+
+func standinCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in of an outside system",
+	}
+	var address string
+	c.PersistentFlags().StringVar(&address, "listen", "127.0.0.1:0", "address to listen on")
+	c.AddCommand(
+		platformCommand(&address),
+		storeCommand(&address),
+		engineCommand(&address),
+		serviceCommand(&address),
+	)
+	return c
+}
+
+// serveStandin logs the address and waits for the end.
+func serveStandin(cmd *cobra.Command, l listener, err error) error {
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr)
+	log.Info().Str("event", "listening").Str("address", l.Address()).Send()
+	<-cmd.Context().Done()
+	return l.Close()
+}
+
+func platformCommand(address *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform",
+		Short: "Stand in for the configuration service",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			p, err := standin.StartPlatform(*address)
+			return serveStandin(cmd, p, err)
+		},
+	}
+}
+
+func storeCommand(address *string) *cobra.Command {
+	config := standin.DefaultStoreConfig()
+	c := &cobra.Command{
+		Use:   "store",
+		Short: "Stand in for the weight store",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := standin.StartStore(*address, config)
+			return serveStandin(cmd, s, err)
+		},
+	}
+	c.Flags().Float64Var(&config.LoadsPerSecond, "rate", config.LoadsPerSecond, "loads a second")
+	c.Flags().DurationVar(&config.LoadTime, "load-time", config.LoadTime, "time of one load at full speed")
+	return c
+}
+
+func engineCommand(address *string) *cobra.Command {
+	config := standin.EngineConfig{Slots: 8, TokenTime: 2 * time.Millisecond}
+	c := &cobra.Command{
+		Use:   "engine",
+		Short: "Stand in for a model engine",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			e, err := standin.StartEngine(*address, config)
+			return serveStandin(cmd, e, err)
+		},
+	}
+	c.Flags().IntVar(&config.Slots, "slots", config.Slots, "adapters held at once")
+	c.Flags().DurationVar(&config.TokenTime, "token-time", config.TokenTime, "time between tokens of one request")
+	c.Flags().BoolVar(&config.Fencing, "fencing", false, "refuse orders with an old fencing number")
+	c.Flags().StringVar(&config.StoreAddress, "store", "", "address of the weight store; empty loads at once")
+	return c
+}
+
+func serviceCommand(address *string) *cobra.Command {
+	var name string
+	c := &cobra.Command{
+		Use:   "service",
+		Short: "Stand in for a plain service",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := standin.StartService(*address, name)
+			return serveStandin(cmd, s, err)
+		},
+	}
+	c.Flags().StringVar(&name, "name", "service", "name told in answers")
+	return c
+}
--- /dev/null
+++ b/cmd/bulrushwick/main.go
@@ -0,0 +1,69 @@
+// Command bulrushwick is one entry instance.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"github.com/bulrushwick/bulrushwick/entry/daemon"
+	"github.com/bulrushwick/bulrushwick/entry/settings"
+)
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	if err := command(log).Execute(); err != nil {
+		log.Error().Err(err).Str("event", "failed").Send()
+		os.Exit(1)
+	}
+}
+
+func command(log zerolog.Logger) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "bulrushwick",
+		Short:         "Serve requests against LoRA adapters on a shared fleet of model engines",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	var file string
+	serve := &cobra.Command{
+		Use:     "serve --settings FILE",
+		Short:   "Run one entry instance until it is told to stop",
+		Example: "  bulrushwick serve --settings entry-a.json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return run(cmd.Context(), file, log)
+		},
+	}
+	serve.Flags().StringVar(&file, "settings", "", "settings file in JSON")
+	_ = serve.MarkFlagRequired("settings")
+	root.AddCommand(serve)
+	return root
+}
+
+func run(ctx context.Context, file string, log zerolog.Logger) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	addresses, err := d.Listen()
+	if err != nil {
+		return err
+	}
+	log.Info().Str("event", "listening").
+		Str("callers", addresses.Callers).
+		Str("peers", addresses.Peers).
+		Str("control", addresses.Control).
+		Send()
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/cmd/e2e/doc.go
@@ -0,0 +1,2 @@
+// Package e2e tests the real binaries as separate processes over loopback.
+package e2e
--- /dev/null
+++ b/coord/ownership/rendezvous.go
@@ -0,0 +1,40 @@
+package ownership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Order returns the candidates for key, owner first and successor second, by
+// rendezvous hashing. The result does not depend on the order of candidates.
+func Order(key string, candidates []string) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	all := make([]scored, len(candidates))
+	for i, name := range candidates {
+		all[i] = scored{name: name, score: Score(key, name)}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].name < all[j].name
+	})
+	names := make([]string, len(all))
+	for i, s := range all {
+		names[i] = s.name
+	}
+	return names
+}
+
+// Score is the rendezvous weight of a candidate for a key.
+func Score(key, candidate string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(candidate)
+	return d.Sum64()
+}
--- /dev/null
+++ b/entry/daemon/daemon.go
@@ -0,0 +1,192 @@
+// Package daemon assembles one entry instance from its slices.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/entry/endpoint"
+	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/forward"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/ingress"
+	"github.com/bulrushwick/bulrushwick/entry/owner"
+	"github.com/bulrushwick/bulrushwick/entry/peer"
+	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
+	"github.com/bulrushwick/bulrushwick/entry/platform"
+	"github.com/bulrushwick/bulrushwick/entry/settings"
+)
+
+// tickEvery is the resolution of deadlines in the owners' queues.
+const tickEvery = 20 * time.Millisecond
+
+// drainLimit bounds how long a planned stop waits for requests in progress.
+const drainLimit = time.Hour
+
+// Timeouts and limits of the listeners.
+const (
+	headerReadTimeout = 10 * time.Second
+	idleTimeout       = 60 * time.Second
+	callerConnsLimit  = 65536
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings settings.Settings
+	log      zerolog.Logger
+	fleet    *fleet.Fleet
+	owner    *owner.Owner
+	exchange *peer.Exchange
+	reader   *platform.Reader
+	callers  *fasthttp.Server
+	peers    *fasthttp.Server
+	control  *http.Server
+
+	listeners []net.Listener
+}
+
+// Addresses are where an instance listens.
+type Addresses struct {
+	Callers string
+	Peers   string
+	Control string
+}
+
+// New builds an instance; nothing listens before Run.
+func New(s settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	log = log.With().Str("instance", s.Instance).Logger()
+	f := fleet.New(s.Instance, s.DataCentre)
+	clients := httpx.ClientConfig{
+		ConnectTimeout:  s.ConnectTimeout.Std(),
+		ProgressTimeout: s.ProgressTimeout.Std(),
+	}
+	own, err := owner.New(owner.Config{
+		QueueLimit:          s.QueueLimit,
+		DispatchConcurrency: s.DispatchConcurrency,
+	}, f, endpoint.NewClient(clients), log)
+	if err != nil {
+		return nil, err
+	}
+	exchange, err := peer.NewExchange(peer.Config{
+		HeartbeatEvery: s.HeartbeatEvery.Std(),
+		Concurrency:    s.ControlConcurrency,
+	}, f, own.Summaries, log)
+	if err != nil {
+		return nil, err
+	}
+	front := ingress.NewServer(f, own, forward.NewClient(clients), log)
+	return &Daemon{
+		settings: s,
+		log:      log,
+		fleet:    f,
+		owner:    own,
+		exchange: exchange,
+		reader:   platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
+		callers:  newServer(front.Handle, s.BodyLimit),
+		peers:    newServer(forward.Handler(own), s.BodyLimit),
+		control:  &http.Server{Handler: peerpb.NewPeerServer(peer.NewServer(f)), ReadHeaderTimeout: headerReadTimeout},
+	}, nil
+}
+
+func newServer(handler fasthttp.RequestHandler, bodyLimit int) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                      handler,
+		NoDefaultServerHeader:        true,
+		MaxRequestBodySize:           bodyLimit,
+		ReadTimeout:                  headerReadTimeout,
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  callerConnsLimit,
+		DisablePreParseMultipartForm: true,
+		CloseOnShutdown:              true,
+	}
+}
+
+// Listen opens the listeners and returns their addresses, which tell the ports
+// that were taken where the settings name port 0.
+func (d *Daemon) Listen() (Addresses, error) {
+	listeners, err := listenAll(d.settings.CallerAddress, d.settings.PeerAddress, d.settings.ControlAddress)
+	if err != nil {
+		return Addresses{}, err
+	}
+	d.listeners = listeners
+	return Addresses{
+		Callers: listeners[0].Addr().String(),
+		Peers:   listeners[1].Addr().String(),
+		Control: listeners[2].Addr().String(),
+	}, nil
+}
+
+// Run serves until ctx is done, then stops gracefully: it finishes every
+// request in progress before it returns. Listen must have been called.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, len(d.listeners))
+	go func() { failed <- d.callers.Serve(d.listeners[0]) }()
+	go func() { failed <- d.peers.Serve(d.listeners[1]) }()
+	go func() { failed <- d.control.Serve(d.listeners[2]) }()
+	go d.reader.Run(background)
+	go d.exchange.Run(background)
+	go d.tick(background)
+	select {
+	case <-ctx.Done():
+		return d.drain()
+	case err := <-failed:
+		return oops.Code("listener_failed").Wrap(err)
+	}
+}
+
+// Ready tells whether the instance takes new work.
+func (d *Daemon) Ready() bool { return d.fleet.Ready() }
+
+func (d *Daemon) drain() error {
+	d.log.Info().Str("event", "leaving").Send()
+	d.fleet.Leave()
+	limit, cancel := context.WithTimeout(context.Background(), drainLimit)
+	defer cancel()
+	d.exchange.Beat(limit)
+	err := errors.Join(d.callers.ShutdownWithContext(limit), d.peers.ShutdownWithContext(limit), d.control.Shutdown(limit))
+	d.owner.Close()
+	d.log.Info().Str("event", "stopped").Send()
+	return oops.Wrap(err)
+}
+
+func (d *Daemon) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	ready := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.owner.Tick()
+			if !ready && d.fleet.Ready() {
+				ready = true
+				d.log.Info().Str("event", "ready").Send()
+			}
+		}
+	}
+}
+
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, oops.Code("listen_failed").With("address", address).Wrap(err)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
--- /dev/null
+++ b/entry/endpoint/client.go
@@ -0,0 +1,102 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/call"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+)
+
+// Client calls endpoints. It never repeats a call by itself.
+type Client struct {
+	http *fasthttp.Client
+}
+
+// NewClient returns a client.
+func NewClient(config httpx.ClientConfig) *Client {
+	return &Client{http: httpx.NewClient(config)}
+}
+
+// Do makes one attempt at the endpoint at address and returns when the head of
+// the answer is there. Its error is a *call.Error.
+func (c *Client) Do(address string, r *call.Request) (*call.Answer, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + address + r.Path)
+	request.Header.SetMethod(r.Method)
+	request.Header.SetContentType(r.Content)
+	setHeader(request, httpx.RequestID, r.ID)
+	setHeader(request, httpx.IdempotencyKey, r.Key)
+	setHeader(request, httpx.Traceparent, r.Trace)
+	request.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
+	request.Header.Set(httpx.RankHeader, r.Rank.String())
+	request.SetBodyRaw(r.Body)
+
+	response := fasthttp.AcquireResponse()
+	if err := c.http.DoTimeout(request, response, r.Remaining()); err != nil {
+		fasthttp.ReleaseResponse(response)
+		return nil, httpx.CallError("endpoint_failed", err)
+	}
+	return &call.Answer{
+		Status:  response.StatusCode(),
+		Content: string(response.Header.ContentType()),
+		Worker:  r.Worker,
+		Body:    httpx.NewBody(response),
+	}, nil
+}
+
+func setHeader(request *fasthttp.Request, name, value string) {
+	if value != "" {
+		request.Header.Set(name, value)
+	}
+}
+
+// loadOrder is the published body of the adapter calls.
+type loadOrder struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path,omitempty"`
+}
+
+// Load orders an engine to load an adapter.
+func (c *Client) Load(address string, adapter table.AdapterVersion, fence uint64, timeout time.Duration) error {
+	order := loadOrder{Name: adapter.String(), Path: adapter.String()}
+	return c.order(address, "/v1/load_lora_adapter", order, fence, timeout)
+}
+
+// Unload orders an engine to drop an adapter.
+func (c *Client) Unload(address string, adapter table.AdapterVersion, fence uint64, timeout time.Duration) error {
+	return c.order(address, "/v1/unload_lora_adapter", loadOrder{Name: adapter.String()}, fence, timeout)
+}
+
+func (c *Client) order(address, path string, order loadOrder, fence uint64, timeout time.Duration) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.SetContentType("application/json")
+	request.Header.Set(httpx.Fence, strconv.FormatUint(fence, 10))
+	request.SetBodyRaw(body)
+	response := fasthttp.AcquireResponse()
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
+		fasthttp.ReleaseResponse(response)
+		return oops.Code("order_failed").With("address", address).Wrap(err)
+	}
+	answer := httpx.NewBody(response)
+	defer func() { _ = answer.Close() }()
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return oops.Code("order_refused").With("address", address, "status", status).Errorf("%s answered %d", path, status)
+	}
+	_, err = io.Copy(io.Discard, answer)
+	return oops.Wrap(err)
+}
--- /dev/null
+++ b/entry/endpoint/doc.go
@@ -0,0 +1,2 @@
+// Package endpoint calls model engines and plain services.
+package endpoint
--- /dev/null
+++ b/entry/forward/codec.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/call"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+)
+
+const (
+	idempotentHeader = "Bulrushwick-Idempotent"
+	streamHeader     = "Bulrushwick-Stream"
+)
+
+// encode writes a request's fields into the headers of a forwarded call.
+func encode(to *fasthttp.Request, r *call.Request) {
+	h := &to.Header
+	h.SetMethod(fasthttp.MethodPost)
+	h.SetContentType(r.Content)
+	h.Set(httpx.RequestID, r.ID)
+	h.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
+	h.Set(httpx.RouteHeader, r.Route)
+	h.Set(httpx.WorkerHeader, r.Worker)
+	h.Set(httpx.MethodHeader, r.Method)
+	h.Set(httpx.PathHeader, r.Path)
+	if r.Adapter != (table.AdapterVersion{}) {
+		h.Set(httpx.Adapter, r.Adapter.String())
+	}
+	h.Set(httpx.RankHeader, r.Rank.String())
+	h.Set(httpx.CallerHeader, r.Caller)
+	h.Set(httpx.IdempotencyKey, r.Key)
+	h.Set(idempotentHeader, strconv.FormatBool(r.Idempotent))
+	h.Set(streamHeader, strconv.FormatBool(r.Stream))
+	h.Set(httpx.DeadlineHeader, strconv.FormatInt(r.Remaining().Milliseconds(), 10))
+	h.Set(httpx.Traceparent, r.Trace)
+	to.SetBodyRaw(r.Body)
+}
+
+// decode reads a forwarded call; the body is copied.
+func decode(from *fasthttp.Request) (*call.Request, error) {
+	h := &from.Header
+	text := func(name string) string { return string(h.Peek(name)) }
+	rank, err := table.ParseRank(text(httpx.RankHeader))
+	if err != nil {
+		return nil, err
+	}
+	number, err := strconv.Atoi(text(httpx.AttemptID))
+	if err != nil {
+		return nil, fmt.Errorf("attempt: %w", err)
+	}
+	remainingMs, err := strconv.ParseInt(text(httpx.DeadlineHeader), 10, 64)
+	if err != nil {
+		return nil, fmt.Errorf("deadline: %w", err)
+	}
+	r := &call.Request{
+		ID:         text(httpx.RequestID),
+		Attempt:    number,
+		Route:      text(httpx.RouteHeader),
+		Worker:     text(httpx.WorkerHeader),
+		Method:     text(httpx.MethodHeader),
+		Path:       text(httpx.PathHeader),
+		Content:    string(h.ContentType()),
+		Body:       append([]byte(nil), from.Body()...),
+		Rank:       rank,
+		Caller:     text(httpx.CallerHeader),
+		Key:        text(httpx.IdempotencyKey),
+		Idempotent: text(idempotentHeader) == "true",
+		Stream:     text(streamHeader) == "true",
+		Deadline:   time.Now().Add(time.Duration(remainingMs) * time.Millisecond),
+		Trace:      text(httpx.Traceparent),
+	}
+	if adapter := text(httpx.Adapter); adapter != "" {
+		if r.Adapter, err = table.ParseAdapterVersion(adapter); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/entry/httpx/headers.go
@@ -0,0 +1,28 @@
+// Package httpx holds the HTTP forms that the hops share: header names, the
+// error body and clients whose connections notice silence.
+package httpx
+
+// Headers of the callers' protocol.
+const (
+	IdempotencyKey = "Idempotency-Key"
+	RankHeader     = "Bulrushwick-Rank"
+	DeadlineHeader = "Bulrushwick-Deadline-Ms"
+	CallerHeader   = "Bulrushwick-Caller"
+	Traceparent    = "traceparent"
+	Outcome        = "Bulrushwick-Outcome"
+	Adapter        = "Bulrushwick-Adapter"
+	Revision       = "Bulrushwick-Revision"
+	RequestID      = "Bulrushwick-Request-Id"
+	Instance       = "Bulrushwick-Instance"
+	WaitMs         = "Bulrushwick-Wait-Ms"
+)
+
+// Headers that only travel between instances and to endpoints.
+const (
+	WorkerHeader = "Bulrushwick-Worker"
+	RouteHeader  = "Bulrushwick-Route"
+	PathHeader   = "Bulrushwick-Path"
+	MethodHeader = "Bulrushwick-Method"
+	AttemptID    = "Bulrushwick-Attempt"
+	Fence        = "Bulrushwick-Fence"
+)
--- /dev/null
+++ b/entry/ingress/server.go
@@ -0,0 +1,190 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/attempt"
+	"github.com/bulrushwick/bulrushwick/coord/member"
+	"github.com/bulrushwick/bulrushwick/coord/placement"
+	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/call"
+	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/forward"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+)
+
+// maxAttempts bounds the attempts of one request.
+const maxAttempts = 3
+
+// Local serves attempts on workers that this instance owns.
+type Local interface {
+	Serve(ctx context.Context, r *call.Request) (*call.Answer, error)
+}
+
+// Remote forwards attempts to the instance at address.
+type Remote interface {
+	Do(address string, r *call.Request) (*call.Answer, error)
+}
+
+// Server answers callers.
+type Server struct {
+	fleet  *fleet.Fleet
+	local  Local
+	remote Remote
+	picker *placement.Picker
+	log    zerolog.Logger
+}
+
+// NewServer returns a server that serves by local where this instance owns the
+// worker and by remote elsewhere.
+func NewServer(f *fleet.Fleet, local Local, remote Remote, log zerolog.Logger) *Server {
+	return &Server{fleet: f, local: local, remote: remote, picker: placement.NewPicker(), log: log}
+}
+
+// Handle is the fasthttp handler of the callers' listener.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetBodyString("ok\n")
+	case "/readyz":
+		s.ready(ctx)
+	default:
+		s.serve(ctx)
+	}
+}
+
+func (s *Server) ready(ctx *fasthttp.RequestCtx) {
+	if !s.fleet.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		ctx.SetBodyString("not ready\n")
+		return
+	}
+	ctx.SetBodyString("ready\n")
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	t := s.fleet.Table()
+	if t == nil || !s.fleet.Ready() {
+		problem := httpx.Problem{
+			Status:     fasthttp.StatusServiceUnavailable,
+			Code:       "not_ready",
+			Message:    "the instance is starting or leaving",
+			Outcome:    attempt.NotRun,
+			RetryAfter: time.Second,
+		}
+		problem.Write(ctx)
+		return
+	}
+	ctx.Response.Header.Set(httpx.Revision, strconv.FormatUint(t.Revision, 10))
+	ctx.Response.Header.Set(httpx.Instance, s.fleet.Self())
+	r, route, problem := parse(ctx, t)
+	if problem != nil {
+		problem.Write(ctx)
+		return
+	}
+	ctx.Response.Header.Set(httpx.RequestID, r.ID)
+	answer, err := s.attempts(t, route, r)
+	if err != nil {
+		problem := httpx.ProblemOf(err)
+		s.log.Info().Str("event", "request_failed").Str("request", r.ID).Str("code", problem.Code).Str("outcome", string(problem.Outcome)).Send()
+		problem.Write(ctx)
+		return
+	}
+	forward.WriteAnswer(ctx, answer)
+}
+
+// attempts tries workers until one serves, a failure forbids a retry or the
+// deadline passes.
+func (s *Server) attempts(t *table.Table, route *table.Route, r *call.Request) (*call.Answer, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+	defer cancel()
+	tried := make(map[string]bool)
+	var last error
+	for r.Attempt = 1; r.Attempt <= maxAttempts && ctx.Err() == nil; r.Attempt++ {
+		answer, err := s.attempt(ctx, t, route, r, tried)
+		if err == nil {
+			return answer, nil
+		}
+		last = err
+		var failed *call.Error
+		if !errors.As(err, &failed) || !failed.Failure.MayRetry(r.Idempotent) || failed.RetryAfter > 0 {
+			return nil, err
+		}
+	}
+	return nil, last
+}
+
+func (s *Server) attempt(ctx context.Context, t *table.Table, route *table.Route, r *call.Request, tried map[string]bool) (*call.Answer, error) {
+	owner, err := s.place(t, route, r, tried)
+	if err != nil {
+		return nil, err
+	}
+	tried[r.Worker] = true
+	end := s.fleet.Begin(r.Worker)
+	var answer *call.Answer
+	if owner.Name == s.fleet.Self() {
+		answer, err = s.local.Serve(ctx, r)
+	} else {
+		answer, err = s.remote.Do(owner.PeerAddress, r)
+	}
+	if err != nil {
+		end()
+		return nil, err
+	}
+	answer.Body = &counted{ReadCloser: answer.Body, end: end}
+	return answer, nil
+}
+
+// place chooses the worker of an attempt and returns the worker's owner.
+func (s *Server) place(t *table.Table, route *table.Route, r *call.Request, tried map[string]bool) (member.Instance, error) {
+	pool := t.Pools[route.Pool]
+	candidates := s.fleet.Candidates(pool, r.Adapter)
+	for i := range candidates {
+		candidates[i].Leaving = candidates[i].Leaving || tried[candidates[i].Endpoint.Name]
+	}
+	query := placement.Query{
+		Adapter:    r.Adapter,
+		DataCentre: s.fleet.DataCentre(),
+		Region:     t.RegionOf(s.fleet.DataCentre()),
+		RegionOf:   t.RegionOf,
+		Batch:      pool.Batch,
+	}
+	best, found := s.picker.Pick(query, candidates)
+	if !found {
+		return member.Instance{}, unavailable("no_worker", "no worker of the pool takes new work")
+	}
+	r.Worker = candidates[best].Endpoint.Name
+	owner, owned := s.fleet.Owner(r.Worker)
+	if !owned {
+		return member.Instance{}, unavailable("no_owner", "no instance orders the worker")
+	}
+	return owner, nil
+}
+
+func unavailable(code, message string) *call.Error {
+	return &call.Error{
+		Status:     fasthttp.StatusServiceUnavailable,
+		Code:       code,
+		RetryAfter: time.Second,
+		Err:        errors.New(message),
+	}
+}
+
+// counted ends the in-flight count when the answer's body is closed.
+type counted struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (c *counted) Close() error {
+	c.end()
+	return c.ReadCloser.Close()
+}
--- /dev/null
+++ b/entry/owner/owner.go
@@ -0,0 +1,217 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/ants/v2"
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/admission"
+	"github.com/bulrushwick/bulrushwick/coord/attempt"
+	"github.com/bulrushwick/bulrushwick/coord/residency"
+	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/call"
+	"github.com/bulrushwick/bulrushwick/entry/endpoint"
+	"github.com/bulrushwick/bulrushwick/entry/fleet"
+)
+
+// loadTimeout bounds one load order at an engine.
+const loadTimeout = 30 * time.Second
+
+// loadConcurrency bounds the load orders that run at once.
+const loadConcurrency = 64
+
+// Config sizes an Owner.
+type Config struct {
+	// QueueLimit bounds the requests that wait for one worker.
+	QueueLimit int
+	// DispatchConcurrency bounds the endpoint calls that wait for their head.
+	DispatchConcurrency int
+}
+
+// Owner serves the workers that this instance owns. It is safe for concurrent
+// use.
+type Owner struct {
+	config   Config
+	fleet    *fleet.Fleet
+	client   *endpoint.Client
+	log      zerolog.Logger
+	dispatch *ants.Pool
+	loads    *ants.Pool
+	nextID   atomic.Uint64
+
+	mu      sync.Mutex
+	workers map[string]*worker
+}
+
+type worker struct {
+	name    string
+	address string
+	machine *residency.Worker
+	tickets map[uint64]*ticket
+}
+
+// ticket is a request that waits for its turn.
+type ticket struct {
+	decided chan residency.Action
+}
+
+// New returns an owner without workers.
+func New(config Config, f *fleet.Fleet, client *endpoint.Client, log zerolog.Logger) (*Owner, error) {
+	dispatch, err := ants.NewPool(config.DispatchConcurrency, ants.WithNonblocking(true))
+	if err != nil {
+		return nil, oops.Wrap(err)
+	}
+	loads, err := ants.NewPool(loadConcurrency)
+	if err != nil {
+		return nil, oops.Wrap(err)
+	}
+	return &Owner{
+		config:   config,
+		fleet:    f,
+		client:   client,
+		log:      log,
+		dispatch: dispatch,
+		loads:    loads,
+		workers:  make(map[string]*worker),
+	}, nil
+}
+
+// Close releases the pools.
+func (o *Owner) Close() {
+	o.dispatch.Release()
+	o.loads.Release()
+}
+
+// Serve runs one attempt and returns when the head of the answer is there. Its
+// error is a *call.Error.
+func (o *Owner) Serve(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	owned, found := o.fleet.Owner(r.Worker)
+	if !found || owned.Name != o.fleet.Self() {
+		return nil, notRun(fasthttp.StatusMisdirectedRequest, "not_owner", fmt.Errorf("%s is owned by %q", r.Worker, owned.Name))
+	}
+	at, pool, known := o.fleet.Table().Endpoint(r.Worker)
+	if !known {
+		return nil, notRun(fasthttp.StatusServiceUnavailable, "unknown_worker", fmt.Errorf("worker %q is not in the tables", r.Worker))
+	}
+	if pool.Kind == table.Service {
+		return o.call(at.Address, r)
+	}
+	return o.serveEngine(ctx, at.Address, pool, r)
+}
+
+func (o *Owner) serveEngine(ctx context.Context, address string, pool *table.Pool, r *call.Request) (*call.Answer, error) {
+	queued := time.Now()
+	id := o.nextID.Add(1)
+	w, t := o.arrive(id, address, pool, r)
+	if err := o.await(ctx, w, id, t); err != nil {
+		return nil, err
+	}
+	wait := time.Since(queued)
+	answer, err := o.call(address, r)
+	if err == nil && !r.Stream && answer.Status == fasthttp.StatusOK {
+		err = endpoint.VerifyCompletion(r, answer)
+	}
+	if err != nil {
+		o.step(w, residency.Finished{ID: id})
+		return nil, err
+	}
+	answer.Adapter = r.Adapter.String()
+	answer.Wait = wait
+	answer.Body = &pinned{ReadCloser: answer.Body, release: func() {
+		o.step(w, residency.Finished{ID: id})
+	}}
+	return answer, nil
+}
+
+func (o *Owner) arrive(id uint64, address string, pool *table.Pool, r *call.Request) (*worker, *ticket) {
+	t := &ticket{decided: make(chan residency.Action, 1)}
+	now := o.fleet.Now()
+	o.mu.Lock()
+	w, found := o.workers[r.Worker]
+	if !found {
+		w = &worker{
+			name:    r.Worker,
+			tickets: make(map[uint64]*ticket),
+			machine: residency.NewWorker(residency.Config{
+				Slots:      pool.Slots,
+				Batch:      pool.Batch,
+				QueueLimit: o.config.QueueLimit,
+			}),
+		}
+		o.workers[r.Worker] = w
+	}
+	w.address = address
+	w.tickets[id] = t
+	o.mu.Unlock()
+	o.step(w, residency.Arrive{Request: admission.Request{
+		ID:       id,
+		Adapter:  r.Adapter,
+		Rank:     r.Rank,
+		Caller:   r.Caller,
+		Arrived:  now,
+		Deadline: now + r.Remaining(),
+	}})
+	return w, t
+}
+
+// await returns nil when the request may be dispatched now.
+func (o *Owner) await(ctx context.Context, w *worker, id uint64, t *ticket) error {
+	select {
+	case decision := <-t.decided:
+		return o.decision(decision)
+	case <-ctx.Done():
+	}
+	o.step(w, residency.Cancel{ID: id})
+	select {
+	case decision := <-t.decided: // decided while the caller gave up
+		if _, dispatched := decision.(residency.Dispatch); dispatched {
+			o.step(w, residency.Finished{ID: id})
+		}
+	default:
+	}
+	return notRun(fasthttp.StatusServiceUnavailable, "cancelled", context.Cause(ctx))
+}
+
+func (o *Owner) decision(action residency.Action) error {
+	reject, rejected := action.(residency.Reject)
+	if !rejected {
+		return nil
+	}
+	failed := notRun(fasthttp.StatusServiceUnavailable, "rejected", errors.New(string(reject.Reason)))
+	if reject.Reason == residency.QueueFull {
+		failed.Status = fasthttp.StatusTooManyRequests
+	}
+	failed.RetryAfter = time.Second
+	return failed
+}
+
+// call runs the endpoint call on the dispatch pool, whose size bounds the calls
+// that wait for their head.
+func (o *Owner) call(address string, r *call.Request) (*call.Answer, error) {
+	type result struct {
+		answer *call.Answer
+		err    error
+	}
+	done := make(chan result, 1)
+	err := o.dispatch.Submit(func() {
+		answer, err := o.client.Do(address, r)
+		done <- result{answer, err}
+	})
+	if err != nil {
+		return nil, notRun(fasthttp.StatusServiceUnavailable, "dispatch_full", err)
+	}
+	out := <-done
+	return out.answer, out.err
+}
+
+func notRun(status int, code string, err error) *call.Error {
+	return &call.Error{Failure: attempt.Failure{}, Status: status, Code: code, Err: err}
+}
--- /dev/null
+++ b/entry/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer exchanges heartbeats and tables with the other instances.
+package peer
--- /dev/null
+++ b/entry/platform/client.go
@@ -0,0 +1,59 @@
+package platform
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+)
+
+// Keys that the platform publishes.
+const (
+	ManifestKey  = "bulrushwick/manifest"
+	InstancesKey = "bulrushwick/instances"
+	EndpointsKey = "bulrushwick/endpoints"
+)
+
+// watchMargin is added to the wait of a blocking query before the connection
+// counts as silent.
+const watchMargin = 2 * time.Second
+
+// Client reads keys. It is safe for concurrent use.
+type Client struct {
+	address string
+	http    *fasthttp.Client
+}
+
+// NewClient returns a client of the platform at address.
+func NewClient(address string) *Client {
+	return &Client{address: address, http: &fasthttp.Client{NoDefaultUserAgentHeader: true}}
+}
+
+// Value is one published value with the index to watch from.
+type Value struct {
+	Data  []byte
+	Index uint64
+}
+
+// Get reads a key. With an index above 0 the call waits until the value's index
+// is above it, at most for wait.
+func (c *Client) Get(key string, index uint64, wait time.Duration) (Value, error) {
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(fmt.Sprintf("http://%s/v1/kv/%s?raw&index=%d&wait=%dms", c.address, key, index, wait.Milliseconds()))
+	if err := c.http.DoTimeout(request, response, wait+watchMargin); err != nil {
+		return Value{}, oops.Code("platform_unreachable").With("key", key).Wrap(err)
+	}
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return Value{}, oops.Code("platform_refused").With("key", key, "status", status).Errorf("platform answered %d", status)
+	}
+	at, err := strconv.ParseUint(string(response.Header.Peek("X-Consul-Index")), 10, 64)
+	if err != nil {
+		return Value{}, oops.Code("platform_malformed").With("key", key).Wrap(err)
+	}
+	return Value{Data: append([]byte(nil), response.Body()...), Index: at}, nil
+}
--- /dev/null
+++ b/entry/settings/settings.go
@@ -0,0 +1,166 @@
+// Package settings reads the daemon's settings file.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Duration is a time.Duration written as "3s" in JSON.
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the value as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// Settings configures one entry instance.
+type Settings struct {
+	// Instance is this instance's name, unique over all data centres.
+	Instance string `json:"instance"`
+	// DataCentre names where this instance stands.
+	DataCentre string `json:"dataCentre"`
+	// CallerAddress receives callers' requests, IP:port.
+	CallerAddress string `json:"callerAddress"`
+	// PeerAddress receives forwarded requests from other instances, IP:port.
+	PeerAddress string `json:"peerAddress"`
+	// ControlAddress receives twirp calls from other instances, IP:port.
+	ControlAddress string `json:"controlAddress"`
+	// PlatformAddress is the platform's configuration service, IP:port.
+	PlatformAddress string `json:"platformAddress"`
+	// HeartbeatEvery is the interval between heartbeats to each peer. Shorter
+	// finds a failure sooner and costs more control traffic. Default: 500ms.
+	HeartbeatEvery Duration `json:"heartbeatEvery"`
+	// WatchWait is how long a blocking query may wait at the platform.
+	// Default: 30s.
+	WatchWait Duration `json:"watchWait"`
+	// ConnectTimeout bounds a connection attempt to a peer or an endpoint.
+	// Default: 1s.
+	ConnectTimeout Duration `json:"connectTimeout"`
+	// ProgressTimeout is how long a peer or an endpoint may send nothing in the
+	// middle of an answer. Default: 10s.
+	ProgressTimeout Duration `json:"progressTimeout"`
+	// QueueLimit bounds the requests that wait for one worker. Default: 1,000.
+	QueueLimit int `json:"queueLimit"`
+	// BodyLimit bounds a caller's request body, in bytes. Default: 1 MiB.
+	BodyLimit int `json:"bodyLimit"`
+	// DispatchConcurrency bounds the calls to endpoints that run at once.
+	// Default: 1,024.
+	DispatchConcurrency int `json:"dispatchConcurrency"`
+	// ControlConcurrency bounds the control calls that run at once.
+	// Default: 64.
+	ControlConcurrency int `json:"controlConcurrency"`
+	// TraceFile receives spans as JSON lines; empty switches tracing off.
+	TraceFile string `json:"traceFile"`
+}
+
+// Default returns the settings with every default filled in and no addresses.
+func Default() Settings {
+	return Settings{
+		HeartbeatEvery:      Duration(500 * time.Millisecond),
+		WatchWait:           Duration(30 * time.Second),
+		ConnectTimeout:      Duration(time.Second),
+		ProgressTimeout:     Duration(10 * time.Second),
+		QueueLimit:          1000,
+		BodyLimit:           1 << 20,
+		DispatchConcurrency: 1024,
+		ControlConcurrency:  64,
+	}
+}
+
+// Load reads a settings file over the defaults.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, oops.Code("settings_unreadable").With("file", path).Wrap(err)
+	}
+	return Parse(data)
+}
+
+// Parse reads settings over the defaults and returns every finding together.
+func Parse(data []byte) (Settings, error) {
+	s := Default()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, oops.Code("settings_malformed").Wrap(err)
+	}
+	if err := s.Validate(); err != nil {
+		return Settings{}, oops.Code("settings_invalid").Wrap(err)
+	}
+	return s, nil
+}
+
+// Validate returns every finding joined, or nil.
+func (s Settings) Validate() error {
+	var findings []error
+	find := func(field, message string) {
+		findings = append(findings, fmt.Errorf("%s: %s", field, message))
+	}
+	if s.Instance == "" {
+		find("instance", "is empty")
+	}
+	if s.DataCentre == "" {
+		find("dataCentre", "is empty")
+	}
+	addresses := []struct{ field, value string }{
+		{"callerAddress", s.CallerAddress},
+		{"peerAddress", s.PeerAddress},
+		{"controlAddress", s.ControlAddress},
+		{"platformAddress", s.PlatformAddress},
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.value); err != nil {
+			find(a.field, fmt.Sprintf("%q is not an IP address and port", a.value))
+		}
+	}
+	durations := []struct {
+		field string
+		value Duration
+	}{
+		{"heartbeatEvery", s.HeartbeatEvery},
+		{"watchWait", s.WatchWait},
+		{"connectTimeout", s.ConnectTimeout},
+		{"progressTimeout", s.ProgressTimeout},
+	}
+	for _, d := range durations {
+		if d.value <= 0 {
+			find(d.field, "must be above zero")
+		}
+	}
+	counts := []struct {
+		field string
+		value int
+	}{
+		{"queueLimit", s.QueueLimit},
+		{"bodyLimit", s.BodyLimit},
+		{"dispatchConcurrency", s.DispatchConcurrency},
+		{"controlConcurrency", s.ControlConcurrency},
+	}
+	for _, c := range counts {
+		if c.value < 1 {
+			find(c.field, "must be at least 1")
+		}
+	}
+	return errors.Join(findings...)
+}
