--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -75,6 +75,7 @@
 		}
 	}
 	_ = p.command.Wait()
+	close(p.events) // after the last event, so that none is lost to a race
 	close(p.exited)
 }
 
@@ -84,12 +85,13 @@
 	limit := time.After(startLimit)
 	for {
 		select {
-		case line := <-p.events:
+		case line, open := <-p.events:
+			if !open {
+				require.FailNow(t, "process exited", "waiting for %s", event)
+			}
 			if line.Event == event {
 				return line
 			}
-		case <-p.exited:
-			require.FailNow(t, "process exited", "waiting for %s", event)
 		case <-limit:
 			require.FailNow(t, "no such event", "%s", event)
 		}
