Cancel a request at the engine when its caller hangs up

Cause: fasthttp notices a closed connection only on a write, and its client can't end a call early, so a caller that gave up kept its place in the queue and its slot at the engine until the deadline.

A background read now watches the connection while the handler runs, on the callers' and the peers' listener, and calls are made through the host client's exported connection pool under a context whose end closes the connection. That also makes the proof of not-run exact: sent means that a write was tried. Ruled out: a twirp cancel call (a second message for what closing says), a custom round tripper behind Do (no context reaches it).

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -146,6 +146,15 @@
 // Ready tells whether the instance takes new work.
 func (d *Daemon) Ready() bool { return d.fleet.Ready() }
 
+// Waiting returns the number of requests that wait for a worker here.
+func (d *Daemon) Waiting() int {
+	waiting := 0
+	for _, s := range d.owner.Summaries() {
+		waiting += s.Waiting
+	}
+	return waiting
+}
+
 func (d *Daemon) drain() error {
 	d.log.Info().Str("event", "leaving").Send()
 	d.fleet.Leave()
@@ -186,7 +195,7 @@
 			}
 			return nil, oops.Code("listen_failed").With("address", address).Wrap(err)
 		}
-		listeners = append(listeners, listener)
+		listeners = append(listeners, httpx.WatchListener(listener))
 	}
 	return listeners, nil
 }
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"strconv"
@@ -16,7 +17,7 @@
 
 // Client calls endpoints. It never repeats a call by itself.
 type Client struct {
-	http *fasthttp.Client
+	http *httpx.Client
 }
 
 // NewClient returns a client.
@@ -26,7 +27,7 @@
 
 // Do makes one attempt at the endpoint at address and returns when the head of
 // the answer is there. Its error is a *call.Error.
-func (c *Client) Do(address string, r *call.Request) (*call.Answer, error) {
+func (c *Client) Do(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI("http://" + address + r.Path)
@@ -39,16 +40,15 @@
 	request.Header.Set(httpx.RankHeader, r.Rank.String())
 	request.SetBodyRaw(r.Body)
 
-	response := fasthttp.AcquireResponse()
-	if err := c.http.DoTimeout(request, response, r.Remaining()); err != nil {
-		fasthttp.ReleaseResponse(response)
+	response, err := c.http.Do(ctx, address, request)
+	if err != nil {
 		return nil, httpx.CallError("endpoint_failed", err)
 	}
 	return &call.Answer{
-		Status:  response.StatusCode(),
+		Status:  response.Status,
 		Content: string(response.Header.ContentType()),
 		Worker:  r.Worker,
-		Body:    httpx.NewBody(response),
+		Body:    response,
 	}, nil
 }
 
@@ -87,16 +87,16 @@
 	request.Header.SetContentType("application/json")
 	request.Header.Set(httpx.Fence, strconv.FormatUint(fence, 10))
 	request.SetBodyRaw(body)
-	response := fasthttp.AcquireResponse()
-	if err := c.http.DoTimeout(request, response, timeout); err != nil {
-		fasthttp.ReleaseResponse(response)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	response, err := c.http.Do(ctx, address, request)
+	if err != nil {
 		return oops.Code("order_failed").With("address", address).Wrap(err)
 	}
-	answer := httpx.NewBody(response)
-	defer func() { _ = answer.Close() }()
-	if status := response.StatusCode(); status != fasthttp.StatusOK {
+	defer func() { _ = response.Close() }()
+	if status := response.Status; status != fasthttp.StatusOK {
 		return oops.Code("order_refused").With("address", address, "status", status).Errorf("%s answered %d", path, status)
 	}
-	_, err = io.Copy(io.Discard, answer)
+	_, err = io.Copy(io.Discard, response)
 	return oops.Wrap(err)
 }
--- a/entry/forward/client.go
+++ b/entry/forward/client.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,7 +24,7 @@
 
 // Client forwards requests to other instances.
 type Client struct {
-	http *fasthttp.Client
+	http *httpx.Client
 }
 
 // NewClient returns a client.
@@ -33,34 +34,32 @@
 
 // Do forwards one attempt to the instance at address. Its error is a
 // *call.Error.
-func (c *Client) Do(address string, r *call.Request) (*call.Answer, error) {
+func (c *Client) Do(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI("http://" + address + Path)
 	encode(request, r)
-	response := fasthttp.AcquireResponse()
-	if err := c.http.DoTimeout(request, response, r.Remaining()); err != nil {
-		fasthttp.ReleaseResponse(response)
+	response, err := c.http.Do(ctx, address, request)
+	if err != nil {
 		return nil, httpx.CallError("peer_failed", err)
 	}
-	body := httpx.NewBody(response)
 	outcome := attempt.Outcome(response.Header.Peek(httpx.Outcome))
 	if outcome != attempt.Served {
-		defer func() { _ = body.Close() }()
-		return nil, refusal(response.StatusCode(), outcome, body)
+		defer func() { _ = response.Close() }()
+		return nil, refusal(response.Status, outcome, response)
 	}
-	return decodeAnswer(response, body), nil
+	return decodeAnswer(response), nil
 }
 
-func decodeAnswer(response *fasthttp.Response, body io.ReadCloser) *call.Answer {
+func decodeAnswer(response *httpx.Response) *call.Answer {
 	waitMs, _ := strconv.ParseInt(string(response.Header.Peek(httpx.WaitMs)), 10, 64)
 	return &call.Answer{
-		Status:  response.StatusCode(),
+		Status:  response.Status,
 		Content: string(response.Header.ContentType()),
 		Adapter: string(response.Header.Peek(httpx.Adapter)),
 		Worker:  string(response.Header.Peek(httpx.WorkerHeader)),
 		Wait:    time.Duration(waitMs) * time.Millisecond,
-		Body:    body,
+		Body:    response,
 	}
 }
 
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -34,9 +35,7 @@
 			problem.Write(ctx)
 			return
 		}
-		deadline, cancel := context.WithDeadline(context.Background(), r.Deadline)
-		defer cancel()
-		answer, err := s.Serve(deadline, r)
+		answer, err := Watched(ctx, r, s.Serve)
 		if err != nil {
 			httpx.ProblemOf(err).Write(ctx)
 			return
@@ -58,3 +57,35 @@
 	h.Set(httpx.WaitMs, strconv.FormatInt(answer.Wait.Milliseconds(), 10))
 	ctx.SetBodyStream(answer.Body, -1)
 }
+
+// Watched runs serve under a context that ends at the request's deadline, when
+// the caller hangs up, or when the answer's body is closed.
+func Watched(ctx *fasthttp.RequestCtx, r *call.Request, serve func(context.Context, *call.Request) (*call.Answer, error)) (*call.Answer, error) {
+	deadline, cancelDeadline := context.WithDeadline(context.Background(), r.Deadline)
+	watched, cancel, stop := httpx.Watch(deadline, ctx)
+	defer stop()
+	end := func() {
+		cancel(nil)
+		cancelDeadline()
+	}
+	answer, err := serve(watched, r)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	answer.Body = &ending{ReadCloser: answer.Body, end: end}
+	return answer, nil
+}
+
+// ending ends the request's context when the answer's body is closed.
+type ending struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close implements io.Closer.
+func (e *ending) Close() error {
+	err := e.ReadCloser.Close()
+	e.end()
+	return err
+}
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -1,8 +1,10 @@
 package httpx
 
 import (
+	"bufio"
+	"context"
 	"net"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,6 +16,9 @@
 // idleConnTimeout is how long an unused connection is kept.
 const idleConnTimeout = 5 * time.Second
 
+// maxHosts is the number of addresses kept before unused ones are dropped.
+const maxHosts = 1024
+
 // ClientConfig bounds a client's waits.
 type ClientConfig struct {
 	// ConnectTimeout bounds a connection attempt.
@@ -22,81 +27,146 @@
 	ProgressTimeout time.Duration
 }
 
-// NewClient returns a client that never repeats a call by itself and whose
-// connections fail when the other side makes no progress.
-func NewClient(config ClientConfig) *fasthttp.Client {
-	return &fasthttp.Client{
-		NoDefaultUserAgentHeader:  true,
-		MaxConnsPerHost:           maxConnsPerHost,
-		MaxIdleConnDuration:       idleConnTimeout,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
-		StreamResponseBody: true,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, config.ConnectTimeout)
-			if err != nil {
-				return nil, &DialError{Err: err}
-			}
-			return &progressConn{Conn: conn, timeout: config.ProgressTimeout}, nil
-		},
-	}
+// Client makes single calls: it never repeats one by itself, its connections
+// fail when the other side makes no progress, and a call ends when its context
+// does. It is safe for concurrent use.
+type Client struct {
+	config ClientConfig
+
+	mu    sync.Mutex
+	hosts map[string]*fasthttp.HostClient
+}
+
+// NewClient returns a client without connections.
+func NewClient(config ClientConfig) *Client {
+	return &Client{config: config, hosts: make(map[string]*fasthttp.HostClient)}
 }
 
-// DialError says that no connection was made, so no byte was sent.
-type DialError struct{ Err error }
+// SendError is a call without a usable answer head.
+type SendError struct {
+	// Sent says that a byte of the request may have reached the other side.
+	Sent bool
+	Err  error
+}
 
 // Error implements error.
-func (e *DialError) Error() string { return e.Err.Error() }
+func (e *SendError) Error() string { return e.Err.Error() }
 
 // Unwrap returns the cause.
-func (e *DialError) Unwrap() error { return e.Err }
-
-// progressConn bounds each read and write by the progress timeout, within the
-// deadline of the whole call, so that a stream may last but not stall.
-type progressConn struct {
-	net.Conn
-	timeout       time.Duration
-	readDeadline  deadline
-	writeDeadline deadline
+func (e *SendError) Unwrap() error { return e.Err }
+
+// Do sends request to address and returns when the head of the answer is there.
+// The end of ctx closes the connection, which cancels the call at the other
+// side, until the body is closed. The error is a *SendError.
+func (c *Client) Do(ctx context.Context, address string, request *fasthttp.Request) (*Response, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, &SendError{Err: err}
+	}
+	host := c.host(address)
+	cc, err := host.AcquireConn(c.config.ConnectTimeout, false)
+	if err != nil {
+		return nil, &SendError{Err: err}
+	}
+	conn := &progressConn{Conn: cc.Conn(), timeout: c.config.ProgressTimeout}
+	conn.deadline, _ = ctx.Deadline()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	reader := host.AcquireReader(conn)
+	release := func(reuse bool) {
+		if !stop() {
+			reuse = false
+		}
+		host.ReleaseReader(reader)
+		if reuse {
+			host.ReleaseConn(cc)
+		} else {
+			host.CloseConn(cc)
+		}
+	}
+	response, err := roundTrip(host, conn, reader, request)
+	if err != nil {
+		release(false)
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
+		return nil, &SendError{Sent: true, Err: err}
+	}
+	return newResponse(response, release), nil
 }
 
-// deadline is the call's deadline in nanoseconds since the epoch; 0 is none.
-type deadline struct{ nanos atomic.Int64 }
+// roundTrip writes the request and reads the head of the answer.
+func roundTrip(host *fasthttp.HostClient, conn net.Conn, reader *bufio.Reader, request *fasthttp.Request) (*fasthttp.Response, error) {
+	writer := host.AcquireWriter(conn)
+	err := request.Write(writer)
+	if err == nil {
+		err = writer.Flush()
+	}
+	host.ReleaseWriter(writer)
+	if err != nil {
+		return nil, err
+	}
+	response := fasthttp.AcquireResponse()
+	response.StreamBody = true
+	response.SkipBody = request.Header.IsHead()
+	if err := response.ReadLimitBody(reader, 0); err != nil {
+		fasthttp.ReleaseResponse(response)
+		return nil, err
+	}
+	return response, nil
+}
 
-func (d *deadline) set(t time.Time) {
-	if t.IsZero() {
-		d.nanos.Store(0)
-		return
+// host returns the connection pool of an address.
+func (c *Client) host(address string) *fasthttp.HostClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	host, found := c.hosts[address]
+	if found {
+		return host
+	}
+	if len(c.hosts) >= maxHosts {
+		c.dropUnused()
 	}
-	d.nanos.Store(t.UnixNano())
+	host = &fasthttp.HostClient{
+		Addr:                address,
+		MaxConns:            maxConnsPerHost,
+		MaxIdleConnDuration: idleConnTimeout,
+		Dial: func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, c.config.ConnectTimeout)
+		},
+	}
+	c.hosts[address] = host
+	return host
 }
 
-// next returns the earlier of the call's deadline and a progress timeout from now.
-func (d *deadline) next(timeout time.Duration) time.Time {
-	progress := time.Now().Add(timeout)
-	if nanos := d.nanos.Load(); nanos != 0 && nanos < progress.UnixNano() {
-		return time.Unix(0, nanos)
+// dropUnused forgets the addresses without a connection; endpoints and peers
+// are replaced all the time.
+func (c *Client) dropUnused() {
+	for address, host := range c.hosts {
+		if host.ConnsCount() == 0 {
+			delete(c.hosts, address)
+		}
 	}
-	return progress
 }
 
-// SetReadDeadline implements net.Conn.
-func (c *progressConn) SetReadDeadline(t time.Time) error {
-	c.readDeadline.set(t)
-	return c.Conn.SetReadDeadline(c.readDeadline.next(c.timeout))
+// progressConn bounds each read and write by the progress timeout, within the
+// deadline of the whole call, so that a stream may last but not stall.
+type progressConn struct {
+	net.Conn
+	timeout  time.Duration
+	deadline time.Time
 }
 
-// SetWriteDeadline implements net.Conn.
-func (c *progressConn) SetWriteDeadline(t time.Time) error {
-	c.writeDeadline.set(t)
-	return c.Conn.SetWriteDeadline(c.writeDeadline.next(c.timeout))
+// next returns the earlier of the call's deadline and a progress timeout from now.
+func (c *progressConn) next() time.Time {
+	progress := time.Now().Add(c.timeout)
+	if !c.deadline.IsZero() && c.deadline.Before(progress) {
+		return c.deadline
+	}
+	return progress
 }
 
 // Read implements net.Conn.
 func (c *progressConn) Read(p []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(c.readDeadline.next(c.timeout)); err != nil {
+	if err := c.SetReadDeadline(c.next()); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(p)
@@ -104,7 +174,7 @@
 
 // Write implements net.Conn.
 func (c *progressConn) Write(p []byte) (int, error) {
-	if err := c.Conn.SetWriteDeadline(c.writeDeadline.next(c.timeout)); err != nil {
+	if err := c.SetWriteDeadline(c.next()); err != nil {
 		return 0, err
 	}
 	return c.Conn.Write(p)
--- a/entry/httpx/problem.go
+++ b/entry/httpx/problem.go
@@ -41,11 +41,11 @@
 	ctx.SetBody(body)
 }
 
-// CallError wraps a client's error: only a failure to connect proves that no
-// byte of the request was sent.
+// CallError wraps a client's error: only a failure before the first write proves
+// that no byte of the request was sent.
 func CallError(code string, err error) *call.Error {
-	var dial *DialError
-	sent := !errors.As(err, &dial) && !errors.Is(err, fasthttp.ErrNoFreeConns)
+	var send *SendError
+	sent := !errors.As(err, &send) || send.Sent
 	failed := &call.Error{Failure: attempt.Failure{Sent: sent}, Code: code, Err: err}
 	failed.Status = fasthttp.StatusServiceUnavailable
 	if sent {
--- /dev/null
+++ b/entry/httpx/response.go
@@ -0,0 +1,60 @@
+package httpx
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Response is an answer whose body is still to be read. Close must be called.
+type Response struct {
+	// Status is the HTTP status.
+	Status int
+	// Header is valid until Close.
+	Header *fasthttp.ResponseHeader
+
+	response *fasthttp.Response
+	body     io.Reader
+	complete bool
+	once     sync.Once
+	release  func(reuse bool)
+}
+
+// newResponse takes ownership of response; release gives the connection back.
+func newResponse(response *fasthttp.Response, release func(reuse bool)) *Response {
+	body := response.BodyStream()
+	if body == nil {
+		body = bytes.NewReader(response.Body())
+	}
+	return &Response{
+		Status:   response.StatusCode(),
+		Header:   &response.Header,
+		response: response,
+		body:     body,
+		release:  release,
+	}
+}
+
+// Read implements io.Reader.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.complete = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer. Closing before the end drops the connection,
+// which cancels the call at the other side.
+func (r *Response) Close() error {
+	r.once.Do(func() {
+		reuse := r.complete && !r.response.ConnectionClose()
+		_ = r.response.CloseBodyStream()
+		fasthttp.ReleaseResponse(r.response)
+		r.release(reuse)
+	})
+	return nil
+}
--- /dev/null
+++ b/entry/httpx/watch.go
@@ -0,0 +1,103 @@
+package httpx
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// ErrHungUp is the cause of a context whose caller closed its connection.
+var ErrHungUp = errors.New("the caller closed the connection")
+
+// WatchListener returns a listener whose connections Watch can observe.
+func WatchListener(inner net.Listener) net.Listener {
+	return &watchListener{Listener: inner}
+}
+
+type watchListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *watchListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &watchedConn{Conn: conn}, nil
+}
+
+// Watch returns a context that ends with parent, or when the caller of ctx
+// closes its connection. fasthttp notices that only on a write, so while the
+// handler runs a read waits in the background. stop must be called before the
+// handler returns; it does not end the context.
+func Watch(parent context.Context, ctx *fasthttp.RequestCtx) (watched context.Context, cancel context.CancelCauseFunc, stop func()) {
+	watched, cancel = context.WithCancelCause(parent)
+	conn, observable := ctx.Conn().(*watchedConn)
+	if !observable {
+		return watched, cancel, func() {}
+	}
+	return watched, cancel, conn.watch(func() { cancel(ErrHungUp) })
+}
+
+// watchedConn can wait for the end of the connection between two requests. A
+// byte that arrives meanwhile is kept for the next Read.
+type watchedConn struct {
+	net.Conn
+
+	mu   sync.Mutex
+	kept []byte
+}
+
+// watch reads in the background until stop is called.
+func (c *watchedConn) watch(hungUp func()) (stop func()) {
+	if c.holdsByte() || c.SetReadDeadline(time.Time{}) != nil {
+		return func() {}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var one [1]byte
+		n, err := c.Conn.Read(one[:])
+		if n == 1 {
+			c.keep(one[0])
+			return
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			hungUp()
+		}
+	}()
+	return sync.OnceFunc(func() {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // wakes the waiting read
+		<-done
+		_ = c.SetReadDeadline(time.Time{})
+	})
+}
+
+func (c *watchedConn) holdsByte() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.kept) > 0
+}
+
+func (c *watchedConn) keep(b byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.kept = append(c.kept, b)
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if len(c.kept) > 0 && len(p) > 0 {
+		n := copy(p, c.kept)
+		c.kept = c.kept[n:]
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.mu.Unlock()
+	return c.Conn.Read(p)
+}
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -30,7 +30,7 @@
 
 // Remote forwards attempts to the instance at address.
 type Remote interface {
-	Do(address string, r *call.Request) (*call.Answer, error)
+	Do(ctx context.Context, address string, r *call.Request) (*call.Answer, error)
 }
 
 // Server answers callers.
@@ -90,7 +90,9 @@
 		return
 	}
 	ctx.Response.Header.Set(httpx.RequestID, r.ID)
-	answer, err := s.attempts(t, route, r)
+	answer, err := forward.Watched(ctx, r, func(ctx context.Context, r *call.Request) (*call.Answer, error) {
+		return s.attempts(ctx, t, route, r)
+	})
 	if err != nil {
 		problem := httpx.ProblemOf(err)
 		s.log.Info().Str("event", "request_failed").Str("request", r.ID).Str("code", problem.Code).Str("outcome", string(problem.Outcome)).Send()
@@ -102,11 +104,9 @@
 
 // attempts tries workers until one serves, a failure forbids a retry or the
 // deadline passes.
-func (s *Server) attempts(t *table.Table, route *table.Route, r *call.Request) (*call.Answer, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
-	defer cancel()
+func (s *Server) attempts(ctx context.Context, t *table.Table, route *table.Route, r *call.Request) (*call.Answer, error) {
 	tried := make(map[string]bool)
-	var last error
+	var last error = unavailable("no_attempt", "the deadline passed before the first attempt")
 	for r.Attempt = 1; r.Attempt <= maxAttempts && ctx.Err() == nil; r.Attempt++ {
 		answer, err := s.attempt(ctx, t, route, r, tried)
 		if err == nil {
@@ -132,7 +132,7 @@
 	if owner.Name == s.fleet.Self() {
 		answer, err = s.local.Serve(ctx, r)
 	} else {
-		answer, err = s.remote.Do(owner.PeerAddress, r)
+		answer, err = s.remote.Do(ctx, owner.PeerAddress, r)
 	}
 	if err != nil {
 		end()
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -102,7 +102,7 @@
 		return nil, notRun(fasthttp.StatusServiceUnavailable, "unknown_worker", fmt.Errorf("worker %q is not in the tables", r.Worker))
 	}
 	if pool.Kind == table.Service {
-		return o.call(at.Address, r)
+		return o.call(ctx, at.Address, r)
 	}
 	return o.serveEngine(ctx, at.Address, pool, r)
 }
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	wait := time.Since(queued)
-	answer, err := o.call(address, r)
+	answer, err := o.call(ctx, address, r)
 	if err == nil && !r.Stream && answer.Status == fasthttp.StatusOK {
 		err = endpoint.VerifyCompletion(r, answer)
 	}
@@ -195,14 +195,14 @@
 
 // call runs the endpoint call on the dispatch pool, whose size bounds the calls
 // that wait for their head.
-func (o *Owner) call(address string, r *call.Request) (*call.Answer, error) {
+func (o *Owner) call(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
 	type result struct {
 		answer *call.Answer
 		err    error
 	}
 	done := make(chan result, 1)
 	err := o.dispatch.Submit(func() {
-		answer, err := o.client.Do(address, r)
+		answer, err := o.client.Do(ctx, address, r)
 		done <- result{answer, err}
 	})
 	if err != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -35,6 +35,7 @@
 	faults   EngineFaults
 	evicted  int // adapters unloaded while a request used them
 	served   int
+	hungUp   chan string
 }
 
 // EngineFaults are the faults that an engine can be switched to.
@@ -51,7 +52,11 @@
 
 // StartEngine starts an engine on address.
 func StartEngine(address string, config EngineConfig) (*Engine, error) {
-	e := &Engine{config: config, resident: make(map[string]int)}
+	e := &Engine{
+		config:   config,
+		resident: make(map[string]int),
+		hungUp:   make(chan string, hungUpKept),
+	}
 	s, err := listen(address, e.handle)
 	if err != nil {
 		return nil, err
@@ -82,6 +87,13 @@
 	return e.evicted
 }
 
+// InProgress returns the number of requests that run on an adapter@version.
+func (e *Engine) InProgress(model string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.resident[model]
+}
+
 // Served returns the number of completions so far.
 func (e *Engine) Served() int {
 	e.mu.Lock()
@@ -213,6 +225,20 @@
 	Choices []choice `json:"choices"`
 }
 
+// hungUpKept is the number of cancelled requests that HungUp holds.
+const hungUpKept = 1024
+
+// HungUp receives the model of each request whose caller closed the connection
+// before its answer was complete.
+func (e *Engine) HungUp() <-chan string { return e.hungUp }
+
+func (e *Engine) cancelled(model string) {
+	select {
+	case e.hungUp <- model:
+	default: // nobody counts them
+	}
+}
+
 // defaultTokens is the length of an answer that names none.
 const defaultTokens = 4
 
@@ -231,7 +257,10 @@
 		return
 	}
 	if silent {
-		select {}
+		defer e.end(request.Model)
+		hold(ctx, never)
+		e.cancelled(request.Model)
+		return
 	}
 	id := string(ctx.Request.Header.Peek("Bulrushwick-Request-Id"))
 	if request.Stream {
@@ -239,7 +268,10 @@
 		return
 	}
 	defer e.end(request.Model)
-	time.Sleep(time.Duration(request.MaxTokens) * e.config.TokenTime)
+	if !hold(ctx, time.Duration(request.MaxTokens)*e.config.TokenTime) {
+		e.cancelled(request.Model)
+		return
+	}
 	writeJSON(ctx, fasthttp.StatusOK, completion{
 		ID:      id,
 		Model:   model,
@@ -287,6 +319,7 @@
 			}
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
 			if w.Flush() != nil {
+				e.cancelled(request.Model)
 				return
 			}
 		}
--- a/standin/server.go
+++ b/standin/server.go
@@ -1,11 +1,15 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"net"
+	"time"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
 // server is the listener that every stand-in shares.
@@ -24,7 +28,7 @@
 		http:     &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true},
 		listener: listener,
 	}
-	go func() { _ = s.http.Serve(listener) }()
+	go func() { _ = s.http.Serve(httpx.WatchListener(listener)) }()
 	return s, nil
 }
 
@@ -45,6 +49,24 @@
 	ctx.SetBody(body)
 }
 
+// never is longer than any test.
+const never = 24 * time.Hour
+
+// hold waits for d and tells whether the caller is still there.
+func hold(ctx *fasthttp.RequestCtx, d time.Duration) bool {
+	watched, cancel, stop := httpx.Watch(context.Background(), ctx)
+	defer cancel(nil)
+	defer stop()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-watched.Done():
+		return false
+	}
+}
+
 // problem is the body of a refusal.
 type problem struct {
 	Error string `json:"error"`
