--- /dev/null
+++ b/cmd/e2e/docs_test.go
@@ -0,0 +1,124 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// root is the repository's root.
+const root = "../.."
+
+// pageCommand is one command in a fenced sh block of a page.
+type pageCommand struct {
+	page string
+	line string
+}
+
+// commandProof says how a command of a page is proved.
+type commandProof func(t *testing.T)
+
+// commandProofs maps every command of the pages to its proof.
+var commandProofs = map[string]commandProof{
+	"go run ./cmd/bulrushctl demo": proveByRun("bulrushctl", "demo"),
+	"go test work":                 proveByCI("go test work"),
+}
+
+// proveByRun runs a program to its end and wants exit code 0.
+func proveByRun(program string, args ...string) commandProof {
+	return func(t *testing.T) { run(t, program, args...) }
+}
+
+// proveByCI wants the command in the script that CI runs.
+func proveByCI(line string) commandProof {
+	return func(t *testing.T) {
+		script, err := os.ReadFile(filepath.Join(root, ".ci/run"))
+		require.NoError(t, err)
+		require.Contains(t, strings.Split(string(script), "\n"), line)
+	}
+}
+
+// TestEveryCommandOnAPageRuns fails for a command that has no proof.
+func TestEveryCommandOnAPageRuns(t *testing.T) {
+	commands := pageCommands(t)
+	require.NotEmpty(t, commands)
+	for _, c := range commands {
+		t.Run(c.page+"/"+c.line, func(t *testing.T) {
+			proof, known := commandProofs[c.line]
+			require.True(t, known, "no test runs %q of %s", c.line, c.page)
+			proof(t)
+		})
+	}
+}
+
+// pages lists the README and every page under docs.
+func pages(t *testing.T) []string {
+	t.Helper()
+	all := []string{filepath.Join(root, "README.md")}
+	err := filepath.WalkDir(filepath.Join(root, "docs"), func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() && strings.HasSuffix(path, ".md") {
+			all = append(all, path)
+		}
+		return err
+	})
+	require.NoError(t, err)
+	return all
+}
+
+func pageCommands(t *testing.T) []pageCommand {
+	t.Helper()
+	var commands []pageCommand
+	for _, page := range pages(t) {
+		text, err := os.ReadFile(page)
+		require.NoError(t, err)
+		name, err := filepath.Rel(root, page)
+		require.NoError(t, err)
+		for _, line := range fencedLines(text, "sh") {
+			commands = append(commands, pageCommand{page: name, line: line})
+		}
+	}
+	return commands
+}
+
+// fencedLines returns the lines of the blocks in that language, without their
+// comments.
+func fencedLines(text []byte, language string) []string {
+	var lines []string
+	inside := false
+	scanner := bufio.NewScanner(bytes.NewReader(text))
+	for scanner.Scan() {
+		line := strings.TrimSpace(scanner.Text())
+		if fence, is := strings.CutPrefix(line, "```"); is {
+			inside = !inside && fence == language
+			continue
+		}
+		command, _, _ := strings.Cut(line, " #")
+		if command = strings.TrimSpace(command); inside && command != "" && command[0] != '#' {
+			lines = append(lines, command)
+		}
+	}
+	return lines
+}
+
+// pageLink matches a Markdown link to a file.
+var pageLink = regexp.MustCompile(`\]\(([^)#:]+)(?:#[^)]*)?\)`)
+
+// TestEveryLinkOnAPageLeadsToAFile fails for a link to a file that is not there.
+func TestEveryLinkOnAPageLeadsToAFile(t *testing.T) {
+	for _, page := range pages(t) {
+		text, err := os.ReadFile(page)
+		require.NoError(t, err)
+		for _, match := range pageLink.FindAllSubmatch(text, -1) {
+			target := filepath.Join(filepath.Dir(page), string(match[1]))
+			_, err := os.Stat(target)
+			require.NoError(t, err, "link in %s", page)
+		}
+	}
+}
