Measure the path: added latency, processor time a request and a token

One engine stand-in behind two instances of one data centre, as separate processes; processor time is what the two instances report when they exit. Answers now name the instance that dispatched them (Bulrushwick-Owner), which the benchmark needs to enter at the one that forwards.

go test ./cmd/e2e -run '^$' -bench . -benchtime 1x

--- a/cmd/e2e/fleet_test.go
+++ b/cmd/e2e/fleet_test.go
@@ -46,7 +46,13 @@
 
 // startSystem starts the stand-ins and entriesPerDataCentre instances in each
 // data centre, and waits until every instance has the tables.
-func startSystem(t *testing.T, spec deployment.Spec, entriesPerDataCentre int) *system {
+func startSystem(t testing.TB, spec deployment.Spec, entriesPerDataCentre int) *system {
+	t.Helper()
+	return startSystemWith(t, spec, entriesPerDataCentre)
+}
+
+// startSystemWith is startSystem with further flags for the engines.
+func startSystemWith(t testing.TB, spec deployment.Spec, entriesPerDataCentre int, engineFlags ...string) *system {
 	t.Helper()
 	s := &system{spec: spec}
 	s.platform = start(t, "bulrushctl", "standin", "platform").await(t, "listening").Address
@@ -55,6 +61,7 @@
 	if spec.Fencing {
 		engine = append(engine, "--fencing")
 	}
+	engine = append(engine, engineFlags...)
 	s.workers = startMany(t, spec.Workers, engine...)
 	s.services = startMany(t, spec.Services, "standin", "service")
 	snapshot, err := deployment.Snapshot(1, spec.Chunk(s.workers, s.services))
@@ -73,7 +80,7 @@
 	return s
 }
 
-func startMany(t *testing.T, count int, args ...string) []string {
+func startMany(t testing.TB, count int, args ...string) []string {
 	t.Helper()
 	processes := make([]*process, count)
 	for i := range processes {
@@ -86,7 +93,7 @@
 	return addresses
 }
 
-func (s *system) startEntry(t *testing.T, dataCentre string) {
+func (s *system) startEntry(t testing.TB, dataCentre string) {
 	t.Helper()
 	conf := settings.Default()
 	conf.Instance = fmt.Sprintf("entry-%d", len(s.entries))
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -46,7 +46,7 @@
 }
 
 // start runs a program until the test ends.
-func start(t *testing.T, program string, args ...string) *process {
+func start(t testing.TB, program string, args ...string) *process {
 	t.Helper()
 	dir, err := binaries()
 	require.NoError(t, err, dir)
@@ -80,7 +80,7 @@
 }
 
 // await returns the first line with that event.
-func (p *process) await(t *testing.T, event string) logLine {
+func (p *process) await(t testing.TB, event string) logLine {
 	t.Helper()
 	limit := time.After(startLimit)
 	for {
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -56,6 +56,8 @@
 	Adapter string
 	// Worker is the endpoint that ran the request.
 	Worker string
+	// Owner is the instance that dispatched the request.
+	Owner string
 	// Wait is how long the request waited at the owner.
 	Wait time.Duration
 	Body io.ReadCloser
--- a/entry/httpx/headers.go
+++ b/entry/httpx/headers.go
@@ -15,6 +15,7 @@
 	RequestID      = "Bulrushwick-Request-Id"
 	Instance       = "Bulrushwick-Instance"
 	WaitMs         = "Bulrushwick-Wait-Ms"
+	OwnerHeader    = "Bulrushwick-Owner"
 )
 
 // Headers that only travel between instances and to endpoints.
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -99,6 +99,7 @@
 		problem.Write(ctx)
 		return
 	}
+	ctx.Response.Header.Set(httpx.OwnerHeader, answer.Owner)
 	forward.WriteAnswer(ctx, answer)
 }
 
@@ -138,6 +139,7 @@
 		end()
 		return nil, err
 	}
+	answer.Owner = owner.Name
 	answer.Body = &counted{ReadCloser: answer.Body, end: end}
 	return answer, nil
 }
