Run an instance on two processors unless told otherwise

Cause: at 28,000 tokens a second a profile showed a third of the processor time in the scheduler (findRunnable, futex), waking processors that find one short write to do. Ruled out: the deadline set before each read (4% of the time).

--- a/cmd/bulrushwick/main.go
+++ b/cmd/bulrushwick/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -50,6 +51,7 @@
 	if err != nil {
 		return err
 	}
+	runtime.GOMAXPROCS(s.Processors)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return err
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -70,6 +70,10 @@
 	// ControlConcurrency bounds the control calls that run at once.
 	// Default: 64.
 	ControlConcurrency int `json:"controlConcurrency"`
+	// Processors is how many processors run the instance at once. More take a
+	// burst faster; fewer spend less on waking each other, which at many short
+	// writes is a third of the processor time. Default: 2.
+	Processors int `json:"processors"`
 	// TraceFile receives spans as JSON lines; empty switches tracing off.
 	TraceFile string `json:"traceFile"`
 }
@@ -85,6 +89,7 @@
 		BodyLimit:           1 << 20,
 		DispatchConcurrency: 1024,
 		ControlConcurrency:  64,
+		Processors:          2,
 	}
 }
 
@@ -156,6 +161,7 @@
 		{"bodyLimit", s.BodyLimit},
 		{"dispatchConcurrency", s.DispatchConcurrency},
 		{"controlConcurrency", s.ControlConcurrency},
+		{"processors", s.Processors},
 	}
 	for _, c := range counts {
 		if c.value < 1 {
