Decide on a call's attempts and on keyed calls in pure machines

A Record decides whether a call with an idempotency key runs, joins, is answered from the record or is refused; a Life numbers one request's attempts and names its one outcome; a Budget bounds retries that may run a request again.

Found on the way: the ingress told not-run of an idempotent request whose first attempt may have run when only the last one was proved not to have; the same rule stays in the test as a broken variant and is found by the check.

--- /dev/null
+++ b/coord/attempt/key.go
@@ -0,0 +1,67 @@
+package attempt
+
+import (
+	"encoding/binary"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
+)
+
+// Shards is the number of shards that the keys of one data centre fall into.
+// Every instance must use the same number: it decides who owns a key.
+const Shards = 32
+
+// keyTextLength is the length of a key in its canonical text form.
+const keyTextLength = 36
+
+// keyVersion is the UUID version that carries the time of minting.
+const keyVersion = 7
+
+// ErrKeyMalformed says that a text is not a UUIDv7 in its canonical form.
+var ErrKeyMalformed = errors.New("the idempotency key must be a UUIDv7")
+
+// Key is a caller's idempotency key: a UUIDv7, which tells when it was minted.
+type Key uuid.UUID
+
+// ParseKey reads a key in the canonical text form. Its error is
+// ErrKeyMalformed.
+func ParseKey(text string) (Key, error) {
+	if len(text) != keyTextLength {
+		return Key{}, ErrKeyMalformed
+	}
+	id, err := uuid.Parse(text)
+	if err != nil || id.Version() != keyVersion || id.Variant() != uuid.RFC4122 {
+		return Key{}, ErrKeyMalformed
+	}
+	return Key(id), nil
+}
+
+// String returns the canonical text form.
+func (k Key) String() string { return uuid.UUID(k).String() }
+
+// Minted returns when the key was made by its caller's clock, as the time since
+// the Unix epoch in whole milliseconds.
+func (k Key) Minted() time.Duration {
+	const timeBytes, timestampShift = 8, 16
+	milliseconds := binary.BigEndian.Uint64(k[:timeBytes]) >> timestampShift
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// Shard returns the shard that the key falls into, from 0 to Shards-1.
+func (k Key) Shard() int { return int(xxhash.Sum64(k[:]) % Shards) }
+
+// Home returns the data centre whose instances own the key, for a caller that
+// names none. It depends on the published data centres and on nothing that
+// lives or fails; it is empty where none is published.
+func Home(key Key, dataCentres []string) string {
+	if len(dataCentres) == 0 {
+		return ""
+	}
+	unique := slices.Compact(slices.Sorted(slices.Values(dataCentres)))
+	return ownership.Order(key.String(), unique)[0]
+}
--- /dev/null
+++ b/coord/attempt/life_test.go
@@ -0,0 +1,149 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// forgetful is a retry rule that goes by the last attempt alone, as the first
+// version of the ingress did.
+type forgetful struct {
+	idempotent bool
+	attempt    int
+}
+
+func (l *forgetful) Step(_ time.Duration, event LifeEvent) []LifeAction {
+	e, failed := event.(Failed)
+	if _, started := event.(Started); started || failed && l.attempt < 3 && e.Failure.MayRetry(l.idempotent) {
+		l.attempt++
+		return []LifeAction{Try{Attempt: l.attempt}}
+	}
+	if failed {
+		return []LifeAction{Tell{Outcome: e.Failure.Outcome()}}
+	}
+	return []LifeAction{Tell{Outcome: Served}}
+}
+
+// eager retries although a byte was sent.
+type eager struct{ attempt int }
+
+func (l *eager) Step(_ time.Duration, event LifeEvent) []LifeAction {
+	if _, ended := event.(Ended); ended {
+		return []LifeAction{Tell{Outcome: Served}}
+	}
+	if l.attempt == 3 {
+		return []LifeAction{Tell{Outcome: Unknown}}
+	}
+	l.attempt++
+	return []LifeAction{Try{Attempt: l.attempt}}
+}
+
+type stepper interface {
+	Step(now time.Duration, event LifeEvent) []LifeAction
+}
+
+// lifeFault is what a random life does wrong, or empty.
+func lifeFault(t *rapid.T, idempotent bool, life stepper) string {
+	ran := 0      // attempts that an endpoint ran
+	passed := 0   // events that the caller holds
+	attempt := 0  // the current attempt
+	finished := 0 // Tell and Cut
+	actions := life.Step(0, Started{})
+	for now := time.Duration(0); now < 20; now++ {
+		for _, action := range actions {
+			switch a := action.(type) {
+			case Try:
+				attempt = a.Attempt
+				if ran > 0 && !idempotent {
+					return "an attempt after one that ran"
+				}
+				if a.Offset != passed && a.Offset != 0 {
+					return "resumed at another offset"
+				}
+			case Tell:
+				finished++
+				if a.Outcome == NotRun && ran > 0 {
+					return "not-run, but it ran"
+				}
+			case Cut:
+				finished++
+			}
+		}
+		if finished > 0 {
+			break
+		}
+		about := attempt - rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "late")
+		switch rapid.IntRange(0, 3).Draw(t, "event") {
+		case 0: // never left
+			actions = life.Step(now, Failed{Attempt: about})
+		case 1: // left, and ran though no answer came
+			if about == attempt {
+				ran++
+			}
+			actions = life.Step(now, Failed{Attempt: about, Failure: Failure{Sent: true}, Resumable: true})
+		case 2:
+			actions = life.Step(now, Ended{Attempt: about})
+		case 3:
+			if _, isLife := life.(*Life); isLife && about == attempt {
+				passed++
+				ran++
+			}
+			actions = life.Step(now, Passed{Attempt: about, Offset: passed})
+			if about != attempt && len(actions) == 0 {
+				return "a late answer was passed on"
+			}
+		}
+	}
+	if finished > 1 {
+		return "ended twice"
+	}
+	return ""
+}
+
+func TestLifeKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		life := NewLife(DefaultLifeConfig(), NewBudget(DefaultBudgetConfig()), idempotent, 15)
+		require.Empty(t, lifeFault(t, idempotent, life))
+	})
+}
+
+// TestBrokenLivesAreFound runs the same check over two rules that are wrong.
+func TestBrokenLivesAreFound(t *testing.T) {
+	found := make(map[string]bool)
+	rapid.Check(t, func(t *rapid.T) {
+		found[lifeFault(t, true, &forgetful{idempotent: true})] = true
+		found[lifeFault(t, false, &eager{})] = true
+	})
+	require.True(t, found["not-run, but it ran"])
+	require.True(t, found["an attempt after one that ran"])
+}
+
+func TestBudgetBoundsExtraCalls(t *testing.T) {
+	config := DefaultBudgetConfig()
+	budget := NewBudget(config)
+	const calls = 10_000
+	retries := 0
+	for range calls {
+		budget.Call()
+		if budget.Retry() { // every call fails
+			retries++
+		}
+	}
+	require.LessOrEqual(t, float64(retries), config.Ratio*calls+config.Reserve)
+	require.Greater(t, retries, calls/20, "retries go on within the budget")
+}
+
+func TestStreamIsResumedOrCut(t *testing.T) {
+	life := NewLife(DefaultLifeConfig(), NewBudget(DefaultBudgetConfig()), true, time.Minute)
+	lost := Failure{Sent: true}
+	require.Equal(t, []LifeAction{Try{Attempt: 1}}, life.Step(0, Started{}))
+	require.Empty(t, life.Step(1, Passed{Attempt: 1, Offset: 5}))
+	require.Equal(t, []LifeAction{Try{Attempt: 2, Offset: 5}}, life.Step(2, Failed{Attempt: 1, Failure: lost, Resumable: true}))
+	require.Equal(t, []LifeAction{Discard{Attempt: 1}}, life.Step(3, Passed{Attempt: 1, Offset: 6}))
+	require.Empty(t, life.Step(4, Passed{Attempt: 2, Offset: 6}))
+	require.Equal(t, []LifeAction{Cut{}}, life.Step(5, Failed{Attempt: 2, Failure: lost}))
+}
