--- a/coord/attempt/life.go
+++ b/coord/attempt/life.go
@@ -113,7 +113,7 @@
 		return l.fail(now, e)
 	case Ended:
 		if !l.current(e.Attempt) {
-			return []LifeAction{Discard{Attempt: e.Attempt}}
+			return []LifeAction{Discard(e)}
 		}
 		l.over = true
 		return []LifeAction{Tell{Outcome: Served}}
