Read tables and settings strictly and build them by chunk

Cause: encoding/json takes unknown case, doubled fields and stops at the first error, so one bad field hid all others and no finding had a line. A revision was parsed as a whole although one chunk had changed.

strictjson decodes with go-json-experiment/json and, only when that fails, walks the tokens for every finding with line, column and path. table.Assembly gathers chunks by digest from the table in force; index chunks keep a manifest short. Stamps order equal revisions by digest.

Ruled out: a hand-written parser; the first table of a revision wins (instances that see the two in another order would never agree).

--- a/cmd/bulrushwick/main.go
+++ b/cmd/bulrushwick/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 	"github.com/bulrushwick/bulrushwick/entry/daemon"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
@@ -48,6 +50,7 @@
 func run(ctx context.Context, file string, log zerolog.Logger) error {
 	s, err := settings.Load(file)
 	if err != nil {
+		logFindings(log, file, err)
 		return err
 	}
 	d, err := daemon.New(s, log)
@@ -67,3 +70,17 @@
 	defer stop()
 	return d.Run(ctx)
 }
+
+// logFindings writes a line for each finding of a settings file.
+func logFindings(log zerolog.Logger, file string, err error) {
+	var findings strictjson.Findings
+	if !errors.As(err, &findings) {
+		return
+	}
+	for _, f := range findings {
+		log.Error().Str("event", "settings_finding").
+			Str("file", file).Int("line", f.Line).Int("column", f.Column).
+			Str("path", f.Path).Str("message", f.Message).
+			Send()
+	}
+}
--- /dev/null
+++ b/coord/strictjson/decode.go
@@ -0,0 +1,234 @@
+package strictjson
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// Decode reads the one JSON value of data into v, a pointer, over what v holds.
+// It returns every finding, and whether v may be checked further: where the
+// findings are only unknown and doubled fields, it holds the rest.
+func Decode(data []byte, v any) (findings Findings, usable bool) {
+	fresh := reflect.New(reflect.TypeOf(v).Elem())
+	fresh.Elem().Set(reflect.ValueOf(v).Elem())
+	err := json.Unmarshal(data, v, json.RejectUnknownMembers(true))
+	if err == nil {
+		return nil, true
+	}
+	w := &walker{data: data, decoder: newDecoder(data)}
+	w.value(reflect.TypeOf(v).Elem(), "")
+	w.end()
+	if len(w.findings) == 0 {
+		w.unusable = true
+		w.find(0, "", cause(err))
+	}
+	if w.unusable {
+		return w.findings, false
+	}
+	reflect.ValueOf(v).Elem().Set(fresh.Elem())
+	err = json.Unmarshal(data, v, jsontext.AllowDuplicateNames(true))
+	return w.findings, err == nil
+}
+
+func newDecoder(data []byte) *jsontext.Decoder {
+	return jsontext.NewDecoder(&reader{data: data}, jsontext.AllowDuplicateNames(true))
+}
+
+// reader hands out data; bytes.Buffer, which the decoder treats specially, would
+// be modified.
+type reader struct{ data []byte }
+
+// Read implements io.Reader.
+func (r *reader) Read(p []byte) (int, error) {
+	if len(r.data) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, r.data)
+	r.data = r.data[n:]
+	return n, nil
+}
+
+// walker compares a document with a type, token by token.
+type walker struct {
+	data     []byte
+	decoder  *jsontext.Decoder
+	findings Findings
+	// broken says that the document is not JSON beyond this point.
+	broken bool
+	// unusable says that a finding is graver than a field too many.
+	unusable bool
+}
+
+func (w *walker) find(offset int, path, message string) {
+	if path == "" {
+		path = Root
+	}
+	w.findings = append(w.findings, Finding{Position: positionAt(w.data, offset), Path: path, Message: message})
+}
+
+// offset returns where the next token begins.
+func (w *walker) offset() int { return nextToken(w.data, w.decoder) }
+
+func nextToken(data []byte, decoder *jsontext.Decoder) int {
+	at := int(decoder.InputOffset())
+	for at < len(data) && strings.IndexByte(" \t\r\n,:", data[at]) >= 0 {
+		at++
+	}
+	return at
+}
+
+// syntax records that the document is not JSON beyond this point.
+func (w *walker) syntax(path string, err error) {
+	w.broken, w.unusable = true, true
+	at := w.offset()
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) {
+		at = int(syntactic.ByteOffset)
+	}
+	w.find(at, path, cause(err))
+}
+
+func (w *walker) value(t reflect.Type, path string) {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	kind := w.decoder.PeekKind()
+	switch {
+	case kind == '{' && t.Kind() == reflect.Struct:
+		w.object(t, path)
+	case kind == '[' && t.Kind() == reflect.Slice:
+		w.array(t.Elem(), path)
+	default:
+		w.leaf(t, path)
+	}
+}
+
+func (w *walker) object(t reflect.Type, path string) {
+	fields := fieldsOf(t)
+	seen := make(map[string]bool)
+	if !w.token(path) {
+		return
+	}
+	for !w.broken && w.decoder.PeekKind() == '"' {
+		at := w.offset()
+		token, err := w.decoder.ReadToken()
+		if err != nil {
+			w.syntax(path, err)
+			return
+		}
+		w.member(at, fields, seen, token.String(), path)
+	}
+	w.token(path)
+}
+
+func (w *walker) member(at int, fields map[string]reflect.Type, seen map[string]bool, name, path string) {
+	place := name
+	if path != "" {
+		place = path + "." + name
+	}
+	if seen[name] {
+		w.find(at, place, "the field is written twice")
+	}
+	seen[name] = true
+	field, known := fields[name]
+	if known {
+		w.value(field, place)
+		return
+	}
+	w.find(at, place, "unknown field"+Suggest(name, keys(fields)))
+	if err := w.decoder.SkipValue(); err != nil {
+		w.syntax(place, err)
+	}
+}
+
+func (w *walker) array(element reflect.Type, path string) {
+	if !w.token(path) {
+		return
+	}
+	for i := 0; !w.broken; i++ {
+		kind := w.decoder.PeekKind()
+		if kind == ']' {
+			break
+		}
+		w.value(element, fmt.Sprintf("%s[%d]", path, i))
+	}
+	w.token(path)
+}
+
+func (w *walker) leaf(t reflect.Type, path string) {
+	at := w.offset()
+	value, err := w.decoder.ReadValue()
+	if err != nil {
+		w.syntax(path, err)
+		return
+	}
+	if err := json.Unmarshal(value, reflect.New(t).Interface(), json.RejectUnknownMembers(true)); err != nil {
+		w.unusable = true
+		w.find(at, path, cause(err))
+	}
+}
+
+// token reads a delimiter and tells whether the document is still JSON.
+func (w *walker) token(path string) bool {
+	if w.broken {
+		return false
+	}
+	if _, err := w.decoder.ReadToken(); err != nil {
+		w.syntax(path, err)
+	}
+	return !w.broken
+}
+
+// end finds what follows the value.
+func (w *walker) end() {
+	if w.broken {
+		return
+	}
+	at := w.offset()
+	if _, err := w.decoder.ReadToken(); !errors.Is(err, io.EOF) {
+		w.unusable = true
+		w.find(at, "", "something follows the value")
+	}
+}
+
+// cause returns what is wrong without the library's own account of the place.
+func cause(err error) string {
+	var semantic *json.SemanticError
+	if errors.As(err, &semantic) {
+		if semantic.Err != nil {
+			return semantic.Err.Error()
+		}
+		return fmt.Sprintf("a JSON %s does not fit %s", semantic.JSONKind, semantic.GoType)
+	}
+	var syntactic *jsontext.SyntacticError
+	if errors.As(err, &syntactic) && syntactic.Err != nil {
+		return syntactic.Err.Error()
+	}
+	return err.Error()
+}
+
+// fieldsOf returns the types of a struct's fields by their JSON names.
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = t.Field(i).Type
+		}
+	}
+	return fields
+}
+
+func keys(fields map[string]reflect.Type) []string {
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	return names
+}
--- a/coord/table/build.go
+++ b/coord/table/build.go
@@ -1,15 +1,12 @@
 package table
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"net/netip"
+	"slices"
 	"sort"
-	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 )
 
 // Table is one accepted revision, indexed for lookup. It is immutable.
@@ -19,109 +16,148 @@
 	Routes   []Route
 	Pools    map[string]*Pool
 
-	snapshot  Snapshot
-	digest    string
-	versions  map[poolAdapter]map[string]struct{}
+	manifest Manifest
+	digest   string
+	refs     []ChunkRef
+	parts    map[string]*part
+	// holders are the parts with adapters, in the order of the manifest.
+	holders   []*part
 	engines   []*Route
 	services  []*Route
 	endpoints map[string]located
 	regionOf  map[string]string
 }
 
-type poolAdapter struct{ pool, adapter string }
-
 type located struct {
 	pool     *Pool
 	endpoint *Endpoint
 }
 
-// Digest returns the digest of a chunk's bytes as it stands in a manifest.
-func Digest(data []byte) string {
-	return strconv.FormatUint(xxhash.Sum64(data), 16)
-}
-
 // Build parses, joins and validates a snapshot. It returns every finding
 // together, as Findings.
 func Build(s Snapshot) (*Table, error) {
-	b := builder{table: &Table{
-		Revision:  s.Manifest.Revision,
+	a := NewAssembly(s.Manifest, nil, nil)
+	for added := true; added; {
+		added = false
+		for _, ref := range a.Missing() {
+			if data, found := s.Chunks[ref.Key]; found && a.Add(data) {
+				added = true
+			}
+		}
+	}
+	return a.Build()
+}
+
+// Build joins and validates the chunks. It returns every finding together, as
+// Findings. Chunks that the base table has are not parsed or compared again.
+func (a *Assembly) Build() (*Table, error) {
+	b := builder{assembly: a, table: &Table{
+		Revision:  a.manifest.Revision,
 		Pools:     make(map[string]*Pool),
-		snapshot:  s,
-		versions:  make(map[poolAdapter]map[string]struct{}),
+		manifest:  a.manifest,
+		refs:      a.refs,
+		parts:     a.parts,
 		endpoints: make(map[string]located),
 		regionOf:  make(map[string]string),
 	}}
-	if s.Manifest.Revision == 0 {
-		b.find("manifest", "revision", "must be at least 1")
-	}
-	for i, ref := range s.Manifest.Chunks {
-		b.chunk(i, ref, s.Chunks)
+	b.manifest()
+	b.gather()
+	for _, join := range []func(*placed){b.regions, b.pools, b.endpoints, b.routes, b.adapters} {
+		for i := range b.placed {
+			join(&b.placed[i])
+		}
 	}
-	b.join()
-	if err := b.findings.Err(); err != nil {
+	b.duplicateAdapters()
+	if err := b.result(); err != nil {
 		return nil, err
 	}
+	b.table.digest = Digest(a.manifest.Encode())
 	b.table.index()
 	return b.table, nil
 }
 
 type builder struct {
+	assembly *Assembly
 	table    *Table
 	findings Findings
-	parsed   []parsedChunk
+	placed   []placed
+	// incomplete says that a chunk is missing or could not be decoded.
+	incomplete bool
 }
 
-type parsedChunk struct {
+// placed is a part under the key that the manifest gives it.
+type placed struct {
+	*part
+	strictjson.Collector
 	key   string
-	chunk Chunk
+	fresh bool
 }
 
-func (b *builder) find(chunk, path, format string, args ...any) {
-	b.findings = append(b.findings, Finding{Chunk: chunk, Path: path, Message: fmt.Sprintf(format, args...)})
+// undefined records a name that is not in the table, unless the chunk that
+// defines it could not be read.
+func (b *builder) undefined(p *placed, path, what, name string) {
+	if !b.incomplete {
+		p.Find(path, "%s %q is not defined%s", what, name, strictjson.Suggest(name, b.poolNames()))
+	}
 }
 
-func (b *builder) chunk(i int, ref ChunkRef, chunks map[string][]byte) {
-	data, found := chunks[ref.Key]
-	if !found {
-		b.find("manifest", fmt.Sprintf("chunks[%d]", i), "chunk %q is missing", ref.Key)
-		return
+func pathOf(field string, i int) string { return fmt.Sprintf("%s[%d]", field, i) }
+
+func (b *builder) manifest() {
+	c := &strictjson.Collector{}
+	if b.table.Revision == 0 {
+		c.Find("revision", "must be at least 1")
 	}
-	if got := Digest(data); got != ref.Digest {
-		b.find(ref.Key, "$", "digest is %s, the manifest says %s", got, ref.Digest)
-		return
+	checkRefs(c, b.assembly.manifest.Chunks)
+	seen := make(map[string]string)
+	for _, ref := range b.assembly.refs {
+		if other, twice := seen[ref.Digest]; twice && other != ref.Key {
+			c.Find("chunks", "chunks %q and %q are the same", other, ref.Key)
+		}
+		seen[ref.Digest] = ref.Key
 	}
-	var c Chunk
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&c); err != nil {
-		b.find(ref.Key, "$", "%s", err)
-		return
+	b.incomplete = len(b.assembly.missing) > 0
+	for _, ref := range b.assembly.missing {
+		c.Find("chunks", "chunk %q with digest %s is missing", ref.Key, ref.Digest)
 	}
-	b.parsed = append(b.parsed, parsedChunk{key: ref.Key, chunk: c})
+	data := b.assembly.manifest.Encode()
+	b.findings = append(place(ManifestName, c.Locate(data)), b.assembly.findings...)
 }
 
-// join checks names across chunks: pools first, since routes and adapters
-// refer to them.
-func (b *builder) join() {
-	for _, p := range b.parsed {
-		b.regions(p)
-		b.pools(p)
+// gather lists the parts in the order of the manifest, each once.
+func (b *builder) gather() {
+	seen := make(map[string]bool)
+	for _, ref := range b.assembly.refs {
+		p, found := b.assembly.parts[ref.Digest]
+		if !found || seen[ref.Digest] {
+			continue
+		}
+		seen[ref.Digest] = true
+		b.incomplete = b.incomplete || !p.usable
+		fresh := b.assembly.base == nil || b.assembly.base.parts[ref.Digest] == nil
+		b.placed = append(b.placed, placed{part: p, key: ref.Key, fresh: fresh})
+		if len(p.versions) > 0 {
+			b.table.holders = append(b.table.holders, p)
+		}
 	}
-	for _, p := range b.parsed {
-		b.routes(p)
-		b.adapters(p)
+}
+
+// result returns the findings of every chunk, or nil.
+func (b *builder) result() error {
+	for i := range b.placed {
+		p := &b.placed[i]
+		found := append(slices.Clip(p.findings), p.Locate(p.data)...)
+		found.Sort()
+		b.findings = append(b.findings, place(p.key, found)...)
 	}
+	return b.findings.Err()
 }
 
-func (b *builder) regions(p parsedChunk) {
+func (b *builder) regions(p *placed) {
 	for i, region := range p.chunk.Regions {
-		path := fmt.Sprintf("regions[%d]", i)
-		if region.Name == "" {
-			b.find(p.key, path+".name", "is empty")
-		}
-		for _, dataCentre := range region.DataCentres {
+		for j, dataCentre := range region.DataCentres {
 			if _, twice := b.table.regionOf[dataCentre]; twice {
-				b.find(p.key, path+".dataCentres", "data centre %q stands in two regions", dataCentre)
+				p.Find(pathOf(pathOf("regions", i)+".dataCentres", j), "data centre %q stands in two regions", dataCentre)
 			}
 			b.table.regionOf[dataCentre] = region.Name
 		}
@@ -129,115 +165,140 @@
 	}
 }
 
-func (b *builder) pools(p parsedChunk) {
+func (b *builder) pools(p *placed) {
 	for i := range p.chunk.Pools {
-		pool := &p.chunk.Pools[i]
-		path := fmt.Sprintf("pools[%d]", i)
-		if pool.Name == "" {
-			b.find(p.key, path+".name", "is empty")
-		}
+		pool := p.chunk.Pools[i]
+		path := pathOf("pools", i)
 		if _, twice := b.table.Pools[pool.Name]; twice {
-			b.find(p.key, path+".name", "pool %q is defined twice", pool.Name)
+			p.Find(path+".name", "pool %q is defined twice", pool.Name)
+			continue
+		}
+		pool.Endpoints = pool.Endpoints[:len(pool.Endpoints):len(pool.Endpoints)] // appends copy
+		b.table.Pools[pool.Name] = &pool
+		for j, endpoint := range pool.Endpoints {
+			b.uniqueEndpoint(p, pathOf(path+".endpoints", j), endpoint.Name)
 		}
-		b.poolLimits(p.key, path, pool)
-		b.endpoints(p.key, path, pool)
-		b.table.Pools[pool.Name] = pool
 	}
 }
 
-func (b *builder) poolLimits(key, path string, pool *Pool) {
-	switch pool.Kind {
-	case Engine:
-		if pool.Slots < 1 {
-			b.find(key, path+".slots", "an engine pool needs at least 1 slot")
-		}
-	case Service:
-		if pool.Slots != 0 {
-			b.find(key, path+".slots", "a service pool has no slots")
+// endpoints adds the endpoints that are published apart from their pools.
+func (b *builder) endpoints(p *placed) {
+	for i, e := range p.chunk.Endpoints {
+		path := pathOf("endpoints", i)
+		pool, found := b.table.Pools[e.Pool]
+		if !found {
+			b.undefined(p, path+".pool", "pool", e.Pool)
+			continue
 		}
-	default:
-		b.find(key, path+".kind", "%q is not engine or service", pool.Kind)
-	}
-	if pool.Batch < 1 {
-		b.find(key, path+".batch", "must be at least 1")
+		b.uniqueEndpoint(p, path, e.Name)
+		pool.Endpoints = append(pool.Endpoints, e.endpoint())
 	}
 }
 
-func (b *builder) endpoints(key, path string, pool *Pool) {
-	for i := range pool.Endpoints {
-		endpoint := &pool.Endpoints[i]
-		place := fmt.Sprintf("%s.endpoints[%d]", path, i)
-		if endpoint.Name == "" {
-			b.find(key, place+".name", "is empty")
-		}
-		if _, twice := b.table.endpoints[endpoint.Name]; twice {
-			b.find(key, place+".name", "endpoint %q is defined twice", endpoint.Name)
-		}
-		if _, err := netip.ParseAddrPort(endpoint.Address); err != nil {
-			b.find(key, place+".address", "%q is not an IP address and port", endpoint.Address)
-		}
-		if endpoint.DataCentre == "" {
-			b.find(key, place+".dataCentre", "is empty")
-		}
-		b.table.endpoints[endpoint.Name] = located{pool: pool, endpoint: endpoint}
+func (b *builder) uniqueEndpoint(p *placed, path, name string) {
+	if _, twice := b.table.endpoints[name]; twice {
+		p.Find(path+".name", "endpoint %q is defined twice", name)
 	}
+	b.table.endpoints[name] = located{}
 }
 
-func (b *builder) routes(p parsedChunk) {
+func (b *builder) routes(p *placed) {
 	for i := range p.chunk.Routes {
 		route := p.chunk.Routes[i]
-		path := fmt.Sprintf("routes[%d]", i)
-		if route.Name == "" {
-			b.find(p.key, path+".name", "is empty")
+		path := pathOf("routes", i)
+		if b.hasRoute(route.Name) {
+			p.Find(path+".name", "route %q is defined twice", route.Name)
 		}
-		pool, found := b.table.Pools[route.Pool]
-		if !found {
-			b.find(p.key, path+".pool", "pool %q is not defined", route.Pool)
+		if pool, found := b.table.Pools[route.Pool]; found {
+			checkMatch(p, path, &route, pool)
 		} else {
-			b.routeMatch(p.key, path, &route, pool)
-		}
-		if route.DeadlineMs < 0 {
-			b.find(p.key, path+".deadlineMs", "must not be negative")
+			b.undefined(p, path+".pool", "pool", route.Pool)
 		}
 		b.table.Routes = append(b.table.Routes, route)
 	}
 }
 
-func (b *builder) routeMatch(key, path string, route *Route, pool *Pool) {
+func (b *builder) hasRoute(name string) bool {
+	_, found := b.table.RouteNamed(name)
+	return found
+}
+
+func checkMatch(p *placed, path string, route *Route, pool *Pool) {
 	if pool.Kind == Service && !strings.HasPrefix(route.PathPrefix, "/") {
-		b.find(key, path+".pathPrefix", "a service route needs a path prefix that begins with /")
+		p.Find(path+".pathPrefix", "a service route needs a path prefix that begins with /")
 	}
 	if pool.Kind == Engine && route.PathPrefix != "" {
-		b.find(key, path+".pathPrefix", "an engine route matches by adapterPrefix")
+		p.Find(path+".pathPrefix", "an engine route matches by adapterPrefix")
+	}
+	if pool.Kind == Service && route.AdapterPrefix != "" {
+		p.Find(path+".adapterPrefix", "a service route matches by pathPrefix")
 	}
 }
 
-func (b *builder) adapters(p parsedChunk) {
-	for i, adapter := range p.chunk.Adapters {
-		path := fmt.Sprintf("adapters[%d]", i)
-		pool, found := b.table.Pools[adapter.Pool]
-		if !found || pool.Kind != Engine {
-			b.find(p.key, path+".pool", "engine pool %q is not defined", adapter.Pool)
+func (b *builder) adapters(p *placed) {
+	for name, use := range p.adapterPools {
+		if pool, found := b.table.Pools[name]; found && pool.Kind == Engine {
+			continue
 		}
-		if adapter.Name == "" || strings.Contains(adapter.Name, "@") {
-			b.find(p.key, path+".name", "%q is empty or has an @", adapter.Name)
+		what := fmt.Sprintf("in %d adapters the engine pool", use.count)
+		b.undefined(p, pathOf("adapters", use.first)+".pool", what, name)
+	}
+}
+
+// duplicateAdapters compares the fresh parts with all others: the parts of the
+// base table have been compared with each other.
+func (b *builder) duplicateAdapters() {
+	for i := range b.placed {
+		p := &b.placed[i]
+		if !p.fresh {
+			continue
 		}
-		id := poolAdapter{adapter.Pool, adapter.Name}
-		if _, twice := b.table.versions[id]; twice {
-			b.find(p.key, path+".name", "adapter %q is defined twice", adapter.Name)
+		for j := range b.placed {
+			if other := &b.placed[j]; j < i || (j > i && !other.fresh) {
+				b.compare(p, other)
+			}
 		}
-		if len(adapter.Versions) == 0 {
-			b.find(p.key, path+".versions", "is empty")
+	}
+}
+
+// compare finds the adapters of p that other has as well.
+func (b *builder) compare(p, other *placed) {
+	few, many := p.versions, other.versions
+	if len(few) > len(many) {
+		few, many = many, few
+	}
+	twice := make(map[poolAdapter]bool)
+	for id := range few {
+		if _, found := many[id]; found {
+			twice[id] = true
 		}
-		versions := make(map[string]struct{}, len(adapter.Versions))
-		for _, version := range adapter.Versions {
-			versions[version] = struct{}{}
+	}
+	if len(twice) == 0 {
+		return
+	}
+	var chunk Chunk
+	_, _ = strictjson.Decode(p.data, &chunk) // once more for the places, which are not kept
+	for i, adapter := range chunk.Adapters {
+		if twice[poolAdapter{adapter.Pool, adapter.Name}] {
+			p.Find(pathOf("adapters", i)+".name", "adapter %q is defined in chunk %q as well", adapter.Name, other.key)
 		}
-		b.table.versions[id] = versions
 	}
 }
 
+func (b *builder) poolNames() []string {
+	names := make([]string, 0, len(b.table.Pools))
+	for name := range b.table.Pools {
+		names = append(names, name)
+	}
+	return names
+}
+
 func (t *Table) index() {
+	for _, pool := range t.Pools {
+		for i := range pool.Endpoints {
+			t.endpoints[pool.Endpoints[i].Name] = located{pool: pool, endpoint: &pool.Endpoints[i]}
+		}
+	}
 	for i := range t.Routes {
 		route := &t.Routes[i]
 		if t.Pools[route.Pool].Kind == Engine {
@@ -252,9 +313,4 @@
 	sort.SliceStable(t.services, func(i, j int) bool {
 		return len(t.services[i].PathPrefix) > len(t.services[j].PathPrefix)
 	})
-	manifest, err := json.Marshal(t.snapshot.Manifest)
-	if err != nil {
-		panic(err) // a manifest of strings and integers always marshals
-	}
-	t.digest = Digest(manifest)
 }
--- a/coord/table/finding.go
+++ b/coord/table/finding.go
@@ -3,21 +3,24 @@
 import (
 	"fmt"
 	"strings"
+
+	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 )
 
+// ManifestName stands for the manifest where a finding names its chunk.
+const ManifestName = "manifest"
+
 // Finding is one defect of a published table, with its place.
 type Finding struct {
-	// Chunk is the key of the chunk, or "manifest".
+	// Chunk is the key of the chunk, or ManifestName.
 	Chunk string
-	// Path is the place within the chunk, such as routes[3].pool.
-	Path string
-	// Message says what is wrong.
-	Message string
+	// Finding holds the place within the chunk and what is wrong.
+	strictjson.Finding
 }
 
-// String returns chunk: path: message.
+// String returns chunk:line:column: path: message.
 func (f Finding) String() string {
-	return fmt.Sprintf("%s: %s: %s", f.Chunk, f.Path, f.Message)
+	return fmt.Sprintf("%s:%s", f.Chunk, f.Finding)
 }
 
 // Findings is the list of defects of one snapshot; it is an error when it is
--- a/coord/table/lookup.go
+++ b/coord/table/lookup.go
@@ -1,13 +1,37 @@
 package table
 
-import "strings"
+import (
+	"slices"
+	"strings"
+)
 
 // Snapshot returns the published bytes that the table was built from.
-func (t *Table) Snapshot() Snapshot { return t.snapshot }
+func (t *Table) Snapshot() Snapshot {
+	s := Snapshot{Manifest: t.manifest, Chunks: make(map[string][]byte, len(t.refs))}
+	for _, ref := range t.refs {
+		s.Chunks[ref.Key] = t.parts[ref.Digest].data
+	}
+	return s
+}
+
+// Manifest returns the manifest that the table was built from.
+func (t *Table) Manifest() Manifest { return t.manifest }
+
+// Chunk returns the bytes of the chunk with that digest.
+func (t *Table) Chunk(digest string) ([]byte, bool) {
+	p, found := t.parts[digest]
+	if !found {
+		return nil, false
+	}
+	return p.data, true
+}
 
 // Digest returns the digest of the table's manifest.
 func (t *Table) Digest() string { return t.digest }
 
+// Stamp returns the table's place in the order of all tables.
+func (t *Table) Stamp() Stamp { return Stamp{Revision: t.Revision, Digest: t.digest} }
+
 // EngineRoute returns the route with the longest adapter prefix that matches.
 func (t *Table) EngineRoute(adapter string) (*Route, bool) {
 	for _, route := range t.engines {
@@ -40,8 +64,13 @@
 
 // HasVersion tells whether the pool serves that version of the adapter.
 func (t *Table) HasVersion(pool string, a AdapterVersion) bool {
-	_, found := t.versions[poolAdapter{pool, a.Adapter}][a.Version]
-	return found
+	id := poolAdapter{pool, a.Adapter}
+	for _, p := range t.holders {
+		if versions, found := p.versions[id]; found {
+			return slices.Contains(versions, a.Version)
+		}
+	}
+	return false
 }
 
 // Endpoint returns the endpoint of that name and its pool.
--- a/coord/table/register.go
+++ b/coord/table/register.go
@@ -1,6 +1,22 @@
 package table
 
-// Register is a max register of accepted tables. Its revision never falls.
+// Stamp is a table's place in the order of all tables: by revision, then by
+// digest. The digest decides between two tables that were published with the
+// same revision, alike at every instance.
+type Stamp struct {
+	Revision uint64
+	Digest   string
+}
+
+// Above tells whether s comes after other.
+func (s Stamp) Above(other Stamp) bool {
+	if s.Revision != other.Revision {
+		return s.Revision > other.Revision
+	}
+	return s.Digest > other.Digest
+}
+
+// Register is a max register of accepted tables. Its stamp never falls.
 //
 // The zero value holds no table. It is not safe for concurrent use.
 type Register struct {
@@ -11,17 +27,20 @@
 func (r *Register) Current() *Table { return r.current }
 
 // Revision returns the revision in force, or 0 before the first.
-func (r *Register) Revision() uint64 {
+func (r *Register) Revision() uint64 { return r.Stamp().Revision }
+
+// Stamp returns the stamp of the table in force; it is zero before the first.
+func (r *Register) Stamp() Stamp {
 	if r.current == nil {
-		return 0
+		return Stamp{}
 	}
-	return r.current.Revision
+	return r.current.Stamp()
 }
 
-// Offer installs t when its revision is above the one in force and tells
-// whether it did.
+// Offer installs t when its stamp is above the one in force and tells whether it
+// did.
 func (r *Register) Offer(t *Table) bool {
-	if t.Revision <= r.Revision() {
+	if !t.Stamp().Above(r.Stamp()) {
 		return false
 	}
 	r.current = t
--- a/coord/table/types.go
+++ b/coord/table/types.go
@@ -94,28 +94,27 @@
 	DataCentres []string `json:"dataCentres"`
 }
 
-// Chunk is the JSON form of one published value.
-type Chunk struct {
-	Regions  []Region  `json:"regions,omitempty"`
-	Routes   []Route   `json:"routes,omitempty"`
-	Pools    []Pool    `json:"pools,omitempty"`
-	Adapters []Adapter `json:"adapters,omitempty"`
-}
-
-// ChunkRef names a chunk and the digest that its bytes must have.
-type ChunkRef struct {
-	Key    string `json:"key"`
-	Digest string `json:"digest"`
-}
-
-// Manifest is the published list of chunks of one revision.
-type Manifest struct {
-	Revision uint64     `json:"revision"`
-	Chunks   []ChunkRef `json:"chunks"`
+// PooledEndpoint is an endpoint that is published apart from its pool.
+type PooledEndpoint struct {
+	// Pool names the pool that the endpoint belongs to.
+	Pool string `json:"pool"`
+	// Name, Address and DataCentre are those of Endpoint.
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"dataCentre"`
 }
 
-// Snapshot is a manifest with the bytes of its chunks, by key.
-type Snapshot struct {
-	Manifest Manifest
-	Chunks   map[string][]byte
+// Chunk is the JSON form of one published value. Either it lists further chunks
+// or it holds a share of the table.
+type Chunk struct {
+	Regions []Region `json:"regions,omitempty"`
+	Routes  []Route  `json:"routes,omitempty"`
+	Pools   []Pool   `json:"pools,omitempty"`
+	// Endpoints adds to the pools' own endpoints, so that a large pool's may be
+	// spread over chunks.
+	Endpoints []PooledEndpoint `json:"endpoints,omitempty"`
+	Adapters  []Adapter        `json:"adapters,omitempty"`
+	// Chunks makes this an index chunk: it holds nothing else, and what it
+	// lists are not index chunks.
+	Chunks []ChunkRef `json:"chunks,omitempty"`
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -2,15 +2,13 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
-	"errors"
-	"fmt"
 	"net/netip"
 	"os"
 	"time"
 
 	"github.com/samber/oops"
+
+	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 )
 
 // Duration is a time.Duration written as "3s" in JSON.
@@ -88,7 +86,8 @@
 	}
 }
 
-// Load reads a settings file over the defaults.
+// Load reads a settings file over the defaults. Where the file is not valid the
+// error is strictjson.Findings.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -97,26 +96,22 @@
 	return Parse(data)
 }
 
-// Parse reads settings over the defaults and returns every finding together.
+// Parse reads settings strictly over the defaults. Its error is
+// strictjson.Findings, every finding together.
 func Parse(data []byte) (Settings, error) {
 	s := Default()
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&s); err != nil {
-		return Settings{}, oops.Code("settings_malformed").Wrap(err)
-	}
-	if err := s.Validate(); err != nil {
-		return Settings{}, oops.Code("settings_invalid").Wrap(err)
+	findings, usable := strictjson.Decode(data, &s)
+	if usable {
+		c := &strictjson.Collector{}
+		s.check(c.Find)
+		findings = append(findings, c.Locate(data)...)
 	}
-	return s, nil
+	findings.Sort()
+	return s, findings.Err()
 }
 
-// Validate returns every finding joined, or nil.
-func (s Settings) Validate() error {
-	var findings []error
-	find := func(field, message string) {
-		findings = append(findings, fmt.Errorf("%s: %s", field, message))
-	}
+// check reports every value that can't be used.
+func (s Settings) check(find func(path, format string, args ...any)) {
 	if s.Instance == "" {
 		find("instance", "is empty")
 	}
@@ -131,7 +126,7 @@
 	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			find(a.field, fmt.Sprintf("%q is not an IP address and port", a.value))
+			find(a.field, "%q is not an IP address and port", a.value)
 		}
 	}
 	durations := []struct {
@@ -162,5 +157,4 @@
 			find(c.field, "must be at least 1")
 		}
 	}
-	return errors.Join(findings...)
 }
