Measure the decisions by experiment, beside baselines

The parts had no measurement. bulrushctl experiment drives placement, admission and residency through a clock and a heap, with steady, shift and flood scenarios of both deployments, the random and least-loaded baselines and the clairvoyant bound on loads.

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -27,6 +27,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), standinCommand())
+	root.AddCommand(demoCommand(), experimentCommand(), standinCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/internal/experiment/entry.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"github.com/bulrushwick/bulrushwick/coord/placement"
+	"github.com/bulrushwick/bulrushwick/coord/table"
+)
+
+// entry is one instance's lagging view of the workers.
+type entry struct {
+	sim        *simulation
+	name       string
+	dataCentre string
+	picker     picker
+	views      map[*worker]*view
+}
+
+// view is what an entry knows of one worker.
+type view struct {
+	resident map[table.AdapterVersion]struct{}
+	inFlight int
+}
+
+func newEntry(s *simulation, name, dataCentre string) *entry {
+	e := &entry{sim: s, name: name, dataCentre: dataCentre, views: make(map[*worker]*view)}
+	e.picker = s.policy.newPicker(s)
+	return e
+}
+
+func (e *entry) view(w *worker) *view {
+	v, found := e.views[w]
+	if !found {
+		v = &view{}
+		e.views[w] = v
+	}
+	return v
+}
+
+func (e *entry) begin(w *worker) { e.view(w).inFlight++ }
+
+func (e *entry) end(w *worker) { e.view(w).inFlight-- }
+
+func (e *entry) report(w *worker, resident []table.AdapterVersion, _ int) {
+	set := make(map[table.AdapterVersion]struct{}, len(resident))
+	for _, adapter := range resident {
+		set[adapter] = struct{}{}
+	}
+	e.view(w).resident = set
+}
+
+// pick chooses the worker of a request.
+func (e *entry) pick(r *request) (*worker, bool) {
+	candidates := make([]placement.Candidate, len(e.sim.workers))
+	for i, w := range e.sim.workers {
+		v := e.view(w)
+		_, resident := v.resident[r.adapter]
+		candidates[i] = placement.Candidate{
+			Endpoint: w.endpoint,
+			Resident: resident,
+			InFlight: v.inFlight,
+			Leaving:  w.engine.down || r.tried[w.endpoint.Name],
+		}
+	}
+	best, found := e.picker.Pick(placement.Query{
+		Adapter:    r.adapter,
+		DataCentre: e.dataCentre,
+		Region:     e.sim.regions[e.dataCentre],
+		RegionOf:   func(dataCentre string) string { return e.sim.regions[dataCentre] },
+		Batch:      e.sim.spec.Batch,
+	}, candidates)
+	if !found {
+		return nil, false
+	}
+	return e.sim.workers[best], true
+}
--- /dev/null
+++ b/cmd/internal/experiment/experiment_test.go
@@ -0,0 +1,58 @@
+package experiment
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushwick/bulrushwick/coord/table"
+)
+
+// short cuts a scenario to a few seconds with one seed.
+func short(t *testing.T, name string) Scenario {
+	t.Helper()
+	s, err := Load(name)
+	require.NoError(t, err)
+	s.Seconds = 20
+	s.Seeds = []uint64{7}
+	s.Phases = []Phase{{Name: "all", To: 20}}
+	return s
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	s := short(t, "silttolge-steady")
+	first, err := Run(s, Policies())
+	require.NoError(t, err)
+	second, err := Run(s, Policies())
+	require.NoError(t, err)
+	assert.Equal(t, first, second, "seed 7")
+}
+
+func TestEveryRequestIsDecidedOnAResidentAdapter(t *testing.T) {
+	for _, name := range Names() {
+		results, err := Run(short(t, name), Policies())
+		require.NoError(t, err)
+		for _, r := range results {
+			assert.Zero(t, r.Run.Violations.Max, "%s %s seed 7", name, r.Policy)
+			assert.Zero(t, r.Run.Undecided.Max, "%s %s seed 7", name, r.Policy)
+		}
+	}
+}
+
+func TestBeladyEvictsTheFurthestUse(t *testing.T) {
+	var sequence []table.AdapterVersion
+	for _, name := range []string{"a", "b", "c", "a", "b", "d", "a", "b"} {
+		sequence = append(sequence, table.AdapterVersion{Adapter: name, Version: "v1"})
+	}
+	assert.Equal(t, 6, belady(sequence, 2), "a, b, c in place of b, b in place of c, d in place of b, b")
+	assert.Equal(t, 4, belady(sequence, 3))
+}
+
+func TestScenarioFindingsComeTogether(t *testing.T) {
+	_, err := Parse([]byte(`{"name": "x", "deployment": "other"}`))
+	require.Error(t, err)
+	assert.Contains(t, err.Error(), "deployment")
+	assert.Contains(t, err.Error(), "service.stepMs")
+	assert.Contains(t, err.Error(), "traffic.ranks")
+}
--- /dev/null
+++ b/cmd/internal/experiment/policy.go
@@ -0,0 +1,79 @@
+package experiment
+
+import (
+	"math/rand/v2"
+
+	"github.com/bulrushwick/bulrushwick/coord/placement"
+	"github.com/bulrushwick/bulrushwick/coord/residency"
+)
+
+// picker is the part that chooses a worker.
+type picker interface {
+	Pick(q placement.Query, candidates []placement.Candidate) (int, bool)
+}
+
+// Policy is a set of decisions to measure.
+type Policy struct {
+	// Name identifies the policy in results.
+	Name string
+	// newPicker returns an entry's choice of workers.
+	newPicker func(s *simulation) picker
+	// newWorker returns the machine of one worker.
+	newWorker func(s *simulation, w *worker) *residency.Worker
+}
+
+// Policies lists the product's policy first and the baselines after it.
+func Policies() []Policy {
+	return []Policy{
+		{Name: "bulrushwick", newPicker: productPicker, newWorker: productWorker},
+		{Name: "least-loaded-lru", newPicker: leastLoaded, newWorker: productWorker},
+		{Name: "random-worker", newPicker: randomWorker, newWorker: productWorker},
+	}
+}
+
+func productPicker(*simulation) picker { return placement.NewPicker() }
+
+// queueLimit bounds the requests that wait for one worker.
+const queueLimit = 1000
+
+func productWorker(s *simulation, _ *worker) *residency.Worker {
+	return residency.NewWorker(residency.Config{Slots: s.spec.Slots, Batch: s.spec.Batch, QueueLimit: queueLimit})
+}
+
+// leastLoaded takes the worker of the region with the least work in flight.
+func leastLoaded(s *simulation) picker {
+	return &placement.Picker{
+		Filters: []placement.Filter{placement.NotLeaving{}, sameRegion{}},
+		Scorers: []placement.Scorer{placement.Load{}, chance{s.rng, tieBreak}},
+	}
+}
+
+// randomWorker takes any worker of the region.
+func randomWorker(s *simulation) picker {
+	return &placement.Picker{
+		Filters: []placement.Filter{placement.NotLeaving{}, sameRegion{}},
+		Scorers: []placement.Scorer{chance{s.rng, 1}},
+	}
+}
+
+// sameRegion drops the workers of other regions.
+type sameRegion struct{}
+
+// Keep implements placement.Filter.
+func (sameRegion) Keep(q placement.Query, c placement.Candidate) bool {
+	return q.RegionOf(c.Endpoint.DataCentre) == q.Region
+}
+
+// tieBreak is below what one request in flight changes in the Load scorer.
+const tieBreak = 0.01
+
+// chance scores at random from 0 to weight.
+type chance struct {
+	rng    *rand.Rand
+	weight float64
+}
+
+// Score implements placement.Scorer.
+func (s chance) Score(placement.Query, placement.Candidate) float64 {
+	return s.weight * s.rng.Float64()
+}
