--- a/cmd/internal/experiment/engine.go
+++ b/cmd/internal/experiment/engine.go
@@ -18,10 +18,9 @@
 	epoch    int // restarts so far
 	down     bool
 	finished func(*request)
-	// Counters.
-	steps, tokens int
-	violations    int
-	stepAt        func(at time.Duration, occupancy int)
+	// violations counts orders that must never be given.
+	violations int
+	stepAt     func(at time.Duration, occupancy int)
 }
 
 // dispatch starts a request.
