Send heartbeats to a constant number of peers

Cause: every instance sent each heartbeat to every published instance with the names of all resident adapters. Ruled out: all to all at a lower rate (80 peers need more calls than the bytes allow) and ages of all in each message (needs both ends to hold the same list).

--- /dev/null
+++ b/coord/member/report_test.go
@@ -0,0 +1,94 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newObserver returns the list of an instance of a data centre of size, which
+// observes nobody but what it is told to.
+func newObserver(size int, observed ...string) *List {
+	l := NewList("a-entry-0", DefaultConfig())
+	l.Publish(publishedIn("a", size))
+	names := make(map[string]bool)
+	for _, name := range observed {
+		names[name] = true
+	}
+	l.Observe(0, names)
+	return l
+}
+
+func silentBy(reporter string) Report {
+	return Report{Subject: "a-entry-1", Reporter: reporter}
+}
+
+func TestTwoNeighboursMustFindAnInstanceSilent(t *testing.T) {
+	l := newObserver(10)
+	l.Receive(0, silentBy("a-entry-2"))
+	l.Receive(0, silentBy("a-entry-2"))
+	require.False(t, l.Silent(0, "a-entry-1"), "one reporter may be cut off itself")
+	l.Receive(0, silentBy("a-entry-3"))
+	require.True(t, l.Silent(0, "a-entry-1"))
+	require.Len(t, l.Usable(0), 9)
+	require.False(t, l.Silent(DefaultConfig().ReportFor, "a-entry-1"), "reports run out")
+}
+
+func TestOneNeighbourIsEnoughWhereThereIsOne(t *testing.T) {
+	l := NewList("b-entry-0", DefaultConfig())
+	l.Publish(append(publishedIn("a", 2), publishedIn("b", 9)...))
+	l.Observe(0, map[string]bool{})
+	l.Receive(0, Report{Subject: "a-entry-1", Reporter: "a-entry-0"})
+	require.True(t, l.Silent(0, "a-entry-1"))
+}
+
+func TestOwnEvidenceBeatsReports(t *testing.T) {
+	l := newObserver(10, "a-entry-1")
+	l.Heard(time.Second, "a-entry-1", false)
+	l.Receive(time.Second, silentBy("a-entry-2"))
+	l.Receive(time.Second, silentBy("a-entry-3"))
+	require.False(t, l.Silent(time.Second, "a-entry-1"))
+}
+
+func TestQuietNeighbourIsProbedThenReported(t *testing.T) {
+	config := DefaultConfig()
+	l := newObserver(10, "a-entry-1")
+	l.Heard(0, "a-entry-1", false)
+	require.Empty(t, l.Probes(config.ProbeAfter))
+	require.Len(t, l.Probes(config.ProbeAfter+1), 1)
+	require.Empty(t, l.Reports(config.SilentAfter))
+	late := config.SilentAfter + 1
+	require.Equal(t, []Report{{Subject: "a-entry-1", Reporter: "a-entry-0"}}, l.Reports(late))
+	require.True(t, l.Heard(late, "a-entry-1", false), "its return changes who is usable")
+	require.Empty(t, l.Reports(late))
+}
+
+func TestFormerNeighbourIsNotSilent(t *testing.T) {
+	l := newObserver(10, "a-entry-1")
+	l.Heard(0, "a-entry-1", false)
+	l.Observe(time.Second, map[string]bool{"a-entry-2": true})
+	require.False(t, l.Silent(time.Hour, "a-entry-1"))
+	l.Observe(time.Hour, map[string]bool{"a-entry-1": true})
+	require.False(t, l.Silent(time.Hour, "a-entry-1"), "silence counts from when it is observed again")
+}
+
+func TestReportsAgeAsTheyPassOn(t *testing.T) {
+	config := DefaultConfig()
+	l := newObserver(10)
+	l.Receive(time.Second, Report{Subject: "a-entry-1", Reporter: "a-entry-2", Age: time.Second})
+	require.Equal(t, 2*time.Second, l.Reports(2 * time.Second)[0].Age)
+	l.Receive(2*time.Second, Report{Subject: "a-entry-1", Reporter: "a-entry-2", Age: 5 * time.Second})
+	require.Equal(t, 2*time.Second, l.Reports(2 * time.Second)[0].Age, "an older one is no news")
+	require.Empty(t, l.Reports(config.ReportFor))
+	l.Receive(0, Report{Subject: "a-entry-0", Reporter: "a-entry-2"})
+	require.Empty(t, l.Reports(0), "nothing is believed of oneself")
+}
+
+func TestLeavingIsBelievedFromTheLeaverAlone(t *testing.T) {
+	l := newObserver(10)
+	l.Receive(0, Report{Subject: "a-entry-1", Reporter: "a-entry-1", Leaving: true})
+	require.Len(t, l.Usable(0), 9)
+	l.Receive(0, Report{Subject: "a-entry-2", Reporter: "a-entry-1", Leaving: true})
+	require.Len(t, l.Usable(0), 9)
+}
--- /dev/null
+++ b/coord/member/targets_test.go
@@ -0,0 +1,124 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// publishedIn returns count instances of a data centre.
+func publishedIn(dataCentre string, count int) []Instance {
+	instances := make([]Instance, count)
+	for i := range instances {
+		instances[i] = Instance{Name: fmt.Sprintf("%s-entry-%d", dataCentre, i), DataCentre: dataCentre, State: Live}
+	}
+	return instances
+}
+
+// without returns the instances besides the i-th.
+func without(instances []Instance, i int) []Instance {
+	return append(append([]Instance(nil), instances[:i]...), instances[i+1:]...)
+}
+
+// largestDataCentre is the number of instances of the largest data centre.
+const largestDataCentre = 81
+
+func TestSmallFleetSendsToAll(t *testing.T) {
+	all := append(publishedIn("a", 4), publishedIn("b", 3)...)
+	for i, self := range all {
+		topology := NewTopology(DefaultTargetConfig(), self, without(all, i))
+		require.True(t, topology.Meshed())
+		require.ElementsMatch(t, without(all, i), topology.Targets(1))
+	}
+}
+
+func TestEachSendsAndHearsFanout(t *testing.T) {
+	config := DefaultTargetConfig()
+	for _, size := range []int{9, 20, 40, largestDataCentre} {
+		all := publishedIn("a", size)
+		hears := make(map[string]int)
+		for i, self := range all {
+			topology := NewTopology(config, self, without(all, i))
+			targets := topology.Targets(1)
+			require.LessOrEqual(t, len(targets), config.Fanout)
+			for _, target := range targets {
+				require.NotEqual(t, self.Name, target.Name)
+				require.True(t, topology.Neighbours()[target.Name])
+				hears[target.Name]++
+			}
+		}
+		for name, count := range hears {
+			require.LessOrEqual(t, count, config.Fanout, "%s of %d", name, size)
+		}
+	}
+}
+
+// newsWithin is how long news may take to reach all, in heartbeats of half a
+// second: a configuration must be in force everywhere within 8 s.
+const newsWithin = 16
+
+// spread lets the first instance learn something and returns the number of
+// heartbeats until all know; dead instances neither send nor answer.
+func spread(all []Instance, dead map[string]bool) int {
+	topologies := make([]*Topology, len(all))
+	for i, self := range all {
+		topologies[i] = NewTopology(DefaultTargetConfig(), self, without(all, i))
+	}
+	knows := map[string]bool{all[0].Name: true}
+	for beat := 1; beat <= 10*newsWithin; beat++ {
+		learned := make(map[string]bool)
+		for i, self := range all {
+			for _, target := range topologies[i].Targets(uint64(beat)) {
+				if dead[self.Name] || dead[target.Name] || !knows[self.Name] && !knows[target.Name] {
+					continue
+				}
+				learned[self.Name], learned[target.Name] = true, true
+			}
+		}
+		for name := range learned {
+			knows[name] = true
+		}
+		if len(knows) == len(all)-len(dead) {
+			return beat
+		}
+	}
+	return 10 * newsWithin
+}
+
+func TestNewsReachesLargestDataCentre(t *testing.T) {
+	all := publishedIn("a", largestDataCentre)
+	require.LessOrEqual(t, spread(all, nil), newsWithin)
+	dead := make(map[string]bool)
+	for _, instance := range all[60:] { // a quarter of them
+		dead[instance.Name] = true
+	}
+	require.LessOrEqual(t, spread(all, dead), newsWithin)
+}
+
+func TestNewsCrossesDataCentresPastADeadRelay(t *testing.T) {
+	const dataCentres, nodes = 12, 970
+	var all []Instance
+	for i := range dataCentres {
+		size := (nodes - largestDataCentre) / (dataCentres - 1)
+		if i == 0 {
+			size = largestDataCentre
+		}
+		all = append(all, publishedIn(fmt.Sprintf("dc%d", i), size)...)
+	}
+	dead := make(map[string]bool)
+	for i := range dataCentres {
+		var local []Instance
+		for _, instance := range all {
+			if instance.DataCentre == fmt.Sprintf("dc%d", i) {
+				local = append(local, instance)
+			}
+		}
+		if first := relays(local, 1)[0]; first.Name != all[0].Name {
+			dead[first.Name] = true
+		}
+	}
+	beats := spread(all, dead)
+	t.Logf("%d heartbeats over %d instances with %d dead relays", beats, len(all), len(dead))
+	require.LessOrEqual(t, beats, 2*newsWithin)
+}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -74,10 +74,11 @@
 	if err != nil {
 		return nil, err
 	}
+	records := peer.NewRecords(f, own.Summaries)
 	exchange, err := peer.NewExchange(peer.Config{
 		HeartbeatEvery: s.HeartbeatEvery.Std(),
 		Concurrency:    s.ControlConcurrency,
-	}, f, own.Summaries, log)
+	}, f, records, log)
 	if err != nil {
 		return nil, err
 	}
@@ -91,7 +92,7 @@
 		reader:   platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
 		callers:  newServer(front.Handle, s.BodyLimit),
 		peers:    newServer(forward.Handler(own), s.BodyLimit),
-		control:  &http.Server{Handler: peerpb.NewPeerServer(peer.NewServer(f)), ReadHeaderTimeout: headerReadTimeout},
+		control:  peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
 	}, nil
 }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -32,6 +32,7 @@
 	inFlight  map[string]int
 	resident  map[string]map[table.AdapterVersion]struct{}
 	leaving   bool
+	topology  *member.Topology
 }
 
 // New returns the view of an instance that knows nothing yet.
@@ -80,6 +81,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.members.Publish(instances)
+	f.arrange()
 	f.refresh()
 }
 
@@ -97,8 +99,9 @@
 func (f *Fleet) Heard(name string, leaving bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.members.Heard(f.Now(), name, leaving)
-	f.refresh()
+	if f.members.Heard(f.Now(), name, leaving) {
+		f.refresh()
+	}
 }
 
 // Refresh lets silence take effect.
@@ -137,6 +140,13 @@
 	return f.members.Others()
 }
 
+// Instance returns the published instance of that name.
+func (f *Fleet) Instance(name string) (member.Instance, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.members.Instance(name)
+}
+
 // Owner returns the instance that orders a worker.
 func (f *Fleet) Owner(worker string) (member.Instance, bool) {
 	f.mu.RLock()
--- a/entry/peer/exchange.go
+++ b/entry/peer/exchange.go
@@ -5,16 +5,17 @@
 	"encoding/json"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"github.com/bulrushwick/bulrushwick/coord/gossip"
 	"github.com/bulrushwick/bulrushwick/coord/member"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
-	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 )
 
@@ -28,32 +29,43 @@
 
 // Exchange sends heartbeats and fetches newer tables from peers.
 type Exchange struct {
-	config    Config
-	fleet     *fleet.Fleet
-	summaries func() []owner.Summary
-	log       zerolog.Logger
-	http      *http.Client
-	pool      *ants.Pool
-
-	mu      sync.Mutex
-	clients map[string]peerpb.Peer
+	config  Config
+	fleet   *fleet.Fleet
+	records *Records
+	log     zerolog.Logger
+	http    *http.Client
+	pool    *ants.Pool
+	beats   atomic.Uint64
+	calls   sync.WaitGroup
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is what this instance knows of its exchange with one address.
+type link struct {
+	client peerpb.Peer
+
+	mu       sync.Mutex
+	epoch    uint64          // the peer's log, which a new process changes
+	sent     gossip.Position // of the own log
+	received gossip.Position // of the peer's log
 }
 
-// NewExchange returns an exchange that describes this instance's workers by
-// summaries.
-func NewExchange(config Config, f *fleet.Fleet, summaries func() []owner.Summary, log zerolog.Logger) (*Exchange, error) {
+// NewExchange returns an exchange that passes on records.
+func NewExchange(config Config, f *fleet.Fleet, records *Records, log zerolog.Logger) (*Exchange, error) {
 	pool, err := ants.NewPool(config.Concurrency, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
 	return &Exchange{
-		config:    config,
-		fleet:     f,
-		summaries: summaries,
-		log:       log,
-		http:      &http.Client{Timeout: 2 * config.HeartbeatEvery},
-		pool:      pool,
-		clients:   make(map[string]peerpb.Peer),
+		config:  config,
+		fleet:   f,
+		records: records,
+		log:     log,
+		http:    newControlClient(config.HeartbeatEvery),
+		pool:    pool,
+		links:   make(map[string]*link),
 	}, nil
 }
 
@@ -72,59 +84,92 @@
 	}
 }
 
-// Beat sends one heartbeat to every peer.
+// Beat sends one heartbeat to every target and does not wait for the answers.
 func (e *Exchange) Beat(ctx context.Context) {
 	e.fleet.Refresh()
-	message := e.message()
-	for _, p := range e.fleet.Peers() {
-		if err := e.pool.Submit(func() { e.beat(ctx, p, message) }); err != nil {
+	e.records.refresh()
+	reports := encodeReports(e.fleet.Reports())
+	for _, p := range e.fleet.Targets(e.beats.Add(1)) {
+		e.calls.Add(1)
+		err := e.pool.Submit(func() {
+			defer e.calls.Done()
+			e.beat(ctx, p, e.message(reports))
+		})
+		if err != nil {
+			e.calls.Done()
 			e.log.Warn().Err(err).Str("event", "heartbeat_skipped").Str("peer", p.Name).Send()
 		}
 	}
 }
 
-func (e *Exchange) message() *peerpb.HeartbeatRequest {
-	message := &peerpb.HeartbeatRequest{Instance: e.fleet.Self(), Leaving: e.fleet.Leaving()}
+// Wait returns when every heartbeat that was sent is over.
+func (e *Exchange) Wait() { e.calls.Wait() }
+
+func (e *Exchange) message(reports []*peerpb.MemberReport) *peerpb.HeartbeatRequest {
+	message := &peerpb.HeartbeatRequest{
+		Instance: e.fleet.Self(),
+		Leaving:  e.fleet.Leaving(),
+		Reports:  reports,
+	}
 	if t := e.fleet.Table(); t != nil {
 		message.Revision = t.Revision
 		message.Digest = t.Digest()
 	}
-	for _, s := range e.summaries() {
-		w := &peerpb.WorkerSummary{Worker: s.Worker, Waiting: uint32(s.Waiting), Running: uint32(s.Running)}
-		for _, adapter := range s.Resident {
-			w.Resident = append(w.Resident, adapter.String())
-		}
-		message.Workers = append(message.Workers, w)
-	}
 	return message
 }
 
-func (e *Exchange) client(address string) peerpb.Peer {
+func (e *Exchange) link(address string) *link {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	client, found := e.clients[address]
+	l, found := e.links[address]
 	if !found {
-		client = peerpb.NewPeerProtobufClient("http://"+address, e.http)
-		e.clients[address] = client
+		l = &link{client: peerpb.NewPeerProtobufClient("http://"+address, e.http)}
+		e.links[address] = l
 	}
-	return client
+	return l
 }
 
 func (e *Exchange) beat(ctx context.Context, p member.Instance, message *peerpb.HeartbeatRequest) {
-	client := e.client(p.ControlAddress)
-	out, err := client.Heartbeat(ctx, message)
+	l := e.link(p.ControlAddress)
+	out, err := e.swap(ctx, p.Name, l, message)
 	if err != nil {
 		e.log.Debug().Err(err).Str("event", "heartbeat_failed").Str("peer", p.Name).Send()
 		return
 	}
 	e.fleet.Heard(p.Name, out.Leaving)
+	e.fleet.Receive(decodeReports(out.Reports))
 	if out.Revision > message.Revision {
-		if err := e.fetch(ctx, client, message.Revision); err != nil {
+		if err := e.fetch(ctx, l.client, message.Revision); err != nil {
 			e.log.Warn().Err(err).Str("event", "fetch_failed").Str("peer", p.Name).Send()
 		}
 	}
 }
 
+// swap exchanges the records that either side lacks.
+func (e *Exchange) swap(ctx context.Context, name string, l *link, message *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	l.mu.Lock()
+	epoch, sent := l.epoch, l.sent
+	message.ReceiverEpoch, message.ReceiverPosition = l.epoch, uint64(l.received)
+	l.mu.Unlock()
+	workers, reached := e.records.after(sent, name)
+	message.Workers = workers
+	out, err := l.client.Heartbeat(ctx, message)
+	if err != nil {
+		return nil, err
+	}
+	e.records.take(out.Workers, name)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.received = gossip.Position(out.Position)
+	if out.Epoch == epoch || epoch == 0 {
+		l.sent = reached
+	} else {
+		l.sent = 0 // a new process, which has none of what its predecessor had
+	}
+	l.epoch = out.Epoch
+	return out, nil
+}
+
 func (e *Exchange) fetch(ctx context.Context, client peerpb.Peer, have uint64) error {
 	out, err := client.FetchTables(ctx, &peerpb.FetchTablesRequest{HaveRevision: have})
 	if err != nil {
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -6,43 +6,45 @@
 
 	"github.com/twitchtv/twirp"
 
-	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/coord/gossip"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 )
 
 // Server answers the control calls of other instances.
 type Server struct {
-	fleet *fleet.Fleet
+	fleet   *fleet.Fleet
+	records *Records
 }
 
 // NewServer returns a server over f.
-func NewServer(f *fleet.Fleet) *Server { return &Server{fleet: f} }
+func NewServer(f *fleet.Fleet, records *Records) *Server {
+	return &Server{fleet: f, records: records}
+}
 
 // Heartbeat implements peerpb.Peer.
 func (s *Server) Heartbeat(_ context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	s.fleet.Heard(in.Instance, in.Leaving)
-	for _, w := range in.Workers {
-		s.fleet.ReportResident(w.Worker, parseAdapters(w.Resident))
+	s.fleet.Receive(decodeReports(in.Reports))
+	s.records.take(in.Workers, in.Instance)
+	position := gossip.Position(in.ReceiverPosition)
+	if in.ReceiverEpoch != s.records.epoch {
+		position = 0
+	}
+	workers, reached := s.records.after(position, in.Instance)
+	out := &peerpb.HeartbeatResponse{
+		Leaving:  s.fleet.Leaving(),
+		Epoch:    s.records.epoch,
+		Position: uint64(reached),
+		Workers:  workers,
+		Reports:  encodeReports(s.fleet.Reports()),
 	}
-	out := &peerpb.HeartbeatResponse{Leaving: s.fleet.Leaving()}
 	if t := s.fleet.Table(); t != nil {
 		out.Revision = t.Revision
 	}
 	return out, nil
 }
 
-// parseAdapters skips what is not adapter@version; a newer peer may send more.
-func parseAdapters(names []string) []table.AdapterVersion {
-	adapters := make([]table.AdapterVersion, 0, len(names))
-	for _, name := range names {
-		if adapter, err := table.ParseAdapterVersion(name); err == nil {
-			adapters = append(adapters, adapter)
-		}
-	}
-	return adapters
-}
-
 // FetchTables implements peerpb.Peer.
 func (s *Server) FetchTables(_ context.Context, in *peerpb.FetchTablesRequest) (*peerpb.FetchTablesResponse, error) {
 	t := s.fleet.Table()
