--- a/coord/member/report_test.go
+++ b/coord/member/report_test.go
@@ -7,11 +7,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-// newObserver returns the list of an instance of a data centre of size, which
+// newObserver returns the list of an instance of a data centre of ten, which
 // observes nobody but what it is told to.
-func newObserver(size int, observed ...string) *List {
+func newObserver(observed ...string) *List {
 	l := NewList("a-entry-0", DefaultConfig())
-	l.Publish(publishedIn("a", size))
+	l.Publish(publishedIn("a", 10))
 	names := make(map[string]bool)
 	for _, name := range observed {
 		names[name] = true
@@ -25,7 +25,7 @@
 }
 
 func TestTwoNeighboursMustFindAnInstanceSilent(t *testing.T) {
-	l := newObserver(10)
+	l := newObserver()
 	l.Receive(0, silentBy("a-entry-2"))
 	l.Receive(0, silentBy("a-entry-2"))
 	require.False(t, l.Silent(0, "a-entry-1"), "one reporter may be cut off itself")
@@ -44,7 +44,7 @@
 }
 
 func TestOwnEvidenceBeatsReports(t *testing.T) {
-	l := newObserver(10, "a-entry-1")
+	l := newObserver("a-entry-1")
 	l.Heard(time.Second, "a-entry-1", false)
 	l.Receive(time.Second, silentBy("a-entry-2"))
 	l.Receive(time.Second, silentBy("a-entry-3"))
@@ -53,7 +53,7 @@
 
 func TestQuietNeighbourIsProbedThenReported(t *testing.T) {
 	config := DefaultConfig()
-	l := newObserver(10, "a-entry-1")
+	l := newObserver("a-entry-1")
 	l.Heard(0, "a-entry-1", false)
 	require.Empty(t, l.Probes(config.ProbeAfter))
 	require.Len(t, l.Probes(config.ProbeAfter+1), 1)
@@ -65,7 +65,7 @@
 }
 
 func TestFormerNeighbourIsNotSilent(t *testing.T) {
-	l := newObserver(10, "a-entry-1")
+	l := newObserver("a-entry-1")
 	l.Heard(0, "a-entry-1", false)
 	l.Observe(time.Second, map[string]bool{"a-entry-2": true})
 	require.False(t, l.Silent(time.Hour, "a-entry-1"))
@@ -75,7 +75,7 @@
 
 func TestReportsAgeAsTheyPassOn(t *testing.T) {
 	config := DefaultConfig()
-	l := newObserver(10)
+	l := newObserver()
 	l.Receive(time.Second, Report{Subject: "a-entry-1", Reporter: "a-entry-2", Age: time.Second})
 	require.Equal(t, 2*time.Second, l.Reports(2 * time.Second)[0].Age)
 	l.Receive(2*time.Second, Report{Subject: "a-entry-1", Reporter: "a-entry-2", Age: 5 * time.Second})
@@ -86,7 +86,7 @@
 }
 
 func TestLeavingIsBelievedFromTheLeaverAlone(t *testing.T) {
-	l := newObserver(10)
+	l := newObserver()
 	l.Receive(0, Report{Subject: "a-entry-1", Reporter: "a-entry-1", Leaving: true})
 	require.Len(t, l.Usable(0), 9)
 	l.Receive(0, Report{Subject: "a-entry-2", Reporter: "a-entry-1", Leaving: true})
