Send a record over each link in one direction only

Cause: TestHeartbeatsKeepWithinTheBound failed at 7 instances with 8,359 bytes a second against 8,192: in a full mesh each record was relayed by all, and was pushed and pulled over the same link. Now a full mesh passes on own records alone, and an instance that itself sends to the caller leaves its records to its own heartbeat.

--- a/coord/gossip/log.go
+++ b/coord/gossip/log.go
@@ -81,14 +81,26 @@
 	return true
 }
 
-// After returns up to limit records after a position, oldest first, without
-// those that came from peer, and the position that they reach.
-func (l *Log) After(after Position, peer string, limit int) ([]Record, Position) {
+// Filter tells whether a record that came from an instance, or "" for an own
+// one, is to be passed on.
+type Filter func(from string) bool
+
+// NotFrom passes on every record but those that came from peer.
+func NotFrom(peer string) Filter {
+	return func(from string) bool { return from != peer }
+}
+
+// Own passes on the own records alone, for a peer that hears every owner itself.
+func Own(from string) bool { return from == "" }
+
+// After returns up to limit records after a position that keep passes on, oldest
+// first, and the position that they reach.
+func (l *Log) After(after Position, keep Filter, limit int) ([]Record, Position) {
 	start := sort.Search(len(l.order), func(i int) bool { return l.order[i].at > after })
 	var records []Record
 	for _, p := range l.order[start:] {
 		known, found := l.records[p.worker]
-		if !found || known.at != p.at || known.from == peer {
+		if !found || known.at != p.at || !keep(known.from) {
 			continue
 		}
 		if len(records) == limit {
--- a/coord/gossip/log_test.go
+++ b/coord/gossip/log_test.go
@@ -21,9 +21,9 @@
 	l := NewLog()
 	require.True(t, l.Set("w1", holds("b", "a"), 10))
 	require.False(t, l.Set("w1", holds("a", "b"), 20), "the same adapters are no news")
-	records, at := l.After(0, "peer", 10)
+	records, at := l.After(0, NotFrom("peer"), 10)
 	require.Equal(t, []Record{{Worker: "w1", Version: 10, Resident: holds("a", "b")}}, records)
-	records, _ = l.After(at, "peer", 10)
+	records, _ = l.After(at, NotFrom("peer"), 10)
 	require.Empty(t, records)
 }
 
@@ -33,17 +33,19 @@
 	require.False(t, l.Offer(Record{Worker: "w1", Version: 4}, "late"))
 	require.False(t, l.Offer(Record{Worker: "w1", Version: 5}, "again"))
 	require.True(t, l.Set("w1", holds("a"), 1), "a new owner says so even where nothing changed")
-	records, _ := l.After(0, "former", 10)
+	records, _ := l.After(0, NotFrom("former"), 10)
 	require.Equal(t, uint64(6), records[0].Version)
 }
 
 func TestNothingGoesBackToItsSender(t *testing.T) {
 	l := NewLog()
 	l.Offer(Record{Worker: "w1", Version: 1}, "a")
-	toSender, _ := l.After(0, "a", 10)
+	toSender, _ := l.After(0, NotFrom("a"), 10)
 	require.Empty(t, toSender)
-	toOther, _ := l.After(0, "b", 10)
+	toOther, _ := l.After(0, NotFrom("b"), 10)
 	require.Len(t, toOther, 1)
+	own, _ := l.After(0, Own, 10)
+	require.Empty(t, own)
 }
 
 func TestLimitedPagesReachTheEnd(t *testing.T) {
@@ -56,7 +58,7 @@
 	}
 	seen := make(map[string]string)
 	for at := Position(0); at < l.End(); {
-		records, reached := l.After(at, "peer", limit)
+		records, reached := l.After(at, NotFrom("peer"), limit)
 		require.LessOrEqual(t, len(records), limit)
 		require.Greater(t, reached, at)
 		for _, r := range records {
--- a/coord/member/targets.go
+++ b/coord/member/targets.go
@@ -138,6 +138,11 @@
 	return names
 }
 
+// SendsTo tells whether self sends every heartbeat to that instance.
+func (t *Topology) SendsTo(name string) bool {
+	return slices.ContainsFunc(t.local, func(i Instance) bool { return i.Name == name })
+}
+
 // Meshed tells whether every instance sends to every other.
 func (t *Topology) Meshed() bool { return t.meshed }
 
--- a/entry/fleet/topology.go
+++ b/entry/fleet/topology.go
@@ -33,22 +33,45 @@
 	return targets
 }
 
-// SharesRecords tells whether what workers hold is exchanged with that
-// instance: within a region, and everywhere in a fleet so small that every
-// instance sends to every other.
-func (f *Fleet) SharesRecords(name string) bool {
+// SendsTo tells whether this instance sends every heartbeat to that one.
+func (f *Fleet) SendsTo(name string) bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.topology != nil && f.topology.SendsTo(name)
+}
+
+// Sharing says which records of workers are exchanged with a peer.
+type Sharing int
+
+// The ways of sharing records.
+const (
+	// ShareNone is for peers of other regions.
+	ShareNone Sharing = iota
+	// ShareOwn is for a fleet so small that every instance sends to every other.
+	ShareOwn
+	// ShareAll is for peers of the region, which pass records on.
+	ShareAll
+)
+
+// Sharing returns which records are exchanged with that instance.
+func (f *Fleet) Sharing(name string) Sharing {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	if f.topology == nil || f.topology.Meshed() {
-		return true
+		return ShareOwn
 	}
 	peer, found := f.members.Instance(name)
 	if !found {
-		return false
+		return ShareNone
+	}
+	if peer.DataCentre == f.dataCentre {
+		return ShareAll
 	}
 	t := f.register.Current()
-	return peer.DataCentre == f.dataCentre ||
-		t != nil && t.RegionOf(peer.DataCentre) != "" && t.RegionOf(peer.DataCentre) == t.RegionOf(f.dataCentre)
+	if t == nil || t.RegionOf(f.dataCentre) == "" || t.RegionOf(peer.DataCentre) != t.RegionOf(f.dataCentre) {
+		return ShareNone
+	}
+	return ShareAll
 }
 
 // Receive takes news of other instances.
--- a/entry/peer/records.go
+++ b/entry/peer/records.go
@@ -68,10 +68,15 @@
 func (r *Records) after(position gossip.Position, to string) ([]*peerpb.WorkerSummary, gossip.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.fleet.SharesRecords(to) {
-		return nil, r.log.End()
+	keep := gossip.NotFrom(to)
+	switch r.fleet.Sharing(to) {
+	case fleet.ShareNone:
+		return nil, position
+	case fleet.ShareOwn:
+		keep = gossip.Own
+	case fleet.ShareAll:
 	}
-	records, reached := r.log.After(position, to, recordLimit)
+	records, reached := r.log.After(position, keep, recordLimit)
 	messages := make([]*peerpb.WorkerSummary, len(records))
 	for i, record := range records {
 		messages[i] = &peerpb.WorkerSummary{Worker: record.Worker, Version: record.Version, Resident: adapterNames(record.Resident)}
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -31,7 +31,11 @@
 	if in.ReceiverEpoch != s.records.epoch {
 		position = 0
 	}
-	workers, reached := s.records.after(position, in.Instance)
+	var workers []*peerpb.WorkerSummary
+	reached := position
+	if !s.fleet.SendsTo(in.Instance) { // else the own heartbeat carries them
+		workers, reached = s.records.after(position, in.Instance)
+	}
 	out := &peerpb.HeartbeatResponse{
 		Leaving:  s.fleet.Leaving(),
 		Epoch:    s.records.epoch,
