Run a keyed call at its owner, once, and record the outcome

A call with an idempotency key that may not be repeated goes to the owner of its key, which runs it apart from the caller's connection and answers every further send from its record. Calls that are not idempotent take a connection of their own at both hops. A peer's answer without an outcome is unknown, one to another attempt is discarded, and an earlier attempt that may have run makes the whole request unknown although the last one did not.

Two instances of a data centre that don't hear each other may still both hold it until leases land. The demo now starts an instance in every data centre, since a key's home needs one.

--- a/cmd/internal/demo/cluster.go
+++ b/cmd/internal/demo/cluster.go
@@ -39,7 +39,7 @@
 }
 
 // Start starts the stand-ins of the deployments and one entry instance in each
-// of the first deployment's data centres.
+// of their data centres: a key's home needs an instance of its own.
 func Start(log zerolog.Logger, specs ...deployment.Spec) (*Cluster, error) {
 	c := &Cluster{}
 	var err error
@@ -52,7 +52,11 @@
 	if err := c.publish(specs); err != nil {
 		return nil, err
 	}
-	return c, c.startEntries(log, specs[0].DataCentres())
+	var dataCentres []string
+	for _, spec := range specs {
+		dataCentres = append(dataCentres, spec.DataCentres()...)
+	}
+	return c, c.startEntries(log, dataCentres)
 }
 
 func (c *Cluster) publish(specs []deployment.Spec) error {
--- a/coord/table/lookup.go
+++ b/coord/table/lookup.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -81,3 +82,8 @@
 
 // RegionOf returns the region of a data centre, or "" where none is published.
 func (t *Table) RegionOf(dataCentre string) string { return t.regionOf[dataCentre] }
+
+// DataCentres returns the published data centres, sorted.
+func (t *Table) DataCentres() []string {
+	return slices.Sorted(maps.Keys(t.regionOf))
+}
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -33,6 +33,9 @@
 	Caller string
 	// Key is the caller's idempotency key, or empty.
 	Key string
+	// Home names the key's home data centre, or is empty where the caller left
+	// it to the system.
+	Home string
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
 	// Stream says that the caller asked for server-sent events.
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
+	"github.com/bulrushwick/bulrushwick/entry/keys"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
@@ -43,6 +44,7 @@
 	log      zerolog.Logger
 	fleet    *fleet.Fleet
 	owner    *owner.Owner
+	keys     *keys.Keys
 	exchange *peer.Exchange
 	reader   *platform.Reader
 	callers  *fasthttp.Server
@@ -82,16 +84,23 @@
 	if err != nil {
 		return nil, err
 	}
-	front := ingress.NewServer(f, own, forward.NewClient(clients), log)
+	peers := forward.NewClient(clients)
+	front := ingress.NewServer(f, own, peers, log)
+	keyed, err := keys.New(keys.Config{Record: s.Keys.Record(), Concurrency: s.DispatchConcurrency}, f, f, peers, front.Run, log)
+	if err != nil {
+		return nil, err
+	}
+	front.UseKeyed(keyed)
 	return &Daemon{
 		settings: s,
 		log:      log,
 		fleet:    f,
 		owner:    own,
+		keys:     keyed,
 		exchange: exchange,
 		reader:   platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
 		callers:  newServer(front.Handle, s.BodyLimit),
-		peers:    newServer(forward.Handler(own), s.BodyLimit),
+		peers:    newServer(forward.Handler(own, keyed), s.BodyLimit),
 		control:  peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
 	}, nil
 }
@@ -145,7 +154,7 @@
 }
 
 // Ready tells whether the instance takes new work.
-func (d *Daemon) Ready() bool { return d.fleet.Ready() }
+func (d *Daemon) Ready() bool { return d.fleet.Ready() && d.keys.Ready() }
 
 // Waiting returns the number of requests that wait for a worker here.
 func (d *Daemon) Waiting() int {
@@ -164,6 +173,7 @@
 	d.exchange.Beat(limit)
 	err := errors.Join(d.callers.ShutdownWithContext(limit), d.peers.ShutdownWithContext(limit), d.control.Shutdown(limit))
 	d.owner.Close()
+	d.keys.Close()
 	d.log.Info().Str("event", "stopped").Send()
 	return oops.Wrap(err)
 }
@@ -178,7 +188,8 @@
 			return
 		case <-ticker.C:
 			d.owner.Tick()
-			if !ready && d.fleet.Ready() {
+			d.keys.Tick()
+			if !ready && d.Ready() {
 				ready = true
 				d.log.Info().Str("event", "ready").Send()
 			}
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -40,7 +40,11 @@
 	request.Header.Set(httpx.RankHeader, r.Rank.String())
 	request.SetBodyRaw(r.Body)
 
-	response, err := c.http.Do(ctx, address, request)
+	send := c.http.DoFresh
+	if r.Idempotent {
+		send = c.http.Do
+	}
+	response, err := send(ctx, address, request)
 	if err != nil {
 		return nil, httpx.CallError("endpoint_failed", err)
 	}
--- a/entry/forward/client.go
+++ b/entry/forward/client.go
@@ -16,8 +16,13 @@
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
-// Path is where the peer listener takes forwarded requests.
-const Path = "/forward"
+// Paths where the peer listener takes forwarded requests.
+const (
+	// Path takes attempts on workers that the receiver owns.
+	Path = "/forward"
+	// KeyedPath takes calls whose idempotency keys the receiver owns.
+	KeyedPath = "/forward/keyed"
+)
 
 // problemLimit bounds the body of a peer's refusal, in bytes.
 const problemLimit = 64 << 10
@@ -35,22 +40,56 @@
 // Do forwards one attempt to the instance at address. Its error is a
 // *call.Error.
 func (c *Client) Do(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
+	return c.do(ctx, address, Path, r)
+}
+
+// DoKeyed forwards a call that carries an idempotency key to the instance at
+// address, the owner of the key. Its error is a *call.Error.
+func (c *Client) DoKeyed(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
+	return c.do(ctx, address, KeyedPath, r)
+}
+
+func (c *Client) do(ctx context.Context, address, path string, r *call.Request) (*call.Answer, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI("http://" + address + Path)
+	request.SetRequestURI("http://" + address + path)
 	encode(request, r)
-	response, err := c.http.Do(ctx, address, request)
+	send := c.http.DoFresh
+	if r.Idempotent {
+		send = c.http.Do
+	}
+	response, err := send(ctx, address, request)
 	if err != nil {
 		return nil, httpx.CallError("peer_failed", err)
 	}
+	if !answers(response, r) {
+		_ = response.Close()
+		return nil, crossed(r)
+	}
 	outcome := attempt.Outcome(response.Header.Peek(httpx.Outcome))
 	if outcome != attempt.Served {
 		defer func() { _ = response.Close() }()
-		return nil, refusal(response.Status, outcome, response)
+		return nil, refusal(response, outcome)
 	}
 	return decodeAnswer(response), nil
 }
 
+// answers tells whether the response is the one to this attempt: a late or
+// crossed one names another.
+func answers(response *httpx.Response, r *call.Request) bool {
+	id, number := response.Header.Peek(httpx.RequestID), response.Header.Peek(httpx.AttemptID)
+	return len(id) == 0 || string(id) == r.ID && string(number) == strconv.Itoa(r.Attempt)
+}
+
+func crossed(r *call.Request) *call.Error {
+	return &call.Error{
+		Failure: attempt.Failure{Sent: true},
+		Status:  fasthttp.StatusGatewayTimeout,
+		Code:    "answer_crossed",
+		Err:     fmt.Errorf("the peer's answer is not to attempt %d of %s", r.Attempt, r.ID),
+	}
+}
+
 func decodeAnswer(response *httpx.Response) *call.Answer {
 	waitMs, _ := strconv.ParseInt(string(response.Header.Peek(httpx.WaitMs)), 10, 64)
 	return &call.Answer{
@@ -65,14 +104,23 @@
 
 // refusal reads why a peer did not serve. Only an explicit not-run proves that
 // the request did not run.
-func refusal(status int, outcome attempt.Outcome, body io.Reader) *call.Error {
+func refusal(response *httpx.Response, outcome attempt.Outcome) *call.Error {
 	failed := &call.Error{
 		Failure: attempt.Failure{Sent: true, Refused: outcome == attempt.NotRun},
-		Status:  status,
+		Status:  response.Status,
 		Code:    "peer_refused",
-		Err:     fmt.Errorf("peer answered %d", status),
+		Err:     fmt.Errorf("peer answered %d", response.Status),
+	}
+	if outcome != attempt.NotRun && outcome != attempt.Unknown {
+		failed.Status = fasthttp.StatusGatewayTimeout // nothing is known of the call
+		failed.Code = "peer_outcome_missing"
+		return failed
+	}
+	seconds, err := strconv.Atoi(string(response.Header.Peek(fasthttp.HeaderRetryAfter)))
+	if err == nil {
+		failed.RetryAfter = time.Duration(seconds) * time.Second
 	}
-	data, err := io.ReadAll(io.LimitReader(body, problemLimit))
+	data, err := io.ReadAll(io.LimitReader(response, problemLimit))
 	if err != nil {
 		return failed
 	}
--- a/entry/forward/codec.go
+++ b/entry/forward/codec.go
@@ -34,6 +34,7 @@
 	h.Set(httpx.RankHeader, r.Rank.String())
 	h.Set(httpx.CallerHeader, r.Caller)
 	h.Set(httpx.IdempotencyKey, r.Key)
+	h.Set(httpx.HomeHeader, r.Home)
 	h.Set(idempotentHeader, strconv.FormatBool(r.Idempotent))
 	h.Set(streamHeader, strconv.FormatBool(r.Stream))
 	h.Set(httpx.DeadlineHeader, strconv.FormatInt(r.Remaining().Milliseconds(), 10))
@@ -69,6 +70,7 @@
 		Rank:       rank,
 		Caller:     text(httpx.CallerHeader),
 		Key:        text(httpx.IdempotencyKey),
+		Home:       text(httpx.HomeHeader),
 		Idempotent: text(idempotentHeader) == "true",
 		Stream:     text(streamHeader) == "true",
 		Deadline:   time.Now().Add(time.Duration(remainingMs) * time.Millisecond),
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -17,10 +17,16 @@
 	Serve(ctx context.Context, r *call.Request) (*call.Answer, error)
 }
 
-// Handler answers forwarded requests with s.
-func Handler(s Server) fasthttp.RequestHandler {
+// Handler answers forwarded attempts with workers and forwarded calls that
+// carry a key with keyed.
+func Handler(workers, keyed Server) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if string(ctx.Path()) != Path {
+		s := workers
+		switch string(ctx.Path()) {
+		case Path:
+		case KeyedPath:
+			s = keyed
+		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 			return
 		}
@@ -35,6 +41,8 @@
 			problem.Write(ctx)
 			return
 		}
+		ctx.Response.Header.Set(httpx.RequestID, r.ID)
+		ctx.Response.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
 		answer, err := Watched(ctx, r, s.Serve)
 		if err != nil {
 			httpx.ProblemOf(err).Write(ctx)
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -59,20 +59,30 @@
 // The end of ctx closes the connection, which cancels the call at the other
 // side, until the body is closed. The error is a *SendError.
 func (c *Client) Do(ctx context.Context, address string, request *fasthttp.Request) (*Response, error) {
+	return do(ctx, c.config, c.host(address), request, true)
+}
+
+// DoFresh is Do over a connection of its own. An idle connection may have been
+// lost on the way without a sign, and a request that is written to it can't be
+// sent again when it is not idempotent.
+func (c *Client) DoFresh(ctx context.Context, address string, request *fasthttp.Request) (*Response, error) {
+	return do(ctx, c.config, c.newHost(address), request, false)
+}
+
+func do(ctx context.Context, config ClientConfig, host *fasthttp.HostClient, request *fasthttp.Request, keep bool) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &SendError{Err: err}
 	}
-	host := c.host(address)
-	cc, err := host.AcquireConn(c.config.ConnectTimeout, false)
+	cc, err := host.AcquireConn(config.ConnectTimeout, !keep)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
-	conn := &progressConn{Conn: cc.Conn(), timeout: c.config.ProgressTimeout}
+	conn := &progressConn{Conn: cc.Conn(), timeout: config.ProgressTimeout}
 	conn.deadline, _ = ctx.Deadline()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reader := host.AcquireReader(conn)
 	release := func(reuse bool) {
-		if !stop() {
+		if !stop() || !keep {
 			reuse = false
 		}
 		host.ReleaseReader(reader)
@@ -125,7 +135,14 @@
 	if len(c.hosts) >= maxHosts {
 		c.dropUnused()
 	}
-	host = &fasthttp.HostClient{
+	host = c.newHost(address)
+	c.hosts[address] = host
+	return host
+}
+
+// newHost returns an empty connection pool for an address.
+func (c *Client) newHost(address string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
 		Addr:                address,
 		MaxConns:            maxConnsPerHost,
 		MaxIdleConnDuration: idleConnTimeout,
@@ -133,8 +150,6 @@
 			return net.DialTimeout("tcp", address, c.config.ConnectTimeout)
 		},
 	}
-	c.hosts[address] = host
-	return host
 }
 
 // dropUnused forgets the addresses without a connection; endpoints and peers
--- a/entry/httpx/headers.go
+++ b/entry/httpx/headers.go
@@ -5,6 +5,9 @@
 // Headers of the callers' protocol.
 const (
 	IdempotencyKey = "Idempotency-Key"
+	// HomeHeader names the data centre whose instances own the idempotency key;
+	// every send of one key must name the same, or none.
+	HomeHeader     = "Bulrushwick-Home"
 	RankHeader     = "Bulrushwick-Rank"
 	DeadlineHeader = "Bulrushwick-Deadline-Ms"
 	CallerHeader   = "Bulrushwick-Caller"
--- a/entry/ingress/parse.go
+++ b/entry/ingress/parse.go
@@ -44,6 +44,7 @@
 		Body:    append([]byte(nil), ctx.PostBody()...),
 		Caller:  string(ctx.Request.Header.Peek(httpx.CallerHeader)),
 		Key:     string(ctx.Request.Header.Peek(httpx.IdempotencyKey)),
+		Home:    string(ctx.Request.Header.Peek(httpx.HomeHeader)),
 		Trace:   string(ctx.Request.Header.Peek(httpx.Traceparent)),
 	}
 	route, problem := resolve(ctx, t, r)
@@ -101,9 +102,8 @@
 	}
 	r.Rank = route.Rank(asked)
 	if r.Key != "" {
-		key, err := uuid.Parse(r.Key)
-		if err != nil || key.Version() != 7 {
-			return malformed("idempotency_key", "the idempotency key must be a UUIDv7")
+		if _, err := attempt.ParseKey(r.Key); err != nil {
+			return malformed("idempotency_key", err.Error())
 		}
 	}
 	deadline, problem := deadlineOf(ctx, route)
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,9 +21,6 @@
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
-// maxAttempts bounds the attempts of one request.
-const maxAttempts = 3
-
 // Local serves attempts on workers that this instance owns.
 type Local interface {
 	Serve(ctx context.Context, r *call.Request) (*call.Answer, error)
@@ -33,21 +31,42 @@
 	Do(ctx context.Context, address string, r *call.Request) (*call.Answer, error)
 }
 
+// Keyed serves calls that carry an idempotency key and may not be repeated.
+type Keyed interface {
+	Send(ctx context.Context, r *call.Request) (*call.Answer, error)
+	Ready() bool
+}
+
 // Server answers callers.
 type Server struct {
+	keyed  Keyed
 	fleet  *fleet.Fleet
 	local  Local
 	remote Remote
 	picker *placement.Picker
 	log    zerolog.Logger
+
+	mu     sync.Mutex // guards budget, which the requests' lives share
+	budget *attempt.Budget
 }
 
 // NewServer returns a server that serves by local where this instance owns the
 // worker and by remote elsewhere.
 func NewServer(f *fleet.Fleet, local Local, remote Remote, log zerolog.Logger) *Server {
-	return &Server{fleet: f, local: local, remote: remote, picker: placement.NewPicker(), log: log}
+	return &Server{
+		fleet:  f,
+		local:  local,
+		remote: remote,
+		picker: placement.NewPicker(),
+		log:    log,
+		budget: attempt.NewBudget(attempt.DefaultBudgetConfig()),
+	}
 }
 
+// UseKeyed sets who serves calls that carry a key; it must be called before the
+// first request.
+func (s *Server) UseKeyed(keyed Keyed) { s.keyed = keyed }
+
 // Handle is the fasthttp handler of the callers' listener.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
@@ -61,7 +80,7 @@
 }
 
 func (s *Server) ready(ctx *fasthttp.RequestCtx) {
-	if !s.fleet.Ready() {
+	if !s.fleet.Ready() || !s.keyed.Ready() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.SetBodyString("not ready\n")
 		return
@@ -91,6 +110,9 @@
 	}
 	ctx.Response.Header.Set(httpx.RequestID, r.ID)
 	answer, err := forward.Watched(ctx, r, func(ctx context.Context, r *call.Request) (*call.Answer, error) {
+		if r.Key != "" && !r.Idempotent {
+			return s.keyed.Send(ctx, r)
+		}
 		return s.attempts(ctx, t, route, r)
 	})
 	if err != nil {
@@ -103,23 +125,14 @@
 	forward.WriteAnswer(ctx, answer)
 }
 
-// attempts tries workers until one serves, a failure forbids a retry or the
-// deadline passes.
-func (s *Server) attempts(ctx context.Context, t *table.Table, route *table.Route, r *call.Request) (*call.Answer, error) {
-	tried := make(map[string]bool)
-	var last error = unavailable("no_attempt", "the deadline passed before the first attempt")
-	for r.Attempt = 1; r.Attempt <= maxAttempts && ctx.Err() == nil; r.Attempt++ {
-		answer, err := s.attempt(ctx, t, route, r, tried)
-		if err == nil {
-			return answer, nil
-		}
-		last = err
-		var failed *call.Error
-		if !errors.As(err, &failed) || !failed.Failure.MayRetry(r.Idempotent) || failed.RetryAfter > 0 {
-			return nil, err
-		}
+// Run serves a request by its route, as Keyed does with a key that it owns.
+func (s *Server) Run(ctx context.Context, r *call.Request) (*call.Answer, error) {
+	t := s.fleet.Table()
+	route, found := t.RouteNamed(r.Route)
+	if !found {
+		return nil, unavailable("unknown_route", "the tables in force have no such route")
 	}
-	return nil, last
+	return s.attempts(ctx, t, route, r)
 }
 
 func (s *Server) attempt(ctx context.Context, t *table.Table, route *table.Route, r *call.Request, tried map[string]bool) (*call.Answer, error) {
@@ -130,7 +143,7 @@
 	tried[r.Worker] = true
 	end := s.fleet.Begin(r.Worker)
 	var answer *call.Answer
-	if owner.Name == s.fleet.Self() {
+	if t.Pools[route.Pool].Kind == table.Service || owner.Name == s.fleet.Self() {
 		answer, err = s.local.Serve(ctx, r)
 	} else {
 		answer, err = s.remote.Do(ctx, owner.PeerAddress, r)
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -93,10 +93,6 @@
 // Serve runs one attempt and returns when the head of the answer is there. Its
 // error is a *call.Error.
 func (o *Owner) Serve(ctx context.Context, r *call.Request) (*call.Answer, error) {
-	owned, found := o.fleet.Owner(r.Worker)
-	if !found || owned.Name != o.fleet.Self() {
-		return nil, notRun(fasthttp.StatusMisdirectedRequest, "not_owner", fmt.Errorf("%s is owned by %q", r.Worker, owned.Name))
-	}
 	at, pool, known := o.fleet.Table().Endpoint(r.Worker)
 	if !known {
 		return nil, notRun(fasthttp.StatusServiceUnavailable, "unknown_worker", fmt.Errorf("worker %q is not in the tables", r.Worker))
@@ -104,6 +100,10 @@
 	if pool.Kind == table.Service {
 		return o.call(ctx, at.Address, r)
 	}
+	owned, found := o.fleet.Owner(r.Worker)
+	if !found || owned.Name != o.fleet.Self() {
+		return nil, notRun(fasthttp.StatusMisdirectedRequest, "not_owner", fmt.Errorf("%s is owned by %q", r.Worker, owned.Name))
+	}
 	return o.serveEngine(ctx, at.Address, pool, r)
 }
 
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -72,6 +72,8 @@
 	// burst faster; fewer spend less on waking each other, which at many short
 	// writes is a third of the processor time. Default: 2.
 	Processors int `json:"processors"`
+	// Keys configures what is remembered of idempotency keys.
+	Keys Keys `json:"keys"`
 	// TraceFile receives spans as JSON lines; empty switches tracing off.
 	TraceFile string `json:"traceFile"`
 }
@@ -88,6 +90,7 @@
 		DispatchConcurrency: 1024,
 		ControlConcurrency:  64,
 		Processors:          2,
+		Keys:                DefaultKeys(),
 	}
 }
 
@@ -142,6 +145,9 @@
 		{"watchWait", s.WatchWait},
 		{"connectTimeout", s.ConnectTimeout},
 		{"progressTimeout", s.ProgressTimeout},
+		{"keys.futureLimit", s.Keys.FutureLimit},
+		{"keys.clockSkew", s.Keys.ClockSkew},
+		{"keys.retention", s.Keys.Retention},
 	}
 	for _, d := range durations {
 		if d.value <= 0 {
@@ -157,6 +163,8 @@
 		{"dispatchConcurrency", s.DispatchConcurrency},
 		{"controlConcurrency", s.ControlConcurrency},
 		{"processors", s.Processors},
+		{"keys.limit", s.Keys.Limit},
+		{"keys.byteLimit", s.Keys.ByteLimit},
 	}
 	for _, c := range counts {
 		if c.value < 1 {
--- a/standin/service.go
+++ b/standin/service.go
@@ -11,8 +11,18 @@
 	*server
 	name string
 
-	mu   sync.Mutex
-	runs map[string]int
+	mu      sync.Mutex
+	changed *sync.Cond // a run began, or a fault was switched
+	runs    map[string]int
+	faults  ServiceFaults
+}
+
+// ServiceFaults are the faults that a service can be switched to.
+type ServiceFaults struct {
+	// Hold runs calls and keeps their answers back until it is ended.
+	Hold bool
+	// Truncate ends answers before their announced length.
+	Truncate bool
 }
 
 // ServiceAnswer is what a plain service answers.
@@ -26,6 +36,7 @@
 // StartService starts a plain service on address.
 func StartService(address, name string) (*Service, error) {
 	s := &Service{name: name, runs: make(map[string]int)}
+	s.changed = sync.NewCond(&s.mu)
 	listener, err := listen(address, s.handle)
 	if err != nil {
 		return nil, err
@@ -41,16 +52,47 @@
 	return s.runs[key]
 }
 
+// SetFaults switches faults.
+func (s *Service) SetFaults(f ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.changed.Broadcast()
+}
+
 func (s *Service) handle(ctx *fasthttp.RequestCtx) {
-	if string(ctx.Path()) == "/runs" {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		writeJSON(ctx, fasthttp.StatusOK, s.runs)
-		return
+	switch string(ctx.Path()) {
+	case "/runs":
+		s.writeRuns(ctx)
+	case "/fault":
+		args := ctx.QueryArgs()
+		s.SetFaults(ServiceFaults{Hold: args.GetBool("hold"), Truncate: args.GetBool("truncate")})
+	default:
+		s.run(ctx)
 	}
+}
+
+// writeRuns answers how often each key ran. With await it answers only when
+// that key has run at least once.
+func (s *Service) writeRuns(ctx *fasthttp.RequestCtx) {
+	await := string(ctx.QueryArgs().Peek("await"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for await != "" && s.runs[await] == 0 {
+		s.changed.Wait()
+	}
+	writeJSON(ctx, fasthttp.StatusOK, s.runs)
+}
+
+func (s *Service) run(ctx *fasthttp.RequestCtx) {
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
 	s.mu.Lock()
 	s.runs[key]++
+	s.changed.Broadcast()
+	for s.faults.Hold {
+		s.changed.Wait()
+	}
+	truncate := s.faults.Truncate
 	s.mu.Unlock()
 	writeJSON(ctx, fasthttp.StatusOK, ServiceAnswer{
 		Service: s.name,
@@ -58,4 +100,7 @@
 		Key:     key,
 		Echo:    string(ctx.PostBody()),
 	})
+	if truncate {
+		cutAnswer(ctx)
+	}
 }
