--- a/cmd/e2e/keys_test.go
+++ b/cmd/e2e/keys_test.go
@@ -121,7 +121,7 @@
 // TestSameKeyThroughEveryEntryAtOnce sends one order through every entry at the
 // same time, and again when it is done.
 func TestSameKeyThroughEveryEntryAtOnce(t *testing.T) {
-	s := startSystem(t, deployment.Silttolge(), 2)
+	s := startSystem(t, deployment.Silttolge(), 3)
 	key := newKey()
 	answers := make([]keyedAnswer, 2*len(s.callers))
 	s.fault(t, "hold=true")
