--- a/cmd/bulrushctl/standin.go
+++ b/cmd/bulrushctl/standin.go
@@ -28,6 +28,7 @@
 		storeCommand(&address),
 		engineCommand(&address),
 		serviceCommand(&address),
+		linkCommand(&address),
 	)
 	return c
 }
@@ -103,3 +104,30 @@
 	c.Flags().StringVar(&name, "name", "service", "name told in answers")
 	return c
 }
+
+func linkCommand(address *string) *cobra.Command {
+	var target, faults string
+	c := &cobra.Command{
+		Use:     "link --to ADDRESS",
+		Short:   "Stand in for a faulty network between two processes",
+		Example: "  bulrushctl standin link --listen 127.0.0.1:7001 --to 127.0.0.1:7000 --faults 127.0.0.1:7002\n  curl '127.0.0.1:7002/?silence=true'",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, err := standin.StartLink(*address, target)
+			if err != nil {
+				return err
+			}
+			faultAddress, err := l.ServeFaults(faults)
+			if err != nil {
+				return err
+			}
+			log := zerolog.New(os.Stderr)
+			log.Info().Str("event", "faults_listening").Str("address", faultAddress).Send()
+			return serveStandin(cmd, l, nil)
+		},
+	}
+	c.Flags().StringVar(&target, "to", "", "address that connections are passed on to")
+	c.Flags().StringVar(&faults, "faults", "127.0.0.1:0", "address of the fault switch")
+	_ = c.MarkFlagRequired("to")
+	return c
+}
