--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -36,6 +36,8 @@
 	headerReadTimeout = 10 * time.Second
 	idleTimeout       = 60 * time.Second
 	callerConnsLimit  = 65536
+	// stallTimeout is how long a caller may take nothing of its answer.
+	stallTimeout = 30 * time.Second
 )
 
 // Daemon is one entry instance.
@@ -207,7 +209,7 @@
 			}
 			return nil, oops.Code("listen_failed").With("address", address).Wrap(err)
 		}
-		listeners = append(listeners, httpx.WatchListener(listener))
+		listeners = append(listeners, httpx.WatchListener(listener, stallTimeout))
 	}
 	return listeners, nil
 }
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -17,12 +17,13 @@
 
 // Client calls endpoints. It never repeats a call by itself.
 type Client struct {
-	http *httpx.Client
+	http        *httpx.Client
+	headTimeout time.Duration
 }
 
 // NewClient returns a client.
 func NewClient(config httpx.ClientConfig) *Client {
-	return &Client{http: httpx.NewClient(config)}
+	return &Client{http: httpx.NewClient(config), headTimeout: config.ProgressTimeout}
 }
 
 // Do makes one attempt at the endpoint at address and returns when the head of
@@ -40,11 +41,7 @@
 	request.Header.Set(httpx.RankHeader, r.Rank.String())
 	request.SetBodyRaw(r.Body)
 
-	send := c.http.DoFresh
-	if r.Idempotent {
-		send = c.http.Do
-	}
-	response, err := send(ctx, address, request)
+	response, err := c.http.Do(ctx, address, request, c.options(r))
 	if err != nil {
 		return nil, httpx.CallError("endpoint_failed", err)
 	}
@@ -56,6 +53,16 @@
 	}, nil
 }
 
+// options bounds the wait for the head: only a stream begins before the work is
+// done.
+func (c *Client) options(r *call.Request) httpx.Options {
+	options := httpx.Options{Fresh: !r.Idempotent}
+	if r.Stream {
+		options.HeadTimeout = c.headTimeout
+	}
+	return options
+}
+
 func setHeader(request *fasthttp.Request, name, value string) {
 	if value != "" {
 		request.Header.Set(name, value)
@@ -93,7 +100,7 @@
 	request.SetBodyRaw(body)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	response, err := c.http.Do(ctx, address, request)
+	response, err := c.http.Do(ctx, address, request, httpx.Options{})
 	if err != nil {
 		return oops.Code("order_failed").With("address", address).Wrap(err)
 	}
--- a/entry/forward/client.go
+++ b/entry/forward/client.go
@@ -54,11 +54,10 @@
 	defer fasthttp.ReleaseRequest(request)
 	request.SetRequestURI("http://" + address + path)
 	encode(request, r)
-	send := c.http.DoFresh
-	if r.Idempotent {
-		send = c.http.Do
-	}
-	response, err := send(ctx, address, request)
+	response, err := c.http.Do(ctx, address, request, httpx.Options{
+		Fresh:       !r.Idempotent,
+		HeadTimeout: processingTimeout,
+	})
 	if err != nil {
 		return nil, httpx.CallError("peer_failed", err)
 	}
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -12,6 +13,13 @@
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
+// The owner tells the instance that forwarded a request that it still works on
+// it, so that a connection that went silent is told from a long wait.
+const (
+	processingEvery   = time.Second
+	processingTimeout = 3 * processingEvery
+)
+
 // Server runs a forwarded attempt on a worker that this instance owns.
 type Server interface {
 	Serve(ctx context.Context, r *call.Request) (*call.Answer, error)
@@ -43,7 +51,9 @@
 		}
 		ctx.Response.Header.Set(httpx.RequestID, r.ID)
 		ctx.Response.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
+		stop := httpx.KeepProcessing(ctx, processingEvery)
 		answer, err := Watched(ctx, r, s.Serve)
+		stop()
 		if err != nil {
 			httpx.ProblemOf(err).Write(ctx)
 			return
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -13,8 +13,10 @@
 // maxConnsPerHost bounds the connections to one peer or endpoint.
 const maxConnsPerHost = 4096
 
-// idleConnTimeout is how long an unused connection is kept.
-const idleConnTimeout = 5 * time.Second
+// maxIdleReuse is how long after its last answer a connection is still taken for
+// a call. A connection may go silent without a sign; a longer time saves more
+// connection set-ups and risks more calls that must wait for a timeout.
+const maxIdleReuse = time.Second
 
 // maxHosts is the number of addresses kept before unused ones are dropped.
 const maxHosts = 1024
@@ -23,7 +25,7 @@
 type ClientConfig struct {
 	// ConnectTimeout bounds a connection attempt.
 	ConnectTimeout time.Duration
-	// ProgressTimeout bounds each read and write.
+	// ProgressTimeout bounds each read of an answer's body.
 	ProgressTimeout time.Duration
 }
 
@@ -55,52 +57,73 @@
 // Unwrap returns the cause.
 func (e *SendError) Unwrap() error { return e.Err }
 
+// Options tune one call.
+type Options struct {
+	// Fresh opens a connection for this call alone. An idle connection may have
+	// been lost on the way without a sign, and a request that is written to it
+	// can't be sent again when it is not idempotent.
+	Fresh bool
+	// HeadTimeout bounds the silence before the head of the answer. Zero leaves
+	// only the call's deadline, for callees that say nothing while they work.
+	HeadTimeout time.Duration
+}
+
 // Do sends request to address and returns when the head of the answer is there.
 // The end of ctx closes the connection, which cancels the call at the other
 // side, until the body is closed. The error is a *SendError.
-func (c *Client) Do(ctx context.Context, address string, request *fasthttp.Request) (*Response, error) {
-	return do(ctx, c.config, c.host(address), request, true)
-}
-
-// DoFresh is Do over a connection of its own. An idle connection may have been
-// lost on the way without a sign, and a request that is written to it can't be
-// sent again when it is not idempotent.
-func (c *Client) DoFresh(ctx context.Context, address string, request *fasthttp.Request) (*Response, error) {
-	return do(ctx, c.config, c.newHost(address), request, false)
-}
-
-func do(ctx context.Context, config ClientConfig, host *fasthttp.HostClient, request *fasthttp.Request, keep bool) (*Response, error) {
+func (c *Client) Do(ctx context.Context, address string, request *fasthttp.Request, options Options) (*Response, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, &SendError{Err: err}
 	}
-	cc, err := host.AcquireConn(config.ConnectTimeout, !keep)
+	host := c.newHost(address)
+	if !options.Fresh {
+		host = c.host(address)
+	}
+	conn, release, err := c.acquire(host, options)
 	if err != nil {
 		return nil, &SendError{Err: err}
 	}
-	conn := &progressConn{Conn: cc.Conn(), timeout: config.ProgressTimeout}
 	conn.deadline, _ = ctx.Deadline()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	reader := host.AcquireReader(conn)
-	release := func(reuse bool) {
-		if !stop() || !keep {
-			reuse = false
-		}
+	end := func(reuse bool) {
+		alive := stop()
 		host.ReleaseReader(reader)
-		if reuse {
-			host.ReleaseConn(cc)
-		} else {
-			host.CloseConn(cc)
-		}
+		release(reuse && alive && !options.Fresh)
 	}
 	response, err := roundTrip(host, conn, reader, request)
 	if err != nil {
-		release(false)
+		end(false)
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
 		return nil, &SendError{Sent: true, Err: err}
 	}
-	return newResponse(response, release), nil
+	conn.timeout = c.config.ProgressTimeout
+	return newResponse(response, end), nil
+}
+
+// acquire takes a connection that has carried an answer lately, or a new one.
+// release gives it back or closes it.
+func (c *Client) acquire(host *fasthttp.HostClient, options Options) (conn *progressConn, release func(reuse bool), err error) {
+	for {
+		cc, err := host.AcquireConn(c.config.ConnectTimeout, options.Fresh)
+		if err != nil {
+			return nil, nil, err
+		}
+		if used := cc.LastUseTime(); !used.IsZero() && time.Since(used) > maxIdleReuse {
+			host.CloseConn(cc)
+			continue
+		}
+		release = func(reuse bool) {
+			if reuse {
+				host.ReleaseConn(cc)
+			} else {
+				host.CloseConn(cc)
+			}
+		}
+		return &progressConn{Conn: cc.Conn(), timeout: options.HeadTimeout}, release, nil
+	}
 }
 
 // roundTrip writes the request and reads the head of the answer.
@@ -115,15 +138,33 @@
 		return nil, err
 	}
 	response := fasthttp.AcquireResponse()
-	response.StreamBody = true
-	response.SkipBody = request.Header.IsHead()
-	if err := response.ReadLimitBody(reader, 0); err != nil {
+	if err := readHead(response, reader, request.Header.IsHead()); err != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil, err
 	}
 	return response, nil
 }
 
+// readHead reads past the interim responses that a callee sends while it works.
+func readHead(response *fasthttp.Response, reader *bufio.Reader, isHead bool) error {
+	for {
+		if err := response.Header.Read(reader); err != nil {
+			return err
+		}
+		status := response.StatusCode()
+		if status >= fasthttp.StatusOK {
+			break
+		}
+	}
+	status := response.StatusCode()
+	response.StreamBody = true
+	if isHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		response.SkipBody = true
+		return nil
+	}
+	return response.ReadBody(reader, 0)
+}
+
 // host returns the connection pool of an address.
 func (c *Client) host(address string) *fasthttp.HostClient {
 	c.mu.Lock()
@@ -145,7 +186,7 @@
 	return &fasthttp.HostClient{
 		Addr:                address,
 		MaxConns:            maxConnsPerHost,
-		MaxIdleConnDuration: idleConnTimeout,
+		MaxIdleConnDuration: maxIdleReuse,
 		Dial: func(address string) (net.Conn, error) {
 			return net.DialTimeout("tcp", address, c.config.ConnectTimeout)
 		},
@@ -166,12 +207,15 @@
 // deadline of the whole call, so that a stream may last but not stall.
 type progressConn struct {
 	net.Conn
-	timeout  time.Duration
+	timeout  time.Duration // 0 leaves only the deadline
 	deadline time.Time
 }
 
 // next returns the earlier of the call's deadline and a progress timeout from now.
 func (c *progressConn) next() time.Time {
+	if c.timeout == 0 {
+		return c.deadline
+	}
 	progress := time.Now().Add(c.timeout)
 	if !c.deadline.IsZero() && c.deadline.Before(progress) {
 		return c.deadline
--- a/entry/httpx/watch.go
+++ b/entry/httpx/watch.go
@@ -14,12 +14,17 @@
 // ErrHungUp is the cause of a context whose caller closed its connection.
 var ErrHungUp = errors.New("the caller closed the connection")
 
-// WatchListener returns a listener whose connections Watch can observe.
-func WatchListener(inner net.Listener) net.Listener {
-	return &watchListener{Listener: inner}
+// WatchListener returns a listener whose connections Watch can observe. A write
+// fails when the caller takes nothing for stallTimeout, so that a caller that
+// stops reading does not hold an endpoint.
+func WatchListener(inner net.Listener, stallTimeout time.Duration) net.Listener {
+	return &watchListener{Listener: inner, stallTimeout: stallTimeout}
 }
 
-type watchListener struct{ net.Listener }
+type watchListener struct {
+	net.Listener
+	stallTimeout time.Duration
+}
 
 // Accept implements net.Listener.
 func (l *watchListener) Accept() (net.Conn, error) {
@@ -27,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: conn}, nil
+	return &watchedConn{Conn: conn, stallTimeout: l.stallTimeout}, nil
 }
 
 // Watch returns a context that ends with parent, or when the caller of ctx
@@ -47,6 +52,7 @@
 // byte that arrives meanwhile is kept for the next Read.
 type watchedConn struct {
 	net.Conn
+	stallTimeout time.Duration
 
 	mu   sync.Mutex
 	kept []byte
@@ -101,3 +107,11 @@
 	c.mu.Unlock()
 	return c.Conn.Read(p)
 }
+
+// Write implements net.Conn.
+func (c *watchedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
--- a/standin/link.go
+++ b/standin/link.go
@@ -213,4 +213,3 @@
 	}
 	return s.Address(), nil
 }
-
--- a/standin/server.go
+++ b/standin/server.go
@@ -28,7 +28,7 @@
 		http:     &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true},
 		listener: listener,
 	}
-	go func() { _ = s.http.Serve(httpx.WatchListener(listener)) }()
+	go func() { _ = s.http.Serve(httpx.WatchListener(listener, never)) }()
 	return s, nil
 }
 
