--- a/cmd/internal/demo/cluster.go
+++ b/cmd/internal/demo/cluster.go
@@ -33,15 +33,39 @@
 	// Callers are the addresses of the entry instances.
 	Callers []string
 
+	through Through
 	daemons []*daemon.Daemon
 	stop    context.CancelFunc
 	done    chan error
 }
 
+// Hop is one kind of connection between two parts.
+type Hop string
+
+// The hops of a cluster.
+const (
+	EngineHop   Hop = "engine"
+	ServiceHop  Hop = "service"
+	PeerHop     Hop = "peer"
+	ControlHop  Hop = "control"
+	PlatformHop Hop = "platform"
+)
+
+// Through returns the address by which the instances reach address, so that a
+// test can put a faulty link between.
+type Through func(hop Hop, address string) (string, error)
+
+func direct(_ Hop, address string) (string, error) { return address, nil }
+
 // Start starts the stand-ins of the deployments and one entry instance in each
 // of their data centres: a key's home needs an instance of its own.
 func Start(log zerolog.Logger, specs ...deployment.Spec) (*Cluster, error) {
-	c := &Cluster{}
+	return StartThrough(log, direct, specs...)
+}
+
+// StartThrough is Start with the instances' connections led through links.
+func StartThrough(log zerolog.Logger, through Through, specs ...deployment.Spec) (*Cluster, error) {
+	c := &Cluster{through: through}
 	var err error
 	if c.Platform, err = standin.StartPlatform(anyPort); err != nil {
 		return nil, err
@@ -100,7 +124,9 @@
 			return nil, err
 		}
 		c.Engines = append(c.Engines, engine)
-		addresses[i] = engine.Address()
+		if addresses[i], err = c.through(EngineHop, engine.Address()); err != nil {
+			return nil, err
+		}
 	}
 	return addresses, nil
 }
@@ -113,7 +139,9 @@
 			return nil, err
 		}
 		c.Services = append(c.Services, service)
-		addresses[i] = service.Address()
+		if addresses[i], err = c.through(ServiceHop, service.Address()); err != nil {
+			return nil, err
+		}
 	}
 	return addresses, nil
 }
@@ -122,30 +150,17 @@
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.done = make(chan error, len(dataCentres))
+	platform, err := c.through(PlatformHop, c.Platform.Address())
+	if err != nil {
+		return err
+	}
 	var instances []member.Instance
 	for i, dataCentre := range dataCentres {
-		s := settings.Default()
-		s.Instance = fmt.Sprintf("entry-%d", i)
-		s.DataCentre = dataCentre
-		s.CallerAddress, s.PeerAddress, s.ControlAddress = anyPort, anyPort, anyPort
-		s.PlatformAddress = c.Platform.Address()
-		d, err := daemon.New(s, log)
-		if err != nil {
-			return err
-		}
-		addresses, err := d.Listen()
+		instance, err := c.startEntry(log, fmt.Sprintf("entry-%d", i), dataCentre, platform)
 		if err != nil {
 			return err
 		}
-		c.daemons = append(c.daemons, d)
-		c.Callers = append(c.Callers, addresses.Callers)
-		instances = append(instances, member.Instance{
-			Name:           s.Instance,
-			DataCentre:     dataCentre,
-			PeerAddress:    addresses.Peers,
-			ControlAddress: addresses.Control,
-			State:          member.Live,
-		})
+		instances = append(instances, instance)
 	}
 	if err := deployment.PublishInstances(c.put, instances); err != nil {
 		return err
@@ -156,6 +171,31 @@
 	return nil
 }
 
+// startEntry builds one instance and returns it as the platform publishes it.
+func (c *Cluster) startEntry(log zerolog.Logger, name, dataCentre, platform string) (member.Instance, error) {
+	s := settings.Default()
+	s.Instance = name
+	s.DataCentre = dataCentre
+	s.CallerAddress, s.PeerAddress, s.ControlAddress = anyPort, anyPort, anyPort
+	s.PlatformAddress = platform
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return member.Instance{}, err
+	}
+	addresses, err := d.Listen()
+	if err != nil {
+		return member.Instance{}, err
+	}
+	c.daemons = append(c.daemons, d)
+	c.Callers = append(c.Callers, addresses.Callers)
+	instance := member.Instance{Name: name, DataCentre: dataCentre, State: member.Live}
+	if instance.PeerAddress, err = c.through(PeerHop, addresses.Peers); err != nil {
+		return member.Instance{}, err
+	}
+	instance.ControlAddress, err = c.through(ControlHop, addresses.Control)
+	return instance, err
+}
+
 // readyPoll is the interval between looks at the instances' readiness.
 const readyPoll = 10 * time.Millisecond
 
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -29,6 +30,8 @@
 	body    string
 	key     string
 	expects string
+	// deadline is what the caller asks for; zero leaves it to the route.
+	deadline time.Duration
 }
 
 // completionBody is the body of a completion call.
@@ -124,6 +127,9 @@
 	if s.key != "" {
 		request.Header.Set(httpx.IdempotencyKey, s.key)
 	}
+	if s.deadline > 0 {
+		request.Header.Set(httpx.DeadlineHeader, strconv.FormatInt(s.deadline.Milliseconds(), 10))
+	}
 	request.SetBodyString(s.body)
 	start := time.Now()
 	err := fasthttp.DoTimeout(request, response, time.Minute)
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
@@ -158,6 +159,18 @@
 // Ready tells whether the instance takes new work.
 func (d *Daemon) Ready() bool { return d.fleet.Ready() && d.keys.Ready() }
 
+// Revision returns the revision in force, or 0 before the first.
+func (d *Daemon) Revision() uint64 {
+	t := d.fleet.Table()
+	if t == nil {
+		return 0
+	}
+	return t.Revision
+}
+
+// Snapshot returns the published bytes of the tables in force.
+func (d *Daemon) Snapshot() table.Snapshot { return d.fleet.Table().Snapshot() }
+
 // Waiting returns the number of requests that wait for a worker here.
 func (d *Daemon) Waiting() int {
 	waiting := 0
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -53,12 +53,16 @@
 	}, nil
 }
 
-// options bounds the wait for the head: only a stream begins before the work is
-// done.
+// options bounds the wait for the head. Only a stream begins before the work is
+// done; an idempotent call keeps half of its time for another attempt, since its
+// connection may have gone silent.
 func (c *Client) options(r *call.Request) httpx.Options {
-	options := httpx.Options{Fresh: !r.Idempotent}
-	if r.Stream {
+	options := httpx.Options{Fresh: !r.Idempotent || r.Attempt > 1}
+	switch {
+	case r.Stream:
 		options.HeadTimeout = c.headTimeout
+	case r.Idempotent:
+		options.HeadTimeout = r.Remaining() / 2
 	}
 	return options
 }
--- a/entry/forward/client.go
+++ b/entry/forward/client.go
@@ -55,7 +55,7 @@
 	request.SetRequestURI("http://" + address + path)
 	encode(request, r)
 	response, err := c.http.Do(ctx, address, request, httpx.Options{
-		Fresh:       !r.Idempotent,
+		Fresh:       !r.Idempotent || r.Attempt > 1,
 		HeadTimeout: processingTimeout,
 	})
 	if err != nil {
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -157,13 +158,26 @@
 	return answer, nil
 }
 
+// avoidTried keeps a further attempt from the workers already tried, unless no
+// other takes new work: the connection may be what failed, and a further attempt
+// goes over a fresh one.
+func avoidTried(candidates []placement.Candidate, tried map[string]bool) {
+	untried := slices.ContainsFunc(candidates, func(c placement.Candidate) bool {
+		return !c.Leaving && !tried[c.Endpoint.Name]
+	})
+	if !untried {
+		return
+	}
+	for i := range candidates {
+		candidates[i].Leaving = candidates[i].Leaving || tried[candidates[i].Endpoint.Name]
+	}
+}
+
 // place chooses the worker of an attempt and returns the worker's owner.
 func (s *Server) place(t *table.Table, route *table.Route, r *call.Request, tried map[string]bool) (member.Instance, error) {
 	pool := t.Pools[route.Pool]
 	candidates := s.fleet.Candidates(pool, r.Adapter)
-	for i := range candidates {
-		candidates[i].Leaving = candidates[i].Leaving || tried[candidates[i].Endpoint.Name]
-	}
+	avoidTried(candidates, tried)
 	query := placement.Query{
 		Adapter:    r.Adapter,
 		DataCentre: s.fleet.DataCentre(),
