Check each event of a stream and resume it where it broke

Every event of a completion is checked at the caller's entry: its model, its place, its answer's name and the final marker. A broken stream of an idempotent request goes on at its offset on another worker within the retry budget; else the caller's stream is cut without its end, so that it can't pass for complete. Answers that are not streamed are read whole before any of them is passed on. An engine's refusal is a failed attempt and no longer the caller's answer.

Not closed: an event of another answer by the same adapter at the very start of an attempt can't be told from the right one.

--- a/cmd/e2e/keys_test.go
+++ b/cmd/e2e/keys_test.go
@@ -146,6 +146,15 @@
 	require.NoError(t, err)
 	require.Equal(t, answers[0], again)
 	require.Equal(t, 1, s.runs(t, key))
+
+	s.fault(t, "truncate=true")
+	cut := newKey()
+	for range 2 {
+		answer, err := sendOrder(s.callers[0], cut, time.Minute)
+		require.NoError(t, err)
+		require.Equal(t, attempt.Unknown, answer.outcome, "a cut answer is not passed as complete")
+	}
+	require.Equal(t, 1, s.runs(t, cut))
 }
 
 // TestKilledOwnerLeavesUnknown kills the owner while the service works on an
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -38,6 +38,9 @@
 	Home string
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
+	// Offset is the number of events of the stream that the caller holds; an
+	// attempt's answer starts there.
+	Offset int
 	// Stream says that the caller asked for server-sent events.
 	Stream bool
 	// Deadline is when the answer is worthless.
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -38,6 +38,9 @@
 	setHeader(request, httpx.Traceparent, r.Trace)
 	request.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
 	request.Header.Set(httpx.RankHeader, r.Rank.String())
+	if r.Offset > 0 {
+		request.Header.Set(httpx.LastEventID, strconv.Itoa(r.Offset-1))
+	}
 	request.SetBodyRaw(r.Body)
 
 	send := c.http.DoFresh
--- a/entry/endpoint/verify.go
+++ b/entry/endpoint/verify.go
@@ -12,7 +12,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/call"
 )
 
-// answerLimit bounds a completion that is not streamed, in bytes.
+// answerLimit bounds an answer that is not streamed, in bytes.
 const answerLimit = 8 << 20
 
 // completion is the part of a completion's body that names what ran.
@@ -24,15 +24,9 @@
 // version that ran are the ones that the request names. Its error is a
 // *call.Error.
 func VerifyCompletion(r *call.Request, answer *call.Answer) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit+1))
-	if closeErr := answer.Body.Close(); err == nil {
-		err = closeErr
-	}
+	body, err := readWhole(answer)
 	if err != nil {
-		return unusable("answer_cut", err)
-	}
-	if len(body) > answerLimit {
-		return unusable("answer_too_large", fmt.Errorf("answer is above %d bytes", answerLimit))
+		return err
 	}
 	var c completion
 	if err := json.Unmarshal(body, &c); err != nil {
@@ -46,6 +40,48 @@
 	return nil
 }
 
+// Refusal returns why an engine did not serve, or nil where it served or found
+// the request itself wrong. An engine that no longer holds the adapter, or is
+// full, has not run the request. Its error is a *call.Error.
+func Refusal(answer *call.Answer) error {
+	failed := unusable("engine_failed", fmt.Errorf("the engine answered %d", answer.Status))
+	switch answer.Status {
+	case fasthttp.StatusNotFound, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		failed.Failure.Refused = true
+		failed.Status = fasthttp.StatusServiceUnavailable
+	case fasthttp.StatusInternalServerError, fasthttp.StatusBadGateway, fasthttp.StatusGatewayTimeout:
+	default:
+		return nil
+	}
+	_ = answer.Body.Close()
+	return failed
+}
+
+// ReadWhole reads an answer that is not streamed to its end before any of it is
+// passed on. Its error is a *call.Error.
+func ReadWhole(answer *call.Answer) error {
+	body, err := readWhole(answer)
+	if err != nil {
+		return err
+	}
+	answer.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
+func readWhole(answer *call.Answer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, answerLimit+1))
+	if closeErr := answer.Body.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return nil, unusable("answer_cut", err)
+	}
+	if len(body) > answerLimit {
+		return nil, unusable("answer_too_large", fmt.Errorf("answer is above %d bytes", answerLimit))
+	}
+	return body, nil
+}
+
 // unusable is the failure of an answer that came but can't be passed on.
 func unusable(code string, err error) *call.Error {
 	return &call.Error{
--- a/entry/forward/codec.go
+++ b/entry/forward/codec.go
@@ -15,8 +15,12 @@
 const (
 	idempotentHeader = "Bulrushwick-Idempotent"
 	streamHeader     = "Bulrushwick-Stream"
+	offsetHeader     = "Bulrushwick-Offset"
 )
 
+// deadlineLimit is above the longest deadline that a caller may ask for.
+const deadlineLimit = 24 * time.Hour
+
 // encode writes a request's fields into the headers of a forwarded call.
 func encode(to *fasthttp.Request, r *call.Request) {
 	h := &to.Header
@@ -36,6 +40,7 @@
 	h.Set(httpx.IdempotencyKey, r.Key)
 	h.Set(httpx.HomeHeader, r.Home)
 	h.Set(idempotentHeader, strconv.FormatBool(r.Idempotent))
+	h.Set(offsetHeader, strconv.Itoa(r.Offset))
 	h.Set(streamHeader, strconv.FormatBool(r.Stream))
 	h.Set(httpx.DeadlineHeader, strconv.FormatInt(r.Remaining().Milliseconds(), 10))
 	h.Set(httpx.Traceparent, r.Trace)
@@ -50,17 +55,21 @@
 	if err != nil {
 		return nil, err
 	}
-	number, err := strconv.Atoi(text(httpx.AttemptID))
+	number, err := strconv.ParseUint(text(httpx.AttemptID), 10, 31)
+	if err != nil || number < 1 {
+		return nil, fmt.Errorf("attempt: %q is not a number from 1", text(httpx.AttemptID))
+	}
+	offset, err := strconv.ParseUint(text(offsetHeader), 10, 31)
 	if err != nil {
-		return nil, fmt.Errorf("attempt: %w", err)
+		return nil, fmt.Errorf("offset: %w", err)
 	}
 	remainingMs, err := strconv.ParseInt(text(httpx.DeadlineHeader), 10, 64)
-	if err != nil {
-		return nil, fmt.Errorf("deadline: %w", err)
+	if err != nil || remainingMs < 0 || remainingMs > deadlineLimit.Milliseconds() {
+		return nil, fmt.Errorf("deadline: %q is not from 0 to %d ms", text(httpx.DeadlineHeader), deadlineLimit.Milliseconds())
 	}
 	r := &call.Request{
 		ID:         text(httpx.RequestID),
-		Attempt:    number,
+		Attempt:    int(number),
 		Route:      text(httpx.RouteHeader),
 		Worker:     text(httpx.WorkerHeader),
 		Method:     text(httpx.MethodHeader),
@@ -72,6 +81,7 @@
 		Key:        text(httpx.IdempotencyKey),
 		Home:       text(httpx.HomeHeader),
 		Idempotent: text(idempotentHeader) == "true",
+		Offset:     int(offset),
 		Stream:     text(streamHeader) == "true",
 		Deadline:   time.Now().Add(time.Duration(remainingMs) * time.Millisecond),
 		Trace:      text(httpx.Traceparent),
--- a/entry/httpx/headers.go
+++ b/entry/httpx/headers.go
@@ -28,5 +28,6 @@
 	PathHeader   = "Bulrushwick-Path"
 	MethodHeader = "Bulrushwick-Method"
 	AttemptID    = "Bulrushwick-Attempt"
+	LastEventID  = "Last-Event-ID"
 	Fence        = "Bulrushwick-Fence"
 )
--- a/entry/ingress/attempts.go
+++ b/entry/ingress/attempts.go
@@ -3,60 +3,150 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"strings"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/attempt"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/call"
+	"github.com/bulrushwick/bulrushwick/entry/endpoint"
+	"github.com/bulrushwick/bulrushwick/entry/stream"
 )
 
+// eventStream is the media type of server-sent events.
+const eventStream = "text/event-stream"
+
+// course carries one request through its attempts.
+type course struct {
+	server *Server
+	ctx    context.Context
+	table  *table.Table
+	route  *table.Route
+	r      *call.Request
+	life   *attempt.Life
+	tried  map[string]bool
+	// answer is the current attempt's, and last the failure before it.
+	answer *call.Answer
+	last   error
+}
+
 // attempts tries workers until one serves, or until the request's life ends.
 func (s *Server) attempts(ctx context.Context, t *table.Table, route *table.Route, r *call.Request) (*call.Answer, error) {
-	life := attempt.NewLife(attempt.DefaultLifeConfig(), s.budget, r.Idempotent, s.fleet.Now()+r.Remaining())
-	tried := make(map[string]bool)
-	var last error
-	event := attempt.LifeEvent(attempt.Started{})
+	c := &course{
+		server: s,
+		ctx:    ctx,
+		table:  t,
+		route:  route,
+		r:      r,
+		life:   attempt.NewLife(attempt.DefaultLifeConfig(), s.budget, r.Idempotent, s.fleet.Now()+r.Remaining()),
+		tried:  make(map[string]bool),
+	}
+	if err := c.try(attempt.Started{}); err != nil {
+		return nil, err
+	}
+	if !streams(c.answer) || t.Pools[route.Pool].Kind == table.Service {
+		c.step(attempt.Ended{Attempt: r.Attempt})
+		return c.answer, nil
+	}
+	body := stream.NewBody(c.answer.Body, r.Adapter.String(), c)
+	if err := body.Prime(); err != nil {
+		_ = body.Close()
+		return nil, err
+	}
+	c.answer.Body = body
+	return c.answer, nil
+}
+
+// try makes the attempts that follow an event until one has an answer.
+func (c *course) try(event attempt.LifeEvent) error {
 	for {
-		action := s.step(life, event)
+		action := c.step(event)
 		try, again := action.(attempt.Try)
 		if !again {
-			return nil, told(last, action)
+			return told(c.last, action)
+		}
+		c.r.Attempt = try.Attempt
+		c.r.Offset = try.Offset
+		answer, err := c.server.attempt(c.ctx, c.table, c.route, c.r, c.tried)
+		if err == nil && !streams(answer) {
+			err = endpoint.ReadWhole(answer)
+		}
+		if err == nil && try.Offset > 0 && !streams(answer) {
+			err = broken(errors.New("the attempt did not resume the stream"))
 		}
-		r.Attempt = try.Attempt
-		answer, err := s.attempt(ctx, t, route, r, tried)
 		if err == nil {
-			return answer, nil
+			c.answer = answer
+			return nil
 		}
-		last = err
-		event = failure(ctx, r.Attempt, err)
+		c.last = err
+		event = c.failure(err, true)
 	}
 }
 
 // step applies an event; a life answers the current attempt with one action.
-func (s *Server) step(life *attempt.Life, event attempt.LifeEvent) attempt.LifeAction {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	actions := life.Step(s.fleet.Now(), event)
+func (c *course) step(event attempt.LifeEvent) attempt.LifeAction {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	actions := c.life.Step(c.server.fleet.Now(), event)
 	if len(actions) == 0 {
 		return nil
 	}
 	return actions[0]
 }
 
+// Passed implements stream.Resumer.
+func (c *course) Passed(offset int) {
+	c.step(attempt.Passed{Attempt: c.r.Attempt, Offset: offset})
+}
+
+// Failed implements stream.Resumer.
+func (c *course) Failed(offset int, resumable bool, cause error) (io.ReadCloser, error) {
+	c.server.log.Info().Err(cause).Str("event", "stream_broken").Str("request", c.r.ID).Int("attempt", c.r.Attempt).Int("offset", offset).Send()
+	c.last = broken(cause)
+	if err := c.try(c.failure(c.last, resumable)); err != nil {
+		return nil, err
+	}
+	return c.answer.Body, nil
+}
+
+// Ended implements stream.Resumer.
+func (c *course) Ended() { c.step(attempt.Ended{Attempt: c.r.Attempt}) }
+
 // failure describes a failed attempt. What asks for a pause, or happens because
 // the caller has gone, would fail again.
-func failure(ctx context.Context, number int, err error) attempt.Failed {
-	event := attempt.Failed{Attempt: number, Failure: attempt.Failure{Sent: true}}
+func (c *course) failure(err error, resumable bool) attempt.Failed {
+	event := attempt.Failed{Attempt: c.r.Attempt, Failure: attempt.Failure{Sent: true}, Resumable: resumable}
 	var failed *call.Error
 	if errors.As(err, &failed) {
 		event.Failure = failed.Failure
 		event.Final = failed.RetryAfter > 0
 	}
-	event.Final = event.Final || ctx.Err() != nil
+	event.Final = event.Final || c.ctx.Err() != nil
 	return event
 }
 
+// broken is the failure of a stream that can't be passed on as it is.
+func broken(cause error) *call.Error {
+	code := string(attempt.Truncated)
+	var wrong *attempt.SequenceError
+	if errors.As(cause, &wrong) {
+		code = string(wrong.Fault)
+	}
+	return &call.Error{
+		Failure: attempt.Failure{Sent: true},
+		Status:  fasthttp.StatusGatewayTimeout,
+		Code:    code,
+		Err:     cause,
+	}
+}
+
+// streams tells whether an answer is a stream of events.
+func streams(answer *call.Answer) bool {
+	return answer.Status == fasthttp.StatusOK && strings.HasPrefix(answer.Content, eventStream)
+}
+
 // told is the last failure with the outcome of all attempts: an earlier one may
 // have run although the last did not.
 func told(last error, action attempt.LifeAction) error {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -116,6 +116,9 @@
 	}
 	wait := time.Since(queued)
 	answer, err := o.call(ctx, address, r)
+	if err == nil {
+		err = endpoint.Refusal(answer)
+	}
 	if err == nil && !r.Stream && answer.Status == fasthttp.StatusOK {
 		err = endpoint.VerifyCompletion(r, answer)
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -48,6 +47,8 @@
 	Cross bool
 	// IgnoreFence takes orders whatever their number.
 	IgnoreFence bool
+	// Stream is what streamed answers do wrong.
+	Stream StreamFault
 }
 
 // StartEngine starts an engine on address.
@@ -123,6 +124,11 @@
 		Silent:      args.GetBool("silent"),
 		Cross:       args.GetBool("cross"),
 		IgnoreFence: args.GetBool("ignoreFence"),
+		Stream: StreamFault{
+			Kind:  StreamFaultKind(args.Peek("stream")),
+			At:    args.GetUintOrZero("at"),
+			Times: args.GetUintOrZero("times"),
+		},
 	})
 	if args.GetBool("restart") {
 		e.Restart()
@@ -303,30 +309,6 @@
 	}
 }
 
-func (e *Engine) stream(ctx *fasthttp.RequestCtx, id, model string, request completionRequest) {
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		defer e.end(request.Model)
-		for i := range request.MaxTokens {
-			time.Sleep(e.config.TokenTime)
-			event := completion{ID: id, Model: model, Choices: []choice{{Text: Token(request.Model, request.Prompt, i)}}}
-			if i == request.MaxTokens-1 {
-				event.Choices[0].FinishReason = "stop"
-			}
-			data, err := json.Marshal(event)
-			if err != nil {
-				return
-			}
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data)
-			if w.Flush() != nil {
-				e.cancelled(request.Model)
-				return
-			}
-		}
-		_, _ = w.WriteString("data: [DONE]\n\n")
-	})
-}
-
 // Token returns the i-th token of the answer that an engine gives; tests
 // compare with it.
 func Token(model, prompt string, i int) string {
