--- a/standin/stream.go
+++ b/standin/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -76,7 +77,7 @@
 			} else {
 				err = writeEvent(w, i, event)
 			}
-			if err == errStreamOver {
+			if errors.Is(err, errStreamOver) {
 				return
 			}
 			if err != nil {
@@ -98,7 +99,7 @@
 }
 
 // errStreamOver ends a stream that goes wrong.
-var errStreamOver = fmt.Errorf("the stream is over")
+var errStreamOver = errors.New("the stream is over")
 
 func writeFaulty(w *bufio.Writer, conn net.Conn, kind StreamFaultKind, i int, event completion) error {
 	switch kind {
