--- a/coord/table/register.go
+++ b/coord/table/register.go
@@ -1,5 +1,11 @@
 package table
 
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
 // Stamp is a table's place in the order of all tables: by revision, then by
 // digest. The digest decides between two tables that were published with the
 // same revision, alike at every instance.
@@ -16,6 +22,19 @@
 	return s.Digest > other.Digest
 }
 
+// String returns the form that headers carry: revision-digest.
+func (s Stamp) String() string { return fmt.Sprintf("%d-%s", s.Revision, s.Digest) }
+
+// ParseStamp reads what String returns.
+func ParseStamp(s string) (Stamp, error) {
+	number, digest, _ := strings.Cut(s, "-")
+	revision, err := strconv.ParseUint(number, 10, 64)
+	if err != nil || !isDigest(digest) {
+		return Stamp{}, fmt.Errorf("stamp %q is not of the form revision-digest", s)
+	}
+	return Stamp{Revision: revision, Digest: digest}, nil
+}
+
 // Register is a max register of accepted tables. Its stamp never falls.
 //
 // The zero value holds no table. It is not safe for concurrent use.
