--- a/cmd/e2e/fleet_test.go
+++ b/cmd/e2e/fleet_test.go
@@ -100,11 +100,7 @@
 	conf.DataCentre = dataCentre
 	conf.CallerAddress, conf.PeerAddress, conf.ControlAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	conf.PlatformAddress = s.platform
-	data, err := json.Marshal(conf)
-	require.NoError(t, err)
-	file := filepath.Join(t.TempDir(), conf.Instance+".json")
-	require.NoError(t, os.WriteFile(file, data, 0o600))
-	entry := start(t, "bulrushwick", "serve", "--settings", file)
+	entry := startEntryWith(t, conf)
 	at := entry.await(t, "listening")
 	s.entries = append(s.entries, entry)
 	s.callers = append(s.callers, at.Callers)
@@ -117,6 +113,27 @@
 	})
 }
 
+func startEntryWith(t testing.TB, conf settings.Settings) *process {
+	t.Helper()
+	data, err := json.Marshal(conf)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), conf.Instance+".json")
+	require.NoError(t, os.WriteFile(file, data, 0o600))
+	return start(t, "bulrushwick", "serve", "--settings", file)
+}
+
+// restartEntry kills an instance and starts a new process in its place, with the
+// same name and addresses and no memory.
+func (s *system) restartEntry(t testing.TB, i int) {
+	t.Helper()
+	s.entries[i].kill()
+	conf := settings.Default()
+	conf.Instance, conf.DataCentre = s.instances[i].Name, s.instances[i].DataCentre
+	conf.CallerAddress, conf.PeerAddress, conf.ControlAddress = s.callers[i], s.instances[i].PeerAddress, s.instances[i].ControlAddress
+	conf.PlatformAddress = s.platform
+	s.entries[i] = startEntryWith(t, conf)
+}
+
 // put publishes a value at the platform's stand-in.
 func (s *system) put(key string, value []byte) error {
 	request, err := http.NewRequest(http.MethodPut, "http://"+s.platform+"/v1/kv/"+key, strings.NewReader(string(value)))
--- a/coord/strictjson/locate.go
+++ b/coord/strictjson/locate.go
@@ -53,7 +53,7 @@
 	if path == Root || path == "" {
 		return ""
 	}
-	return "/" + toPointer.Replace(path)
+	return "/" + strings.TrimPrefix(toPointer.Replace(path), "/")
 }
 
 func parent(p string) string { return p[:strings.LastIndexByte(p, '/')] }
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -18,6 +18,10 @@
 	Attempt int
 	// Route is the name of the route that matched.
 	Route string
+	// Table is the stamp of the table that resolved the request.
+	Table table.Stamp
+	// Entry is the instance that received the request from its caller.
+	Entry string
 	// Worker is the endpoint chosen for this attempt.
 	Worker string
 	// Method, Path, Content and Body are the caller's own.
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/table/replica"
 	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
@@ -22,6 +24,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 	"github.com/bulrushwick/bulrushwick/entry/platform"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
+	"github.com/bulrushwick/bulrushwick/entry/tables"
 )
 
 // tickEvery is the resolution of deadlines in the owners' queues.
@@ -45,6 +48,7 @@
 	owner    *owner.Owner
 	exchange *peer.Exchange
 	reader   *platform.Reader
+	follower *tables.Follower
 	callers  *fasthttp.Server
 	peers    *fasthttp.Server
 	control  *http.Server
@@ -82,6 +86,11 @@
 	if err != nil {
 		return nil, err
 	}
+	reads := platform.NewClient(s.PlatformAddress)
+	follower, err := tables.NewFollower(followerConfig(s), f, reads, exchange, log)
+	if err != nil {
+		return nil, err
+	}
 	front := ingress.NewServer(f, own, forward.NewClient(clients), log)
 	return &Daemon{
 		settings: s,
@@ -89,13 +98,24 @@
 		fleet:    f,
 		owner:    own,
 		exchange: exchange,
-		reader:   platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
+		follower: follower,
+		reader:   platform.NewReader(reads, f, s.WatchWait.Std(), log),
 		callers:  newServer(front.Handle, s.BodyLimit),
-		peers:    newServer(forward.Handler(own), s.BodyLimit),
+		peers:    newServer(forward.Handler(tables.NewCatchUp(f, own, s.TableCatchUp.Std())), s.BodyLimit),
 		control:  peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
 	}, nil
 }
 
+// followerConfig seeds the choice of peers, which need not repeat.
+func followerConfig(s settings.Settings) tables.Config {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	config := replica.DefaultConfig(s.Instance, s.DataCentre, random)
+	config.Readers = s.TableReaders
+	config.WatchWait = s.TableWatchWait.Std()
+	config.AskEvery = s.TableAskEvery.Std()
+	return tables.Config{Replica: config, Concurrency: s.ControlConcurrency}
+}
+
 func newServer(handler fasthttp.RequestHandler, bodyLimit int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      handler,
@@ -134,6 +154,7 @@
 	go func() { failed <- d.peers.Serve(d.listeners[1]) }()
 	go func() { failed <- d.control.Serve(d.listeners[2]) }()
 	go d.reader.Run(background)
+	go d.follower.Run(background)
 	go d.exchange.Run(background)
 	go d.tick(background)
 	select {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -33,6 +33,9 @@
 	resident  map[string]map[table.AdapterVersion]struct{}
 	leaving   bool
 	topology  *member.Topology
+
+	installed chan struct{} // closed when the next table is installed
+	announced func(peer string, stamp table.Stamp)
 }
 
 // New returns the view of an instance that knows nothing yet.
@@ -46,6 +49,7 @@
 		endpoints:  make(map[string]member.State),
 		inFlight:   make(map[string]int),
 		resident:   make(map[string]map[table.AdapterVersion]struct{}),
+		installed:  make(chan struct{}),
 	}
 }
 
@@ -65,13 +69,15 @@
 	return f.register.Current()
 }
 
-// Offer installs a table when its revision is above the one in force.
+// Offer installs a table when its stamp is above the one in force.
 func (f *Fleet) Offer(t *table.Table) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.register.Offer(t) {
 		return false
 	}
+	close(f.installed)
+	f.installed = make(chan struct{})
 	f.assign()
 	return true
 }
--- a/entry/forward/codec.go
+++ b/entry/forward/codec.go
@@ -25,6 +25,8 @@
 	h.Set(httpx.RequestID, r.ID)
 	h.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
 	h.Set(httpx.RouteHeader, r.Route)
+	h.Set(httpx.TableHeader, r.Table.String())
+	h.Set(httpx.Instance, r.Entry)
 	h.Set(httpx.WorkerHeader, r.Worker)
 	h.Set(httpx.MethodHeader, r.Method)
 	h.Set(httpx.PathHeader, r.Path)
@@ -57,8 +59,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("deadline: %w", err)
 	}
+	stamp, err := table.ParseStamp(text(httpx.TableHeader))
+	if err != nil {
+		return nil, err
+	}
 	r := &call.Request{
 		ID:         text(httpx.RequestID),
+		Table:      stamp,
+		Entry:      text(httpx.Instance),
 		Attempt:    number,
 		Route:      text(httpx.RouteHeader),
 		Worker:     text(httpx.WorkerHeader),
--- a/entry/httpx/headers.go
+++ b/entry/httpx/headers.go
@@ -21,6 +21,7 @@
 // Headers that only travel between instances and to endpoints.
 const (
 	WorkerHeader = "Bulrushwick-Worker"
+	TableHeader  = "Bulrushwick-Table"
 	RouteHeader  = "Bulrushwick-Route"
 	PathHeader   = "Bulrushwick-Path"
 	MethodHeader = "Bulrushwick-Method"
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -89,6 +89,7 @@
 		problem.Write(ctx)
 		return
 	}
+	r.Table, r.Entry = t.Stamp(), s.fleet.Self()
 	ctx.Response.Header.Set(httpx.RequestID, r.ID)
 	answer, err := forward.Watched(ctx, r, func(ctx context.Context, r *call.Request) (*call.Answer, error) {
 		return s.attempts(ctx, t, route, r)
--- a/entry/peer/exchange.go
+++ b/entry/peer/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -27,7 +26,7 @@
 	Concurrency int
 }
 
-// Exchange sends heartbeats and fetches newer tables from peers.
+// Exchange sends heartbeats and carries the other control calls to peers.
 type Exchange struct {
 	config  Config
 	fleet   *fleet.Fleet
@@ -138,11 +137,7 @@
 	}
 	e.fleet.Heard(p.Name, out.Leaving)
 	e.fleet.Receive(decodeReports(out.Reports))
-	if out.Revision > message.Revision {
-		if err := e.fetch(ctx, l.client, message.Revision); err != nil {
-			e.log.Warn().Err(err).Str("event", "fetch_failed").Str("peer", p.Name).Send()
-		}
-	}
+	e.fleet.Announce(p.Name, table.Stamp{Revision: out.Revision, Digest: out.Digest})
 }
 
 // swap exchanges the records that either side lacks.
@@ -169,28 +164,3 @@
 	l.epoch = out.Epoch
 	return out, nil
 }
-
-func (e *Exchange) fetch(ctx context.Context, client peerpb.Peer, have uint64) error {
-	out, err := client.FetchTables(ctx, &peerpb.FetchTablesRequest{HaveRevision: have})
-	if err != nil {
-		return oops.Code("fetch_failed").Wrap(err)
-	}
-	if out.Revision == 0 {
-		return nil
-	}
-	snapshot := table.Snapshot{Chunks: make(map[string][]byte, len(out.Chunks))}
-	if err := json.Unmarshal(out.Manifest, &snapshot.Manifest); err != nil {
-		return oops.Code("manifest_malformed").Wrap(err)
-	}
-	for _, chunk := range out.Chunks {
-		snapshot.Chunks[chunk.Key] = chunk.Data
-	}
-	t, err := table.Build(snapshot)
-	if err != nil {
-		return oops.Code("tables_rejected").Wrap(err)
-	}
-	if e.fleet.Offer(t) {
-		e.log.Info().Str("event", "tables_accepted_from_peer").Uint64("revision", t.Revision).Send()
-	}
-	return nil
-}
--- a/entry/peer/peerpb/peer.twirp.go
+++ b/entry/peer/peerpb/peer.twirp.go
@@ -37,8 +37,12 @@
 	// Heartbeat tells the receiver that the sender lives and what it holds.
 	Heartbeat(context.Context, *HeartbeatRequest) (*HeartbeatResponse, error)
 
-	// FetchTables returns the tables in force when they are above have_revision.
-	FetchTables(context.Context, *FetchTablesRequest) (*FetchTablesResponse, error)
+	// CompareTables tells the receiver which table the sender has in force and
+	// returns the manifest of the receiver's when that is above it.
+	CompareTables(context.Context, *CompareTablesRequest) (*CompareTablesResponse, error)
+
+	// FetchChunks returns chunks of the table in force, as many as fit.
+	FetchChunks(context.Context, *FetchChunksRequest) (*FetchChunksResponse, error)
 }
 
 // ====================
@@ -47,7 +51,7 @@
 
 type peerProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -75,9 +79,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bulrushwick.peer.v1", "Peer")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Heartbeat",
-		serviceURL + "FetchTables",
+		serviceURL + "CompareTables",
+		serviceURL + "FetchChunks",
 	}
 
 	return &peerProtobufClient{
@@ -134,26 +139,26 @@
 	return out, nil
 }
 
-func (c *peerProtobufClient) FetchTables(ctx context.Context, in *FetchTablesRequest) (*FetchTablesResponse, error) {
+func (c *peerProtobufClient) CompareTables(ctx context.Context, in *CompareTablesRequest) (*CompareTablesResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "bulrushwick.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithMethodName(ctx, "FetchTables")
-	caller := c.callFetchTables
+	ctx = ctxsetters.WithMethodName(ctx, "CompareTables")
+	caller := c.callCompareTables
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *FetchTablesRequest) (*FetchTablesResponse, error) {
+		caller = func(ctx context.Context, req *CompareTablesRequest) (*CompareTablesResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchTablesRequest)
+					typedReq, ok := req.(*CompareTablesRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchTablesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*CompareTablesRequest) when calling interceptor")
 					}
-					return c.callFetchTables(ctx, typedReq)
+					return c.callCompareTables(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchTablesResponse)
+				typedResp, ok := resp.(*CompareTablesResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchTablesResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*CompareTablesResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -163,8 +168,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peerProtobufClient) callFetchTables(ctx context.Context, in *FetchTablesRequest) (*FetchTablesResponse, error) {
-	out := new(FetchTablesResponse)
+func (c *peerProtobufClient) callCompareTables(ctx context.Context, in *CompareTablesRequest) (*CompareTablesResponse, error) {
+	out := new(CompareTablesResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -180,13 +185,59 @@
 	return out, nil
 }
 
+func (c *peerProtobufClient) FetchChunks(ctx context.Context, in *FetchChunksRequest) (*FetchChunksResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bulrushwick.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchChunks")
+	caller := c.callFetchChunks
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchChunksRequest) (*FetchChunksResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchChunksRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchChunksRequest) when calling interceptor")
+					}
+					return c.callFetchChunks(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchChunksResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchChunksResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerProtobufClient) callFetchChunks(ctx context.Context, in *FetchChunksRequest) (*FetchChunksResponse, error) {
+	out := new(FetchChunksResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ================
 // Peer JSON Client
 // ================
 
 type peerJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -214,9 +265,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bulrushwick.peer.v1", "Peer")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Heartbeat",
-		serviceURL + "FetchTables",
+		serviceURL + "CompareTables",
+		serviceURL + "FetchChunks",
 	}
 
 	return &peerJSONClient{
@@ -273,26 +325,26 @@
 	return out, nil
 }
 
-func (c *peerJSONClient) FetchTables(ctx context.Context, in *FetchTablesRequest) (*FetchTablesResponse, error) {
+func (c *peerJSONClient) CompareTables(ctx context.Context, in *CompareTablesRequest) (*CompareTablesResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "bulrushwick.peer.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Peer")
-	ctx = ctxsetters.WithMethodName(ctx, "FetchTables")
-	caller := c.callFetchTables
+	ctx = ctxsetters.WithMethodName(ctx, "CompareTables")
+	caller := c.callCompareTables
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *FetchTablesRequest) (*FetchTablesResponse, error) {
+		caller = func(ctx context.Context, req *CompareTablesRequest) (*CompareTablesResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchTablesRequest)
+					typedReq, ok := req.(*CompareTablesRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchTablesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*CompareTablesRequest) when calling interceptor")
 					}
-					return c.callFetchTables(ctx, typedReq)
+					return c.callCompareTables(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchTablesResponse)
+				typedResp, ok := resp.(*CompareTablesResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchTablesResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*CompareTablesResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -302,8 +354,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peerJSONClient) callFetchTables(ctx context.Context, in *FetchTablesRequest) (*FetchTablesResponse, error) {
-	out := new(FetchTablesResponse)
+func (c *peerJSONClient) callCompareTables(ctx context.Context, in *CompareTablesRequest) (*CompareTablesResponse, error) {
+	out := new(CompareTablesResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -319,6 +371,52 @@
 	return out, nil
 }
 
+func (c *peerJSONClient) FetchChunks(ctx context.Context, in *FetchChunksRequest) (*FetchChunksResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bulrushwick.peer.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Peer")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchChunks")
+	caller := c.callFetchChunks
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchChunksRequest) (*FetchChunksResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchChunksRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchChunksRequest) when calling interceptor")
+					}
+					return c.callFetchChunks(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchChunksResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchChunksResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *peerJSONClient) callFetchChunks(ctx context.Context, in *FetchChunksRequest) (*FetchChunksResponse, error) {
+	out := new(FetchChunksResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Peer Server Handler
 // ===================
@@ -419,8 +517,11 @@
 	case "Heartbeat":
 		s.serveHeartbeat(ctx, resp, req)
 		return
-	case "FetchTables":
-		s.serveFetchTables(ctx, resp, req)
+	case "CompareTables":
+		s.serveCompareTables(ctx, resp, req)
+		return
+	case "FetchChunks":
+		s.serveFetchChunks(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -609,7 +710,187 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveFetchTables(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveCompareTables(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveCompareTablesJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveCompareTablesProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *peerServer) serveCompareTablesJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CompareTables")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(CompareTablesRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Peer.CompareTables
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CompareTablesRequest) (*CompareTablesResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CompareTablesRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CompareTablesRequest) when calling interceptor")
+					}
+					return s.Peer.CompareTables(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CompareTablesResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CompareTablesResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CompareTablesResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CompareTablesResponse and nil error while calling CompareTables. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveCompareTablesProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "CompareTables")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(CompareTablesRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Peer.CompareTables
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *CompareTablesRequest) (*CompareTablesResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*CompareTablesRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*CompareTablesRequest) when calling interceptor")
+					}
+					return s.Peer.CompareTables(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CompareTablesResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CompareTablesResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CompareTablesResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CompareTablesResponse and nil error while calling CompareTables. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *peerServer) serveFetchChunks(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -617,9 +898,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveFetchTablesJSON(ctx, resp, req)
+		s.serveFetchChunksJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveFetchTablesProtobuf(ctx, resp, req)
+		s.serveFetchChunksProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -627,9 +908,9 @@
 	}
 }
 
-func (s *peerServer) serveFetchTablesJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFetchChunksJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "FetchTables")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchChunks")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -642,29 +923,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(FetchTablesRequest)
+	reqContent := new(FetchChunksRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peer.FetchTables
+	handler := s.Peer.FetchChunks
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchTablesRequest) (*FetchTablesResponse, error) {
+		handler = func(ctx context.Context, req *FetchChunksRequest) (*FetchChunksResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchTablesRequest)
+					typedReq, ok := req.(*FetchChunksRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchTablesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchChunksRequest) when calling interceptor")
 					}
-					return s.Peer.FetchTables(ctx, typedReq)
+					return s.Peer.FetchChunks(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchTablesResponse)
+				typedResp, ok := resp.(*FetchChunksResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchTablesResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchChunksResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -673,7 +954,7 @@
 	}
 
 	// Call service method
-	var respContent *FetchTablesResponse
+	var respContent *FetchChunksResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -684,7 +965,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchTablesResponse and nil error while calling FetchTables. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchChunksResponse and nil error while calling FetchChunks. nil responses are not supported"))
 		return
 	}
 
@@ -710,9 +991,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peerServer) serveFetchTablesProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peerServer) serveFetchChunksProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "FetchTables")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchChunks")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -724,28 +1005,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(FetchTablesRequest)
+	reqContent := new(FetchChunksRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peer.FetchTables
+	handler := s.Peer.FetchChunks
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *FetchTablesRequest) (*FetchTablesResponse, error) {
+		handler = func(ctx context.Context, req *FetchChunksRequest) (*FetchChunksResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*FetchTablesRequest)
+					typedReq, ok := req.(*FetchChunksRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*FetchTablesRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*FetchChunksRequest) when calling interceptor")
 					}
-					return s.Peer.FetchTables(ctx, typedReq)
+					return s.Peer.FetchChunks(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*FetchTablesResponse)
+				typedResp, ok := resp.(*FetchChunksResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*FetchTablesResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchChunksResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -754,7 +1035,7 @@
 	}
 
 	// Call service method
-	var respContent *FetchTablesResponse
+	var respContent *FetchChunksResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -765,7 +1046,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchTablesResponse and nil error while calling FetchTables. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchChunksResponse and nil error while calling FetchChunks. nil responses are not supported"))
 		return
 	}
 
@@ -1370,42 +1651,43 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 582 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x54, 0x5d, 0x6b, 0xd4, 0x40,
-	0x14, 0x25, 0x4d, 0x36, 0x9b, 0xde, 0x76, 0x65, 0x3b, 0xd5, 0x12, 0xf6, 0xc5, 0x35, 0x52, 0x0d,
-	0x08, 0x5b, 0xac, 0xa2, 0x88, 0x3e, 0x29, 0x8a, 0x14, 0x0a, 0x65, 0x14, 0x84, 0xbe, 0xd4, 0x49,
-	0x7a, 0xdd, 0x8c, 0xdb, 0x7c, 0x38, 0x33, 0x49, 0xe9, 0x1f, 0xf0, 0x97, 0xf9, 0xe6, 0xff, 0xf1,
-	0x59, 0x66, 0xf2, 0x61, 0x76, 0x5d, 0xa9, 0xe2, 0xcb, 0xee, 0x9c, 0x9b, 0x7b, 0xe7, 0x9e, 0x39,
-	0xe7, 0xce, 0xc0, 0x5e, 0x81, 0x28, 0x0e, 0xf4, 0x4f, 0x11, 0x99, 0xbf, 0x59, 0x21, 0x72, 0x95,
-	0x93, 0xdd, 0xa8, 0xbc, 0x10, 0xa5, 0x4c, 0x2e, 0x79, 0xbc, 0x98, 0x99, 0x78, 0xf5, 0x30, 0xf8,
-	0xbe, 0x01, 0xe3, 0xb7, 0xc8, 0x84, 0x8a, 0x90, 0x29, 0x8a, 0x5f, 0x4a, 0x94, 0x8a, 0x4c, 0xc0,
-	0xe3, 0x99, 0x54, 0x2c, 0x8b, 0xd1, 0xb7, 0xa6, 0x56, 0xb8, 0x49, 0x3b, 0x4c, 0x7c, 0x18, 0x5e,
-	0x20, 0xab, 0x78, 0x36, 0xf7, 0x37, 0xa6, 0x56, 0xe8, 0xd1, 0x16, 0xea, 0x2a, 0x81, 0x15, 0x97,
-	0x3c, 0xcf, 0x7c, 0x7b, 0x6a, 0x85, 0x0e, 0xed, 0x30, 0xd9, 0x03, 0xf7, 0x9c, 0xcf, 0x51, 0x2a,
-	0xdf, 0x31, 0xfb, 0x35, 0x88, 0xbc, 0x80, 0xe1, 0x65, 0x2e, 0x16, 0x28, 0xa4, 0x3f, 0x98, 0xda,
-	0xe1, 0xd6, 0x61, 0x30, 0x5b, 0xc3, 0x72, 0xf6, 0xc1, 0xe4, 0xbc, 0x2b, 0xd3, 0x94, 0x89, 0x2b,
-	0xda, 0x96, 0x90, 0x7d, 0xb8, 0x21, 0x30, 0x46, 0x5e, 0xa1, 0x38, 0xc3, 0x22, 0x8f, 0x13, 0xdf,
-	0x9d, 0x5a, 0xa1, 0x4b, 0x47, 0x6d, 0xf4, 0xb5, 0x0e, 0x92, 0x07, 0xb0, 0xd3, 0xa5, 0x15, 0xb9,
-	0xe4, 0x4a, 0x33, 0x1c, 0x1a, 0x86, 0xe3, 0xf6, 0xc3, 0x49, 0x13, 0x27, 0xcf, 0x61, 0x28, 0xb0,
-	0xc8, 0x85, 0x92, 0xbe, 0x67, 0x18, 0xdd, 0x59, 0xcb, 0xe8, 0x18, 0xd3, 0x08, 0x05, 0x35, 0x99,
-	0xb4, 0xad, 0x08, 0x38, 0x8c, 0x96, 0xa8, 0xea, 0x73, 0xd7, 0x64, 0x1b, 0x1d, 0x1b, 0x54, 0x6b,
-	0x25, 0xf9, 0x39, 0x66, 0x5a, 0x11, 0x5b, 0x2b, 0xdc, 0x62, 0xad, 0x70, 0x85, 0xc2, 0xc8, 0x38,
-	0x30, 0x24, 0x5b, 0x78, 0xe4, 0x78, 0x1b, 0x63, 0xfb, 0xc8, 0xf1, 0xec, 0xb1, 0x13, 0x94, 0xb0,
-	0xdd, 0xe7, 0xa0, 0xab, 0x64, 0x19, 0x7d, 0xc6, 0x58, 0x35, 0xad, 0x5a, 0x58, 0xf7, 0xd2, 0x39,
-	0x28, 0x8c, 0x65, 0xa6, 0x57, 0x8d, 0xfb, 0x6e, 0xda, 0xcb, 0x6e, 0xde, 0x02, 0x97, 0xcd, 0xf1,
-	0x2c, 0x95, 0xc6, 0xb1, 0x11, 0x1d, 0xb0, 0x39, 0x1e, 0xcb, 0xe0, 0x87, 0x05, 0x3b, 0xbd, 0x79,
-	0x91, 0x45, 0x9e, 0x49, 0x5c, 0xb2, 0xde, 0x5a, 0xb1, 0xfe, 0xcf, 0x03, 0x73, 0x13, 0x06, 0xb5,
-	0x6b, 0xb6, 0x71, 0xad, 0x06, 0x7a, 0xaf, 0xce, 0x24, 0xa7, 0xde, 0xab, 0xc5, 0xff, 0x39, 0x2e,
-	0x3d, 0x6b, 0xdd, 0x7f, 0xb6, 0xf6, 0x19, 0x90, 0x37, 0xa8, 0xe2, 0xe4, 0x3d, 0x8b, 0x2e, 0x50,
-	0xb6, 0x37, 0xe5, 0x2e, 0x8c, 0x12, 0x56, 0xe1, 0xd9, 0xca, 0xe9, 0xb7, 0x75, 0x90, 0x36, 0xb1,
-	0xe0, 0xab, 0x05, 0xbb, 0x4b, 0xb5, 0x7f, 0xa1, 0xda, 0x04, 0xbc, 0x94, 0x65, 0xfc, 0x93, 0xbe,
-	0x32, 0x5a, 0xb6, 0x6d, 0xda, 0x61, 0xf2, 0x14, 0xdc, 0x38, 0x29, 0xb3, 0x85, 0xf4, 0x6d, 0x73,
-	0x8c, 0xdb, 0x6b, 0x8f, 0x61, 0x9a, 0xbd, 0xd2, 0x79, 0xb4, 0x49, 0x0f, 0x0e, 0x01, 0x7e, 0x45,
-	0xc9, 0x18, 0xec, 0x05, 0x5e, 0x35, 0xd3, 0xa2, 0x97, 0x84, 0x80, 0x73, 0xce, 0x14, 0x6b, 0x1a,
-	0x9a, 0xf5, 0xe1, 0x37, 0x0b, 0x9c, 0x13, 0x44, 0x41, 0x4e, 0x61, 0xb3, 0x33, 0x9e, 0xec, 0xaf,
-	0x6d, 0xb9, 0xfa, 0x90, 0x4c, 0xee, 0x5d, 0x97, 0xd6, 0x28, 0xf1, 0x11, 0xb6, 0x7a, 0x02, 0x91,
-	0xfb, 0x6b, 0xcb, 0x7e, 0x97, 0x7f, 0x12, 0x5e, 0x9f, 0x58, 0x77, 0x78, 0xf9, 0xe4, 0xf4, 0xf1,
-	0x9c, 0xab, 0xa4, 0x8c, 0x66, 0x71, 0x9e, 0x1e, 0xf4, 0xaa, 0x96, 0xd6, 0x98, 0x29, 0x71, 0x75,
-	0xd0, 0x7b, 0x3f, 0x23, 0xd7, 0xbc, 0x9d, 0x8f, 0x7e, 0x06, 0x00, 0x00, 0xff, 0xff, 0x31, 0x95,
-	0x9b, 0x6f, 0x55, 0x05, 0x00, 0x00,
+	// 598 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x54, 0xcb, 0x6e, 0xd3, 0x40,
+	0x14, 0x95, 0x1f, 0xb1, 0xdd, 0xdb, 0x06, 0xa5, 0xd3, 0x87, 0xac, 0xac, 0x82, 0xa5, 0x82, 0x01,
+	0xe1, 0x8a, 0x82, 0xd8, 0xc0, 0x8a, 0x0a, 0x84, 0x2a, 0x55, 0xaa, 0x0c, 0x12, 0x52, 0x37, 0xc5,
+	0x76, 0x6f, 0x9d, 0xa1, 0xf1, 0x83, 0x99, 0x71, 0xaa, 0xfe, 0x04, 0x5f, 0xc2, 0x9f, 0xf0, 0x53,
+	0xc8, 0xe3, 0x07, 0x76, 0x70, 0xd5, 0x20, 0x36, 0x49, 0xce, 0xe4, 0xde, 0x39, 0x67, 0xce, 0xb9,
+	0x33, 0xb0, 0x9f, 0x23, 0xb2, 0xc3, 0xf2, 0x23, 0x0f, 0xe5, 0x97, 0x97, 0xb3, 0x4c, 0x64, 0x64,
+	0x27, 0x2c, 0x16, 0xac, 0xe0, 0xf3, 0x1b, 0x1a, 0x5d, 0x7b, 0x72, 0x7d, 0xf9, 0xc2, 0xf9, 0xa5,
+	0xc2, 0xe4, 0x23, 0x06, 0x4c, 0x84, 0x18, 0x08, 0x1f, 0xbf, 0x17, 0xc8, 0x05, 0x99, 0x82, 0x45,
+	0x53, 0x2e, 0x82, 0x34, 0x42, 0x5b, 0x99, 0x29, 0xee, 0x86, 0xdf, 0x62, 0x62, 0x83, 0xb9, 0xc0,
+	0x60, 0x49, 0xd3, 0xd8, 0x56, 0x67, 0x8a, 0x6b, 0xf9, 0x0d, 0x2c, 0xbb, 0x18, 0x2e, 0x29, 0xa7,
+	0x59, 0x6a, 0x6b, 0x33, 0xc5, 0xd5, 0xfd, 0x16, 0x93, 0x7d, 0x30, 0x2e, 0x69, 0x8c, 0x5c, 0xd8,
+	0xba, 0xdc, 0xaf, 0x46, 0xe4, 0x2d, 0x98, 0x37, 0x19, 0xbb, 0x46, 0xc6, 0xed, 0xd1, 0x4c, 0x73,
+	0x37, 0x8f, 0x1c, 0x6f, 0x40, 0xa5, 0xf7, 0x45, 0xd6, 0x7c, 0x2a, 0x92, 0x24, 0x60, 0xb7, 0x7e,
+	0xd3, 0x42, 0x0e, 0xe0, 0x01, 0xc3, 0x08, 0xe9, 0x12, 0xd9, 0x05, 0xe6, 0x59, 0x34, 0xb7, 0x8d,
+	0x99, 0xe2, 0x1a, 0xfe, 0xb8, 0x59, 0x7d, 0x5f, 0x2e, 0x92, 0x67, 0xb0, 0xdd, 0x96, 0xe5, 0x19,
+	0xa7, 0xa2, 0x54, 0x68, 0x4a, 0x85, 0x93, 0xe6, 0x8f, 0xb3, 0x7a, 0x9d, 0xbc, 0x01, 0x93, 0x61,
+	0x9e, 0x31, 0xc1, 0x6d, 0x4b, 0x2a, 0x7a, 0x38, 0xa8, 0xe8, 0x14, 0x93, 0x10, 0x99, 0x2f, 0x2b,
+	0xfd, 0xa6, 0xc3, 0xa1, 0x30, 0xee, 0x49, 0x2d, 0xcf, 0x5d, 0x89, 0xad, 0x7d, 0xac, 0x51, 0xe5,
+	0x15, 0xa7, 0x97, 0x98, 0x96, 0x8e, 0x68, 0xa5, 0xc3, 0x0d, 0x2e, 0x1d, 0x5e, 0x22, 0x93, 0x36,
+	0x8e, 0xa4, 0xc8, 0x06, 0x9e, 0xe8, 0x96, 0x3a, 0xd1, 0x4e, 0x74, 0x4b, 0x9b, 0xe8, 0x4e, 0x01,
+	0x5b, 0x5d, 0x0d, 0x65, 0x17, 0x2f, 0xc2, 0x6f, 0x18, 0x89, 0x9a, 0xaa, 0x81, 0x15, 0x57, 0x59,
+	0x83, 0x4c, 0x46, 0x26, 0xb9, 0x2a, 0xdc, 0x4d, 0x53, 0xeb, 0xa7, 0xb9, 0x07, 0x46, 0x10, 0xe3,
+	0x45, 0xc2, 0x65, 0x62, 0x63, 0x7f, 0x14, 0xc4, 0x78, 0xca, 0x9d, 0x1f, 0x2a, 0x6c, 0x77, 0xe6,
+	0x85, 0xe7, 0x59, 0xca, 0xb1, 0x17, 0xbd, 0xb2, 0x12, 0xfd, 0xdd, 0x03, 0xb3, 0x0b, 0xa3, 0x2a,
+	0x35, 0x4d, 0xa6, 0x56, 0x81, 0x72, 0xaf, 0x36, 0x24, 0xbd, 0xda, 0xab, 0xc1, 0xff, 0x39, 0x2e,
+	0x9d, 0x68, 0x8d, 0x7f, 0x8d, 0xb6, 0x33, 0xc1, 0x66, 0x77, 0x82, 0x9d, 0x2b, 0xd8, 0x3d, 0xce,
+	0x92, 0x3c, 0x60, 0xf8, 0x39, 0x08, 0x17, 0xc8, 0xd7, 0xb9, 0x43, 0x5d, 0xbb, 0xd4, 0x3b, 0x6f,
+	0x8a, 0xd6, 0xe3, 0x89, 0x61, 0x6f, 0x85, 0x67, 0x0d, 0xef, 0xff, 0x6c, 0xa6, 0xf6, 0xae, 0xdd,
+	0x14, 0xac, 0x24, 0x48, 0xe9, 0x55, 0x43, 0xb3, 0xe5, 0xb7, 0xd8, 0xf1, 0x80, 0x7c, 0x40, 0x11,
+	0xcd, 0x8f, 0xe7, 0x45, 0x7a, 0xdd, 0x1e, 0xc7, 0x06, 0xb3, 0xea, 0xe5, 0xb6, 0x22, 0xe7, 0xb5,
+	0x81, 0xce, 0x73, 0xd8, 0xe9, 0xd5, 0xd7, 0xb2, 0xf6, 0xc1, 0x88, 0xe4, 0x8a, 0xac, 0xdf, 0xf2,
+	0x6b, 0x74, 0xf4, 0x53, 0x05, 0xfd, 0x0c, 0x91, 0x91, 0x73, 0xd8, 0x68, 0x07, 0x89, 0x1c, 0x0c,
+	0x26, 0xb1, 0xfa, 0x30, 0x4d, 0x1f, 0xdd, 0x57, 0x56, 0x93, 0x5f, 0xc1, 0xb8, 0x67, 0x16, 0x79,
+	0x32, 0xd8, 0x38, 0x14, 0xdc, 0xf4, 0xe9, 0x3a, 0xa5, 0x35, 0xcf, 0x57, 0xd8, 0xec, 0x9c, 0x9d,
+	0x3c, 0x1e, 0x6c, 0xfd, 0xdb, 0xcd, 0xa9, 0x7b, 0x7f, 0x61, 0xc5, 0xf0, 0xee, 0xf5, 0xf9, 0xab,
+	0x98, 0x8a, 0x79, 0x11, 0x7a, 0x51, 0x96, 0x1c, 0x76, 0xba, 0x7a, 0xbf, 0x31, 0x15, 0xec, 0xf6,
+	0xb0, 0xf3, 0xee, 0x87, 0x86, 0x7c, 0xf3, 0x5f, 0xfe, 0x0e, 0x00, 0x00, 0xff, 0xff, 0xed, 0xe9,
+	0x70, 0xca, 0x0d, 0x06, 0x00, 0x00,
 }
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
-
-	"github.com/twitchtv/twirp"
 
 	"github.com/bulrushwick/bulrushwick/coord/gossip"
+	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 )
@@ -26,6 +24,7 @@
 func (s *Server) Heartbeat(_ context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	s.fleet.Heard(in.Instance, in.Leaving)
 	s.fleet.Receive(decodeReports(in.Reports))
+	s.fleet.Announce(in.Instance, table.Stamp{Revision: in.Revision, Digest: in.Digest})
 	s.records.take(in.Workers, in.Instance)
 	position := gossip.Position(in.ReceiverPosition)
 	if in.ReceiverEpoch != s.records.epoch {
@@ -44,25 +43,7 @@
 		Reports:  encodeReports(s.fleet.Reports()),
 	}
 	if t := s.fleet.Table(); t != nil {
-		out.Revision = t.Revision
-	}
-	return out, nil
-}
-
-// FetchTables implements peerpb.Peer.
-func (s *Server) FetchTables(_ context.Context, in *peerpb.FetchTablesRequest) (*peerpb.FetchTablesResponse, error) {
-	t := s.fleet.Table()
-	if t == nil || t.Revision <= in.HaveRevision {
-		return &peerpb.FetchTablesResponse{}, nil
-	}
-	snapshot := t.Snapshot()
-	manifest, err := json.Marshal(snapshot.Manifest)
-	if err != nil {
-		return nil, twirp.InternalErrorWith(err)
-	}
-	out := &peerpb.FetchTablesResponse{Revision: t.Revision, Manifest: manifest}
-	for key, data := range snapshot.Chunks {
-		out.Chunks = append(out.Chunks, &peerpb.TableChunk{Key: key, Data: data})
+		out.Revision, out.Digest = t.Revision, t.Digest()
 	}
 	return out, nil
 }
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
 // Keys that the platform publishes.
@@ -24,13 +27,24 @@
 type Client struct {
 	address string
 	http    *fasthttp.Client
+	calls   atomic.Uint64
 }
 
 // NewClient returns a client of the platform at address.
 func NewClient(address string) *Client {
-	return &Client{address: address, http: &fasthttp.Client{NoDefaultUserAgentHeader: true}}
+	return &Client{address: address, http: &fasthttp.Client{
+		NoDefaultUserAgentHeader:  true,
+		MaxResponseBodySize:       table.ChunkLimit,
+		MaxIdemponentCallAttempts: 1,
+	}}
 }
 
+// Calls returns the number of reads so far, a waiting one counted once.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Reconnect closes the idle connections, any of which may have gone silent.
+func (c *Client) Reconnect() { c.http.CloseIdleConnections() }
+
 // Value is one published value with the index to watch from.
 type Value struct {
 	Data  []byte
@@ -40,12 +54,19 @@
 // Get reads a key. With an index above 0 the call waits until the value's index
 // is above it, at most for wait.
 func (c *Client) Get(key string, index uint64, wait time.Duration) (Value, error) {
+	return c.GetWithin(key, index, wait, wait+watchMargin)
+}
+
+// GetWithin is Get with a timeout, after which the connection counts as silent
+// and is closed.
+func (c *Client) GetWithin(key string, index uint64, wait, timeout time.Duration) (Value, error) {
+	c.calls.Add(1)
 	request := fasthttp.AcquireRequest()
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI(fmt.Sprintf("http://%s/v1/kv/%s?raw&index=%d&wait=%dms", c.address, key, index, wait.Milliseconds()))
-	if err := c.http.DoTimeout(request, response, wait+watchMargin); err != nil {
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
 		return Value{}, oops.Code("platform_unreachable").With("key", key).Wrap(err)
 	}
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
--- /dev/null
+++ b/entry/platform/lists.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/bulrushwick/bulrushwick/coord/member"
+	"github.com/bulrushwick/bulrushwick/coord/strictjson"
+	"github.com/bulrushwick/bulrushwick/entry/fleet"
+)
+
+// ParseInstances reads the published list of instances. The platform writes the
+// list, so an entry that can't be used is left out and the rest stands; the list
+// is nil where it can't be read at all.
+func ParseInstances(data []byte) ([]member.Instance, strictjson.Findings) {
+	return parseList(data, func(c *strictjson.Collector, path string, i member.Instance) bool {
+		ok := checkNamed(c, path, i.Name, i.State)
+		if i.DataCentre == "" {
+			c.Find(path+".dataCentre", "is empty")
+			ok = false
+		}
+		return checkAddress(c, path+".peerAddress", i.PeerAddress) && checkAddress(c, path+".controlAddress", i.ControlAddress) && ok
+	})
+}
+
+// ParseEndpoints reads the published list of endpoint states, as ParseInstances
+// does.
+func ParseEndpoints(data []byte) ([]fleet.EndpointState, strictjson.Findings) {
+	return parseList(data, func(c *strictjson.Collector, path string, e fleet.EndpointState) bool {
+		return checkNamed(c, path, e.Name, e.State)
+	})
+}
+
+func parseList[T any](data []byte, check func(c *strictjson.Collector, path string, entry T) bool) ([]T, strictjson.Findings) {
+	var list []T
+	findings, usable := strictjson.Decode(data, &list)
+	if !usable {
+		return nil, findings
+	}
+	c := &strictjson.Collector{}
+	kept := make([]T, 0, len(list))
+	for i, entry := range list {
+		if check(c, fmt.Sprintf("[%d]", i), entry) {
+			kept = append(kept, entry)
+		}
+	}
+	findings = append(findings, c.Locate(data)...)
+	findings.Sort()
+	return kept, findings
+}
+
+func checkNamed(c *strictjson.Collector, path, name string, state member.State) bool {
+	ok := true
+	if name == "" {
+		c.Find(path+".name", "is empty")
+		ok = false
+	}
+	if state != member.Live && state != member.Leaving {
+		states := []string{string(member.Live), string(member.Leaving)}
+		c.Find(path+".state", "%q is not live or leaving%s", state, strictjson.Suggest(string(state), states))
+		ok = false
+	}
+	return ok
+}
+
+func checkAddress(c *strictjson.Collector, path, address string) bool {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		c.Find(path, "%q is not an IP address and port", address)
+		return false
+	}
+	return true
+}
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -2,21 +2,20 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
-	"github.com/bulrushwick/bulrushwick/coord/member"
-	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 )
 
 // retryAfter is the pause after a failed read.
 const retryAfter = 250 * time.Millisecond
 
-// Reader keeps a fleet's view up to date from the platform.
+// Reader keeps a fleet's lists of instances and endpoints up to date from the
+// platform.
 type Reader struct {
 	client *Client
 	fleet  *fleet.Fleet
@@ -29,11 +28,10 @@
 	return &Reader{client: client, fleet: f, wait: wait, log: log}
 }
 
-// Run watches every key until ctx is done.
+// Run watches both lists until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
 	go r.watch(ctx, InstancesKey, r.instances)
-	go r.watch(ctx, EndpointsKey, r.endpoints)
-	r.watch(ctx, ManifestKey, r.tables)
+	r.watch(ctx, EndpointsKey, r.endpoints)
 }
 
 func (r *Reader) watch(ctx context.Context, key string, apply func([]byte) error) {
@@ -56,42 +54,28 @@
 }
 
 func (r *Reader) instances(data []byte) error {
-	var instances []member.Instance
-	if err := json.Unmarshal(data, &instances); err != nil {
-		return oops.Code("instances_malformed").Wrap(err)
+	instances, findings := ParseInstances(data)
+	if instances == nil {
+		return oops.Code("instances_malformed").Wrap(findings.Err())
 	}
+	r.report(InstancesKey, findings)
 	r.fleet.PublishInstances(instances)
 	return nil
 }
 
 func (r *Reader) endpoints(data []byte) error {
-	var states []fleet.EndpointState
-	if err := json.Unmarshal(data, &states); err != nil {
-		return oops.Code("endpoints_malformed").Wrap(err)
+	states, findings := ParseEndpoints(data)
+	if states == nil {
+		return oops.Code("endpoints_malformed").Wrap(findings.Err())
 	}
+	r.report(EndpointsKey, findings)
 	r.fleet.PublishEndpoints(states)
 	return nil
 }
 
-func (r *Reader) tables(data []byte) error {
-	var manifest table.Manifest
-	if err := json.Unmarshal(data, &manifest); err != nil {
-		return oops.Code("manifest_malformed").Wrap(err)
+// report logs what was passed over in a list that is used otherwise.
+func (r *Reader) report(key string, findings strictjson.Findings) {
+	if len(findings) > 0 {
+		r.log.Warn().Str("event", "list_findings").Str("key", key).Err(findings).Send()
 	}
-	snapshot := table.Snapshot{Manifest: manifest, Chunks: make(map[string][]byte, len(manifest.Chunks))}
-	for _, ref := range manifest.Chunks {
-		value, err := r.client.Get(ref.Key, 0, r.wait)
-		if err != nil {
-			return err
-		}
-		snapshot.Chunks[ref.Key] = value.Data
-	}
-	t, err := table.Build(snapshot)
-	if err != nil {
-		return oops.Code("tables_rejected").With("revision", manifest.Revision).Wrap(err)
-	}
-	if r.fleet.Offer(t) {
-		r.log.Info().Str("event", "tables_accepted").Uint64("revision", t.Revision).Send()
-	}
-	return nil
 }
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -49,9 +49,25 @@
 	// HeartbeatEvery is the interval between heartbeats to each peer. Shorter
 	// finds a failure sooner and costs more control traffic. Default: 500ms.
 	HeartbeatEvery Duration `json:"heartbeatEvery"`
-	// WatchWait is how long a blocking query may wait at the platform.
+	// WatchWait is how long a watch for the lists of instances and endpoints may
+	// wait at the platform.
 	// Default: 30s.
 	WatchWait Duration `json:"watchWait"`
+	// TableReaders is how many instances of each data centre watch the platform
+	// for tables. More ride out more failures at once and cost the platform more
+	// calls. Default: 3.
+	TableReaders int `json:"tableReaders"`
+	// TableWatchWait is how long a watch for tables may wait at the platform. It
+	// bounds how long a watch that has gone silent hides a change; shorter costs
+	// the platform more calls. Default: 2s.
+	TableWatchWait Duration `json:"tableWatchWait"`
+	// TableAskEvery is the interval between questions to random peers about
+	// newer tables. Shorter spreads a table sooner and costs more control
+	// traffic. Default: 1s.
+	TableAskEvery Duration `json:"tableAskEvery"`
+	// TableCatchUp is how long a forwarded request waits for the table that it
+	// was resolved by before it is refused. Default: 1s.
+	TableCatchUp Duration `json:"tableCatchUp"`
 	// ConnectTimeout bounds a connection attempt to a peer or an endpoint.
 	// Default: 1s.
 	ConnectTimeout Duration `json:"connectTimeout"`
@@ -81,6 +97,10 @@
 	return Settings{
 		HeartbeatEvery:      Duration(500 * time.Millisecond),
 		WatchWait:           Duration(30 * time.Second),
+		TableReaders:        3,
+		TableWatchWait:      Duration(2 * time.Second),
+		TableAskEvery:       Duration(time.Second),
+		TableCatchUp:        Duration(time.Second),
 		ConnectTimeout:      Duration(time.Second),
 		ProgressTimeout:     Duration(10 * time.Second),
 		QueueLimit:          1000,
@@ -140,6 +160,9 @@
 	}{
 		{"heartbeatEvery", s.HeartbeatEvery},
 		{"watchWait", s.WatchWait},
+		{"tableWatchWait", s.TableWatchWait},
+		{"tableAskEvery", s.TableAskEvery},
+		{"tableCatchUp", s.TableCatchUp},
 		{"connectTimeout", s.ConnectTimeout},
 		{"progressTimeout", s.ProgressTimeout},
 	}
@@ -152,6 +175,7 @@
 		field string
 		value int
 	}{
+		{"tableReaders", s.TableReaders},
 		{"queueLimit", s.QueueLimit},
 		{"bodyLimit", s.BodyLimit},
 		{"dispatchConcurrency", s.DispatchConcurrency},
