Measure what each role costs and work out the cost at full size

bulrushctl capacity measures each role at four sizes up to 43,000 adapters, 7,500 workers, 970 published instances and 81 live ones in process, fits a line by least squares and prints the cost at full size beside the bound.

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -27,6 +27,11 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), experimentCommand(), standinCommand())
+	root.AddCommand(
+		capacityCommand(),
+		demoCommand(),
+		experimentCommand(),
+		standinCommand(),
+	)
 	return root
 }
--- a/cmd/e2e/docs_test.go
+++ b/cmd/e2e/docs_test.go
@@ -27,8 +27,10 @@
 
 // commandProofs maps every command of the pages to its proof.
 var commandProofs = map[string]commandProof{
+	"go run ./cmd/bulrushctl capacity":                 proveByRun("bulrushctl", "capacity", "--quick"),
 	"go run ./cmd/bulrushctl demo":                     proveByRun("bulrushctl", "demo"),
 	"go run ./cmd/bulrushctl experiment suzgec-steady": proveByRun("bulrushctl", "experiment", "suzgec-steady"),
+
 	"go test work": proveByCI("go test work"),
 }
 
--- a/cmd/internal/capacity/peers.go
+++ b/cmd/internal/capacity/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"runtime"
@@ -64,7 +63,7 @@
 		}
 		listeners[i] = &countingListener{Listener: listener, bytes: &f.bytes}
 		instances[i] = member.Instance{
-			Name:           fmt.Sprintf("entry-%04d", i),
+			Name:           instanceName(i),
 			DataCentre:     dataCentreName(0),
 			ControlAddress: listener.Addr().String(),
 			State:          member.Live,
@@ -202,8 +201,10 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
-// heap returns the bytes in use after a collection.
+// heap returns the bytes in use after two collections, the second of which
+// empties the pools that outlive one.
 func heap() float64 {
+	runtime.GC()
 	runtime.GC()
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
--- a/cmd/internal/capacity/tables.go
+++ b/cmd/internal/capacity/tables.go
@@ -19,6 +19,8 @@
 
 func adapterName(i int) string { return fmt.Sprintf("tolk-%05d", i) }
 
+func instanceName(i int) string { return fmt.Sprintf("entry-%04d", i) }
+
 func dataCentreName(i int) string { return fmt.Sprintf("dc-%02d", i) }
 
 // adaptersPerChunk keeps a chunk well below the platform's megabyte.
