Show operators metrics, traces, status and where a request would go

Each hop of a request has a span below the caller's traceparent: ingress, forward, queue, load, dispatch, stream. Metrics, status and explain stand on an operators' listener (setting operatorAddress), apart from the callers'. bulrushctl status, explain and version read them; tests in cmd/e2e run a fleet of processes, stop it and follow one trace over all instances' files. Log lines that callers can cause are sampled: 50 a second, then one of 1,000.

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -31,7 +31,10 @@
 		capacityCommand(),
 		demoCommand(),
 		experimentCommand(),
+		explainCommand(),
 		standinCommand(),
+		statusCommand(),
+		versionCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/cmd/bulrushctl/version.go
@@ -0,0 +1,38 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+)
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Show what this program was built from",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), version())
+			return err
+		},
+	}
+}
+
+// version names the commit where the build recorded it, and the Go release.
+func version() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "bulrushctl (no build information)"
+	}
+	commit, changed := "unknown commit", ""
+	for _, setting := range info.Settings {
+		switch {
+		case setting.Key == "vcs.revision":
+			commit = setting.Value
+		case setting.Key == "vcs.modified" && setting.Value == "true":
+			changed = " with changes"
+		}
+	}
+	return fmt.Sprintf("bulrushctl %s%s, %s", commit, changed, info.GoVersion)
+}
--- a/cmd/bulrushwick/main.go
+++ b/cmd/bulrushwick/main.go
@@ -67,6 +67,7 @@
 		Str("callers", addresses.Callers).
 		Str("peers", addresses.Peers).
 		Str("control", addresses.Control).
+		Str("operator", addresses.Operator).
 		Send()
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/cmd/e2e/fleet_test.go
+++ b/cmd/e2e/fleet_test.go
@@ -41,6 +41,8 @@
 	services  []string
 	entries   []*process
 	callers   []string
+	operators []string
+	traces    []string // the files that the entries write spans to
 	instances []member.Instance
 }
 
@@ -99,6 +101,8 @@
 	conf.Instance = fmt.Sprintf("entry-%d", len(s.entries))
 	conf.DataCentre = dataCentre
 	conf.CallerAddress, conf.PeerAddress, conf.ControlAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	conf.OperatorAddress = "127.0.0.1:0"
+	conf.TraceFile = filepath.Join(t.TempDir(), conf.Instance+".spans")
 	conf.PlatformAddress = s.platform
 	data, err := json.Marshal(conf)
 	require.NoError(t, err)
@@ -108,6 +112,8 @@
 	at := entry.await(t, "listening")
 	s.entries = append(s.entries, entry)
 	s.callers = append(s.callers, at.Callers)
+	s.operators = append(s.operators, at.Operator)
+	s.traces = append(s.traces, conf.TraceFile)
 	s.instances = append(s.instances, member.Instance{
 		Name:           conf.Instance,
 		DataCentre:     dataCentre,
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -42,6 +42,7 @@
 	Callers  string `json:"callers"`
 	Peers    string `json:"peers"`
 	Control  string `json:"control"`
+	Operator string `json:"operator"`
 	Revision uint64 `json:"revision"`
 }
 
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -18,11 +18,13 @@
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
 	"github.com/bulrushwick/bulrushwick/entry/keys"
+	"github.com/bulrushwick/bulrushwick/entry/operator"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 	"github.com/bulrushwick/bulrushwick/entry/platform"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
+	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
 
 // tickEvery is the resolution of deadlines in the owners' queues.
@@ -51,6 +53,9 @@
 	peers    *fasthttp.Server
 	control  *http.Server
 
+	telemetry *telemetry.Telemetry
+	operator  *http.Server
+
 	listeners []net.Listener
 }
 
@@ -59,6 +64,8 @@
 	Callers string
 	Peers   string
 	Control string
+	// Operator is empty where the settings name no operator address.
+	Operator string
 }
 
 // New builds an instance; nothing listens before Run.
@@ -85,23 +92,32 @@
 		return nil, err
 	}
 	peers := forward.NewClient(clients)
-	front := ingress.NewServer(f, own, peers, log)
+	front := ingress.NewServer(f, own, peers, flooded(log))
+	observed, err := telemetry.New(telemetryConfig(s))
+	if err != nil {
+		return nil, err
+	}
+	own.Observe(observed)
+	peers.Observe(observed)
+	front.Observe(observed)
 	keyed, err := keys.New(keys.Config{Record: s.Keys.Record(), Concurrency: s.DispatchConcurrency}, f, f, peers, front.Run, log)
 	if err != nil {
 		return nil, err
 	}
 	front.UseKeyed(keyed)
 	return &Daemon{
-		settings: s,
-		log:      log,
-		fleet:    f,
-		owner:    own,
-		keys:     keyed,
-		exchange: exchange,
-		reader:   platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
-		callers:  newServer(front.Handle, s.BodyLimit),
-		peers:    newServer(forward.Handler(own, keyed), s.BodyLimit),
-		control:  peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
+		telemetry: observed,
+		operator:  newOperator(operator.NewServer(f, front, observed.Handler())),
+		settings:  s,
+		log:       log,
+		fleet:     f,
+		owner:     own,
+		keys:      keyed,
+		exchange:  exchange,
+		reader:    platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
+		callers:   newServer(front.Handle, s.BodyLimit),
+		peers:     newServer(forward.Handler(own, keyed), s.BodyLimit),
+		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
 	}, nil
 }
 
@@ -121,16 +137,24 @@
 // Listen opens the listeners and returns their addresses, which tell the ports
 // that were taken where the settings name port 0.
 func (d *Daemon) Listen() (Addresses, error) {
-	listeners, err := listenAll(d.settings.CallerAddress, d.settings.PeerAddress, d.settings.ControlAddress)
+	wanted := []string{d.settings.CallerAddress, d.settings.PeerAddress, d.settings.ControlAddress}
+	if d.settings.OperatorAddress != "" {
+		wanted = append(wanted, d.settings.OperatorAddress)
+	}
+	listeners, err := listenAll(wanted...)
 	if err != nil {
 		return Addresses{}, err
 	}
 	d.listeners = listeners
-	return Addresses{
+	addresses := Addresses{
 		Callers: listeners[0].Addr().String(),
 		Peers:   listeners[1].Addr().String(),
 		Control: listeners[2].Addr().String(),
-	}, nil
+	}
+	if len(listeners) > operatorListener {
+		addresses.Operator = listeners[operatorListener].Addr().String()
+	}
+	return addresses, nil
 }
 
 // Run serves until ctx is done, then stops gracefully: it finishes every
@@ -142,9 +166,13 @@
 	go func() { failed <- d.callers.Serve(d.listeners[0]) }()
 	go func() { failed <- d.peers.Serve(d.listeners[1]) }()
 	go func() { failed <- d.control.Serve(d.listeners[2]) }()
+	if len(d.listeners) > operatorListener {
+		go func() { failed <- d.operator.Serve(d.listeners[operatorListener]) }()
+	}
 	go d.reader.Run(background)
 	go d.exchange.Run(background)
 	go d.tick(background)
+	go d.observe(background)
 	select {
 	case <-ctx.Done():
 		return d.drain()
@@ -174,6 +202,7 @@
 	err := errors.Join(d.callers.ShutdownWithContext(limit), d.peers.ShutdownWithContext(limit), d.control.Shutdown(limit))
 	d.owner.Close()
 	d.keys.Close()
+	err = errors.Join(err, d.operator.Close(), d.telemetry.Close())
 	d.log.Info().Str("event", "stopped").Send()
 	return oops.Wrap(err)
 }
--- a/entry/forward/client.go
+++ b/entry/forward/client.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/attempt"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
 
 // Paths where the peer listener takes forwarded requests.
@@ -29,7 +30,8 @@
 
 // Client forwards requests to other instances.
 type Client struct {
-	http *httpx.Client
+	http      *httpx.Client
+	telemetry *telemetry.Telemetry
 }
 
 // NewClient returns a client.
@@ -37,16 +39,26 @@
 	return &Client{http: httpx.NewClient(config)}
 }
 
+// Observe lets t trace what is forwarded; call it before the first.
+func (c *Client) Observe(t *telemetry.Telemetry) { c.telemetry = t }
+
 // Do forwards one attempt to the instance at address. Its error is a
 // *call.Error.
 func (c *Client) Do(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
-	return c.do(ctx, address, Path, r)
+	return c.observed(ctx, address, Path, r)
 }
 
 // DoKeyed forwards a call that carries an idempotency key to the instance at
 // address, the owner of the key. Its error is a *call.Error.
 func (c *Client) DoKeyed(ctx context.Context, address string, r *call.Request) (*call.Answer, error) {
-	return c.do(ctx, address, KeyedPath, r)
+	return c.observed(ctx, address, KeyedPath, r)
+}
+
+func (c *Client) observed(ctx context.Context, address, path string, r *call.Request) (*call.Answer, error) {
+	hop, sent := c.telemetry.Forward(r)
+	answer, err := c.do(ctx, address, path, sent)
+	hop.End(err)
+	return answer, err
 }
 
 func (c *Client) do(ctx context.Context, address, path string, r *call.Request) (*call.Answer, error) {
--- a/entry/ingress/parse.go
+++ b/entry/ingress/parse.go
@@ -79,12 +79,9 @@
 	if err != nil {
 		return nil, malformed("model", err.Error())
 	}
-	route, found := t.EngineRoute(adapter.Adapter)
-	if !found {
-		return nil, notFound("unknown_route", fmt.Sprintf("no route matches adapter %q", adapter.Adapter))
-	}
-	if !t.HasVersion(route.Pool, adapter) {
-		return nil, notFound("unknown_adapter", fmt.Sprintf("pool %q has no %s", route.Pool, adapter))
+	route, problem := engineRoute(t, adapter)
+	if problem != nil {
+		return nil, problem
 	}
 	r.Adapter = adapter
 	r.Stream = body.Stream
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
 
 // Local serves attempts on workers that this instance owns.
@@ -48,8 +49,13 @@
 
 	mu     sync.Mutex // guards budget, which the requests' lives share
 	budget *attempt.Budget
+
+	telemetry *telemetry.Telemetry
 }
 
+// Observe lets t count and trace the requests; call it before the first.
+func (s *Server) Observe(t *telemetry.Telemetry) { s.telemetry = t }
+
 // NewServer returns a server that serves by local where this instance owns the
 // worker and by remote elsewhere.
 func NewServer(f *fleet.Fleet, local Local, remote Remote, log zerolog.Logger) *Server {
@@ -109,6 +115,7 @@
 		return
 	}
 	ctx.Response.Header.Set(httpx.RequestID, r.ID)
+	hop := s.telemetry.Ingress(r)
 	answer, err := forward.Watched(ctx, r, func(ctx context.Context, r *call.Request) (*call.Answer, error) {
 		if r.Key != "" && !r.Idempotent {
 			return s.keyed.Send(ctx, r)
@@ -116,11 +123,13 @@
 		return s.attempts(ctx, t, route, r)
 	})
 	if err != nil {
+		hop.End(err)
 		problem := httpx.ProblemOf(err)
 		s.log.Info().Str("event", "request_failed").Str("request", r.ID).Str("code", problem.Code).Str("outcome", string(problem.Outcome)).Send()
 		problem.Write(ctx)
 		return
 	}
+	answer.Body = hop.Stream(r, answer.Body)
 	ctx.Response.Header.Set(httpx.OwnerHeader, answer.Owner)
 	forward.WriteAnswer(ctx, answer)
 }
@@ -164,14 +173,7 @@
 	for i := range candidates {
 		candidates[i].Leaving = candidates[i].Leaving || tried[candidates[i].Endpoint.Name]
 	}
-	query := placement.Query{
-		Adapter:    r.Adapter,
-		DataCentre: s.fleet.DataCentre(),
-		Region:     t.RegionOf(s.fleet.DataCentre()),
-		RegionOf:   t.RegionOf,
-		Batch:      pool.Batch,
-	}
-	best, found := s.picker.Pick(query, candidates)
+	best, found := s.picker.Pick(s.query(t, pool, r.Adapter), candidates)
 	if !found {
 		return member.Instance{}, unavailable("no_worker", "no worker of the pool takes new work")
 	}
@@ -183,6 +185,16 @@
 	return owner, nil
 }
 
+func (s *Server) query(t *table.Table, pool *table.Pool, adapter table.AdapterVersion) placement.Query {
+	return placement.Query{
+		Adapter:    adapter,
+		DataCentre: s.fleet.DataCentre(),
+		Region:     t.RegionOf(s.fleet.DataCentre()),
+		RegionOf:   t.RegionOf,
+		Batch:      pool.Batch,
+	}
+}
+
 func unavailable(code, message string) *call.Error {
 	return &call.Error{
 		Status:     fasthttp.StatusServiceUnavailable,
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
 
 // loadTimeout bounds one load order at an engine.
@@ -47,6 +48,8 @@
 	loads    *ants.Pool
 	nextID   atomic.Uint64
 
+	telemetry *telemetry.Telemetry
+
 	mu      sync.Mutex
 	workers map[string]*worker
 }
@@ -60,6 +63,7 @@
 
 // ticket is a request that waits for its turn.
 type ticket struct {
+	request *call.Request
 	decided chan residency.Action
 }
 
@@ -110,8 +114,11 @@
 func (o *Owner) serveEngine(ctx context.Context, address string, pool *table.Pool, r *call.Request) (*call.Answer, error) {
 	queued := time.Now()
 	id := o.nextID.Add(1)
+	hop := o.telemetry.Queue(r, o.absent(r))
 	w, t := o.arrive(id, address, pool, r)
-	if err := o.await(ctx, w, id, t); err != nil {
+	err := o.await(ctx, w, id, t)
+	hop.End(err)
+	if err != nil {
 		return nil, err
 	}
 	wait := time.Since(queued)
@@ -132,7 +139,7 @@
 }
 
 func (o *Owner) arrive(id uint64, address string, pool *table.Pool, r *call.Request) (*worker, *ticket) {
-	t := &ticket{decided: make(chan residency.Action, 1)}
+	t := &ticket{request: r, decided: make(chan residency.Action, 1)}
 	now := o.fleet.Now()
 	o.mu.Lock()
 	w, found := o.workers[r.Worker]
@@ -200,16 +207,23 @@
 		answer *call.Answer
 		err    error
 	}
+	hop, sent := o.telemetry.Dispatch(r)
 	done := make(chan result, 1)
 	err := o.dispatch.Submit(func() {
-		answer, err := o.client.Do(ctx, address, r)
+		answer, err := o.client.Do(ctx, address, sent)
 		done <- result{answer, err}
 	})
 	if err != nil {
+		hop.End(err)
 		return nil, notRun(fasthttp.StatusServiceUnavailable, "dispatch_full", err)
 	}
 	out := <-done
-	return out.answer, out.err
+	if out.err != nil {
+		hop.End(out.err)
+		return nil, out.err
+	}
+	out.answer.Body = hop.Stream(sent, out.answer.Body)
+	return out.answer, nil
 }
 
 func notRun(status int, code string, err error) *call.Error {
--- a/entry/owner/step.go
+++ b/entry/owner/step.go
@@ -55,9 +55,14 @@
 	if order.Evict != nil {
 		if err := o.client.Unload(w.address, *order.Evict, 0, loadTimeout); err != nil {
 			o.log.Warn().Err(err).Str("event", "unload_failed").Str("worker", w.name).Send()
+		} else {
+			o.telemetry.Evicted()
 		}
 	}
-	if err := o.client.Load(w.address, order.Adapter, 0, loadTimeout); err != nil {
+	hop := o.telemetry.Load(o.traceOf(w, order.Adapter), w.name, order.Adapter)
+	err := o.client.Load(w.address, order.Adapter, 0, loadTimeout)
+	hop.End(err)
+	if err != nil {
 		o.log.Warn().Err(err).Str("event", "load_failed").Str("worker", w.name).Send()
 		o.step(w, residency.LoadFailed{Adapter: order.Adapter})
 		return
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -74,8 +74,18 @@
 	Processors int `json:"processors"`
 	// Keys configures what is remembered of idempotency keys.
 	Keys Keys `json:"keys"`
-	// TraceFile receives spans as JSON lines; empty switches tracing off.
+	// OperatorAddress serves metrics and the instance's state to operators,
+	// IP:port; empty for none. Keep it from callers. Default: empty.
+	OperatorAddress string `json:"operatorAddress"`
+	// TraceFile receives spans as JSON lines; empty for none. Default: empty.
 	TraceFile string `json:"traceFile"`
+	// TraceURL receives spans by OTLP over HTTP, such as
+	// http://10.0.0.9:4318/v1/traces; empty for none. Default: empty.
+	TraceURL string `json:"traceUrl"`
+	// TraceShare is the part of the traces that begin here and are recorded,
+	// from 0 to 1. More costs processor time at each hop. A caller's choice in
+	// traceparent comes first. Default: 1.
+	TraceShare float64 `json:"traceShare"`
 }
 
 // Default returns the settings with every default filled in and no addresses.
@@ -91,6 +101,7 @@
 		ControlConcurrency:  64,
 		Processors:          2,
 		Keys:                DefaultKeys(),
+		TraceShare:          1,
 	}
 }
 
@@ -132,6 +143,12 @@
 		{"controlAddress", s.ControlAddress},
 		{"platformAddress", s.PlatformAddress},
 	}
+	if s.OperatorAddress != "" {
+		addresses = append(addresses, struct{ field, value string }{"operatorAddress", s.OperatorAddress})
+	}
+	if s.TraceShare < 0 || s.TraceShare > 1 {
+		find("traceShare", "must be from 0 to 1")
+	}
 	for _, a := range addresses {
 		if _, err := netip.ParseAddrPort(a.value); err != nil {
 			find(a.field, "%q is not an IP address and port", a.value)
