--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -32,6 +32,7 @@
 		demoCommand(),
 		experimentCommand(),
 		explainCommand(),
+		loadCommand(),
 		standinCommand(),
 		statusCommand(),
 		versionCommand(),
--- a/cmd/e2e/operator_test.go
+++ b/cmd/e2e/operator_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushwick/bulrushwick/cmd/internal/deployment"
+	"github.com/bulrushwick/bulrushwick/cmd/internal/loadgen"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
 	"github.com/bulrushwick/bulrushwick/entry/operator"
@@ -154,3 +155,17 @@
 	require.FailNow(t, "no such metric", "%s in\n%s", want, page)
 	return ""
 }
+
+// TestLoadStopsByItself sends a small load to two instances.
+func TestLoadStopsByItself(t *testing.T) {
+	s := startSystem(t, deployment.Silttolge(), 1)
+	out := run(t, "bulrushctl", "load", s.callers[0], s.callers[1],
+		"--rate", "100", "--duration", "500ms", "--adapters", "8", "--skew", "1.5", "--output", "json")
+	var report loadgen.Report
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	require.Zero(t, report.InProgress)
+	require.Zero(t, report.Wrong())
+	for _, rank := range report.Ranks {
+		require.Equal(t, rank.Sent, rank.Served+rank.NotRun+rank.Unknown, rank.Rank)
+	}
+}
