Queue and load in logarithmic time, with callers in turn

Requests now lie in heaps by caller and deadline, parked by adapter until it is ready; absent adapters lie in heaps by rank and age; a failed load backs off with jitter before its requests go to another worker.

--- a/cmd/internal/experiment/policy.go
+++ b/cmd/internal/experiment/policy.go
@@ -25,19 +25,25 @@
 // Policies lists the product's policy first and the baselines after it.
 func Policies() []Policy {
 	return []Policy{
+		// The variants of the product's policy follow it, then the baselines.
 		{Name: "bulrushwick", newPicker: productPicker, newWorker: productWorker},
-		{Name: "least-loaded-lru", newPicker: leastLoaded, newWorker: productWorker},
-		{Name: "random-worker", newPicker: randomWorker, newWorker: productWorker},
+		{Name: "plain-lru", newPicker: productPicker, newWorker: plainWorker},
+		{Name: "least-loaded-lru", newPicker: leastLoaded, newWorker: plainWorker},
+		{Name: "random-worker", newPicker: randomWorker, newWorker: plainWorker},
 	}
 }
 
 func productPicker(*simulation) picker { return placement.NewPicker() }
 
-// queueLimit bounds the requests that wait for one worker.
-const queueLimit = 1000
+func productWorker(s *simulation, w *worker) *residency.Worker {
+	return residency.NewWorker(w.endpoint.Name, residency.DefaultConfig(s.spec.Slots, s.spec.Batch))
+}
 
-func productWorker(s *simulation, _ *worker) *residency.Worker {
-	return residency.NewWorker(residency.Config{Slots: s.spec.Slots, Batch: s.spec.Batch, QueueLimit: queueLimit})
+// plainWorker evicts the least recently used adapter.
+func plainWorker(s *simulation, w *worker) *residency.Worker {
+	config := residency.DefaultConfig(s.spec.Slots, s.spec.Batch)
+	config.Eviction = residency.LeastRecent
+	return residency.NewWorker(w.endpoint.Name, config)
 }
 
 // leastLoaded takes the worker of the region with the least work in flight.
--- a/cmd/internal/experiment/simulation.go
+++ b/cmd/internal/experiment/simulation.go
@@ -244,7 +244,7 @@
 		switch {
 		case w.engine.epoch != epoch:
 		case !ok:
-			s.step(w, residency.LoadFailed{Adapter: order.Adapter})
+			s.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: s.rng.Float64()})
 		default:
 			w.engine.resident[order.Adapter] = 0
 			s.step(w, residency.Loaded{Adapter: order.Adapter})
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -1,82 +1,226 @@
 package admission
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
-// Request is what the queue needs to know of a waiting request.
-type Request struct {
-	// ID is unique within the owning instance.
-	ID uint64
-	// Adapter is the adapter and version that must serve it.
-	Adapter table.AdapterVersion
-	// Rank is its urgency.
-	Rank table.Rank
-	// Caller names who sent it, for fairness within a rank.
-	Caller string
-	// Arrived is when it was queued, since start.
-	Arrived time.Duration
-	// Deadline is when it is worthless, since start.
-	Deadline time.Duration
-}
-
-// Queue holds waiting requests, most urgent rank first and earliest arrival
-// first within a rank. It is not safe for concurrent use.
+// Config sizes a Queue.
+type Config struct {
+	// Limit bounds the waiting requests. Higher holds more of a burst, and more
+	// memory. Default: 1,000.
+	Limit int
+	// LimitBytes bounds the bytes of the waiting bodies. Default: 16 MiB.
+	LimitBytes int
+	// Floors is the share of dispatches that a rank keeps while it has work that
+	// could run, whatever waits in more urgent ranks. A higher floor slows the
+	// urgent rank in a flood of its own. Default: 0.
+	Floors [table.RankCount]float64
+}
+
+// DefaultConfig returns the defaults.
+func DefaultConfig() Config {
+	return Config{Limit: 1000, LimitBytes: 16 << 20}
+}
+
+// Queue holds waiting requests. Those whose adapter is ready are runnable and
+// taken by Next: most urgent rank first but for the floors, callers in turn
+// within a rank, earliest deadline first within a caller. The others are parked.
+// Each operation on one request takes a time logarithmic in the number waiting.
+// A Queue is not safe for concurrent use.
 type Queue struct {
-	limit   int
-	waiting []Request
+	config    Config
+	bytes     int
+	items     map[uint64]*item
+	lines     map[table.AdapterVersion]*line
+	ranks     [table.RankCount]*rankQueue
+	credit    [table.RankCount]float64
+	deadlines deadlineHeap
 }
 
-// NewQueue returns a queue that holds at most limit requests.
-func NewQueue(limit int) *Queue {
-	return &Queue{limit: limit}
+// NewQueue returns an empty queue.
+func NewQueue(config Config) *Queue {
+	q := &Queue{
+		config: config,
+		items:  make(map[uint64]*item),
+		lines:  make(map[table.AdapterVersion]*line),
+	}
+	for rank := range q.ranks {
+		q.ranks[rank] = newRankQueue()
+	}
+	return q
 }
 
 // Len returns the number of waiting requests.
-func (q *Queue) Len() int { return len(q.waiting) }
+func (q *Queue) Len() int { return len(q.items) }
+
+// Bytes returns the bytes of the waiting bodies.
+func (q *Queue) Bytes() int { return q.bytes }
+
+// Runnable returns the number of runnable requests of a rank.
+func (q *Queue) Runnable(rank table.Rank) int { return q.ranks[rank].length }
+
+// Waiting returns the number of waiting requests for an adapter by rank.
+func (q *Queue) Waiting(adapter table.AdapterVersion) [table.RankCount]int {
+	if l, found := q.lines[adapter]; found {
+		return l.ranks
+	}
+	return [table.RankCount]int{}
+}
+
+// Requests lists the waiting requests of an adapter, in no order.
+func (q *Queue) Requests(adapter table.AdapterVersion) []Request {
+	l, found := q.lines[adapter]
+	if !found {
+		return nil
+	}
+	requests := make([]Request, len(l.items))
+	for at, i := range l.items {
+		requests[at] = i.Request
+	}
+	return requests
+}
 
 // Push queues a request and tells whether there was room.
 func (q *Queue) Push(r Request) bool {
-	if len(q.waiting) >= q.limit {
+	if len(q.items) >= q.config.Limit || q.bytes+r.Bytes > q.config.LimitBytes {
 		return false
 	}
-	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].Rank > r.Rank })
-	q.waiting = append(q.waiting, Request{})
-	copy(q.waiting[at+1:], q.waiting[at:])
-	q.waiting[at] = r
+	i := &item{Request: r}
+	q.items[r.ID] = i
+	q.bytes += r.Bytes
+	heap.Push(&q.deadlines, i)
+	l := q.line(r.Adapter)
+	l.add(i)
+	if l.ready {
+		q.ranks[i.Rank].push(i)
+	}
 	return true
 }
 
+// SetReady makes the adapter's requests runnable, now and later.
+func (q *Queue) SetReady(adapter table.AdapterVersion) {
+	l := q.line(adapter)
+	if l.ready {
+		return
+	}
+	l.ready = true
+	for _, i := range l.items {
+		q.ranks[i.Rank].push(i)
+	}
+}
+
+// Park ends that the adapter's requests are runnable.
+func (q *Queue) Park(adapter table.AdapterVersion) {
+	l, found := q.lines[adapter]
+	if !found || !l.ready {
+		return
+	}
+	l.ready = false
+	for _, i := range l.items {
+		q.ranks[i.Rank].remove(i)
+	}
+	q.prune(adapter, l)
+}
+
 // Remove takes the request with that ID out and tells whether it was there.
-func (q *Queue) Remove(id uint64) bool {
-	for i := range q.waiting {
-		if q.waiting[i].ID == id {
-			q.waiting = append(q.waiting[:i], q.waiting[i+1:]...)
-			return true
-		}
+func (q *Queue) Remove(id uint64) (Request, bool) {
+	i, found := q.items[id]
+	if !found {
+		return Request{}, false
+	}
+	if i.caller != nil {
+		q.ranks[i.Rank].remove(i)
+	}
+	q.forget(i)
+	return i.Request, true
+}
+
+// RemoveAll takes out and returns the requests of an adapter.
+func (q *Queue) RemoveAll(adapter table.AdapterVersion) []Request {
+	l, found := q.lines[adapter]
+	if !found {
+		return nil
+	}
+	removed := make([]Request, 0, len(l.items))
+	for len(l.items) > 0 {
+		r, _ := q.Remove(l.items[0].ID)
+		removed = append(removed, r)
 	}
-	return false
+	return removed
 }
 
-// Expired takes out and returns the requests whose deadline has passed.
+// Expired takes out and returns the requests whose deadline is at or before now.
 func (q *Queue) Expired(now time.Duration) []Request {
 	var expired []Request
-	kept := q.waiting[:0]
-	for _, r := range q.waiting {
-		if r.Deadline <= now {
-			expired = append(expired, r)
-		} else {
-			kept = append(kept, r)
-		}
+	for len(q.deadlines) > 0 && q.deadlines[0].Deadline <= now {
+		r, _ := q.Remove(q.deadlines[0].ID)
+		expired = append(expired, r)
 	}
-	q.waiting = kept
 	return expired
 }
 
-// Waiting returns a copy of the waiting requests in serving order.
-func (q *Queue) Waiting() []Request {
-	return append([]Request(nil), q.waiting...)
+// Next takes the runnable request whose turn it is.
+func (q *Queue) Next() (Request, bool) {
+	rank, found := q.nextRank()
+	if !found {
+		return Request{}, false
+	}
+	i := q.ranks[rank].pop()
+	q.forget(i)
+	return i.Request, true
+}
+
+// nextRank returns the rank to serve: the most urgent one with work, unless
+// another has earned its floor. While a rank has work, it earns its floor's
+// share of each dispatch.
+func (q *Queue) nextRank() (table.Rank, bool) {
+	first, found := table.Urgent, false
+	owed, owing := table.Urgent, false
+	for rank := range q.ranks {
+		if q.ranks[rank].length == 0 {
+			q.credit[rank] = 0
+			continue
+		}
+		if !found {
+			first, found = table.Rank(rank), true
+			continue
+		}
+		q.credit[rank] += q.config.Floors[rank]
+		if !owing && q.credit[rank] >= 1 {
+			owed, owing = table.Rank(rank), true
+		}
+	}
+	if owing {
+		q.credit[owed]--
+		return owed, true
+	}
+	return first, found
+}
+
+func (q *Queue) line(adapter table.AdapterVersion) *line {
+	l, found := q.lines[adapter]
+	if !found {
+		l = &line{}
+		q.lines[adapter] = l
+	}
+	return l
+}
+
+// forget drops a request that is in no rank's queue any more.
+func (q *Queue) forget(i *item) {
+	delete(q.items, i.ID)
+	q.bytes -= i.Bytes
+	heap.Remove(&q.deadlines, i.deadline)
+	i.line.remove(i)
+	q.prune(i.Adapter, i.line)
+}
+
+// prune drops an adapter's line that carries nothing.
+func (q *Queue) prune(adapter table.AdapterVersion, l *line) {
+	if len(l.items) == 0 && !l.ready {
+		delete(q.lines, adapter)
+	}
 }
--- a/coord/residency/events.go
+++ b/coord/residency/events.go
@@ -1,6 +1,8 @@
 package residency
 
 import (
+	"time"
+
 	"github.com/bulrushwick/bulrushwick/coord/admission"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
@@ -15,7 +17,11 @@
 type Loaded struct{ Adapter table.AdapterVersion }
 
 // LoadFailed reports that a load did not succeed.
-type LoadFailed struct{ Adapter table.AdapterVersion }
+type LoadFailed struct {
+	Adapter table.AdapterVersion
+	// Jitter is drawn from 0 to 1 by the caller and spreads the next tries.
+	Jitter float64
+}
 
 // Finished reports that a dispatched request is over, however it ended.
 type Finished struct{ ID uint64 }
@@ -58,12 +64,15 @@
 	QueueFull      Reason = "queue full"
 	DeadlinePassed Reason = "deadline passed"
 	LoadError      Reason = "adapter could not be loaded"
+	WouldBeLate    Reason = "deadline can not be met"
 )
 
 // Reject ends a request that was never dispatched.
 type Reject struct {
 	ID     uint64
 	Reason Reason
+	// RetryAfter is when another try may be of use; zero where nothing is known.
+	RetryAfter time.Duration
 }
 
 func (Load) isAction()     {}
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -7,38 +7,41 @@
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
-// Config sizes a worker.
-type Config struct {
-	// Slots is the number of adapters the worker holds.
-	Slots int
-	// Batch is the number of requests that run at once.
-	Batch int
-	// QueueLimit bounds the waiting requests; more are rejected at once.
-	QueueLimit int
-}
-
 // Worker is the state machine of one worker. It is not safe for concurrent use.
 type Worker struct {
+	name    string
 	config  Config
 	queue   *admission.Queue
+	wants   *wants
+	uses    *uses
 	slots   map[table.AdapterVersion]*slot
-	running map[uint64]table.AdapterVersion
-	loading bool
+	running map[uint64]run
+	loading int
+	fails   map[table.AdapterVersion]int // failed loads since the last success
 }
 
 type slot struct {
-	ready    bool
-	pins     int
-	lastUsed time.Duration
+	ready bool
+	pins  int
+}
+
+// run is a dispatched request.
+type run struct {
+	adapter table.AdapterVersion
+	since   time.Duration
 }
 
 // NewWorker returns a worker with empty slots.
-func NewWorker(config Config) *Worker {
+func NewWorker(name string, config Config) *Worker {
 	return &Worker{
+		name:    name,
 		config:  config,
-		queue:   admission.NewQueue(config.QueueLimit),
+		queue:   admission.NewQueue(config.Queue),
+		wants:   newWants(config),
+		uses:    newUses(config),
 		slots:   make(map[table.AdapterVersion]*slot),
-		running: make(map[uint64]table.AdapterVersion),
+		running: make(map[uint64]run),
+		fails:   make(map[table.AdapterVersion]int),
 	}
 }
 
@@ -59,111 +62,96 @@
 // Running returns the number of dispatched requests.
 func (w *Worker) Running() int { return len(w.running) }
 
-// Step applies an event at now and returns the actions that follow.
+// Step applies an event at now and returns the actions that follow. It takes a
+// time logarithmic in the number of waiting requests and linear in the slots.
 func (w *Worker) Step(now time.Duration, event Event) []Action {
 	var actions []Action
 	switch e := event.(type) {
 	case Arrive:
-		if !w.queue.Push(e.Request) {
-			return []Action{Reject{ID: e.Request.ID, Reason: QueueFull}}
-		}
+		actions = w.arrive(now, e.Request)
 	case Loaded:
 		w.loaded(now, e.Adapter)
 	case LoadFailed:
-		actions = w.loadFailed(e.Adapter)
+		actions = w.loadFailed(now, e)
 	case Finished:
-		w.finished(now, e.ID)
+		w.finished(e.ID)
 	case Cancel:
-		w.queue.Remove(e.ID)
+		w.cancel(e.ID)
 	case Restarted:
-		w.slots = make(map[table.AdapterVersion]*slot)
-		w.loading = false
+		w.restarted(now)
 	case Tick:
 	}
-	return append(actions, w.schedule(now)...)
+	actions = append(actions, w.expire(now)...)
+	actions = append(actions, w.dispatch(now)...)
+	return append(actions, w.load(now)...)
 }
 
-func (w *Worker) loaded(now time.Duration, adapter table.AdapterVersion) {
-	w.loading = false
-	if s, found := w.slots[adapter]; found {
-		s.ready = true
-		s.lastUsed = now
+func (w *Worker) arrive(now time.Duration, r admission.Request) []Action {
+	if !w.queue.Push(r) {
+		return []Action{Reject{ID: r.ID, Reason: QueueFull}}
+	}
+	w.uses.count(now, r.Adapter)
+	if _, held := w.slots[r.Adapter]; !held {
+		w.wants.add(now, r)
 	}
+	return nil
 }
 
-func (w *Worker) loadFailed(adapter table.AdapterVersion) []Action {
-	w.loading = false
-	delete(w.slots, adapter)
-	var actions []Action
-	for _, r := range w.queue.Waiting() {
-		if r.Adapter == adapter {
-			w.queue.Remove(r.ID)
-			actions = append(actions, Reject{ID: r.ID, Reason: LoadError})
-		}
+func (w *Worker) cancel(id uint64) {
+	if r, found := w.queue.Remove(id); found {
+		w.wants.drop(r)
 	}
-	return actions
 }
 
-func (w *Worker) finished(now time.Duration, id uint64) {
-	adapter, found := w.running[id]
+func (w *Worker) finished(id uint64) {
+	ended, found := w.running[id]
 	if !found {
 		return
 	}
 	delete(w.running, id)
-	if s, resident := w.slots[adapter]; resident {
+	if s, resident := w.slots[ended.adapter]; resident && s.pins > 0 {
 		s.pins--
-		s.lastUsed = now
 	}
 }
 
-func (w *Worker) schedule(now time.Duration) []Action {
+// restarted empties the slots; what waits for them wants them again.
+func (w *Worker) restarted(now time.Duration) {
+	for adapter := range w.slots {
+		w.empty(now, adapter)
+	}
+}
+
+// empty gives up a slot.
+func (w *Worker) empty(now time.Duration, adapter table.AdapterVersion) {
+	if s := w.slots[adapter]; !s.ready {
+		w.loadEnded(now)
+	}
+	delete(w.slots, adapter)
+	w.queue.Park(adapter)
+	for _, r := range w.queue.Requests(adapter) {
+		w.wants.add(now, r)
+	}
+}
+
+func (w *Worker) expire(now time.Duration) []Action {
 	var actions []Action
 	for _, r := range w.queue.Expired(now) {
+		w.wants.drop(r)
 		actions = append(actions, Reject{ID: r.ID, Reason: DeadlinePassed})
 	}
-	for _, r := range w.queue.Waiting() {
-		s, found := w.slots[r.Adapter]
-		switch {
-		case found && s.ready && len(w.running) < w.config.Batch:
-			w.queue.Remove(r.ID)
-			s.pins++
-			w.running[r.ID] = r.Adapter
-			actions = append(actions, Dispatch{ID: r.ID})
-		case !found && !w.loading:
-			if load, possible := w.load(r.Adapter); possible {
-				actions = append(actions, load)
-			}
-		}
-	}
 	return actions
 }
 
-func (w *Worker) load(adapter table.AdapterVersion) (Load, bool) {
-	order := Load{Adapter: adapter}
-	if len(w.slots) >= w.config.Slots {
-		victim, found := w.victim()
+func (w *Worker) dispatch(now time.Duration) []Action {
+	var actions []Action
+	for len(w.running) < w.config.Batch {
+		r, found := w.queue.Next()
 		if !found {
-			return Load{}, false
+			break
 		}
-		delete(w.slots, victim)
-		order.Evict = &victim
+		w.slots[r.Adapter].pins++
+		w.running[r.ID] = run{adapter: r.Adapter, since: now}
+		actions = append(actions, Dispatch{ID: r.ID})
 	}
-	w.slots[adapter] = &slot{}
-	w.loading = true
-	return order, true
-}
-
-// victim returns the least recently used adapter without a request in progress.
-func (w *Worker) victim() (table.AdapterVersion, bool) {
-	var oldest table.AdapterVersion
-	found := false
-	for adapter, s := range w.slots {
-		if !s.ready || s.pins > 0 {
-			continue
-		}
-		if !found || s.lastUsed < w.slots[oldest].lastUsed {
-			oldest, found = adapter, true
-		}
-	}
-	return oldest, found
+	return actions
 }
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -140,11 +140,7 @@
 		w = &worker{
 			name:    r.Worker,
 			tickets: make(map[uint64]*ticket),
-			machine: residency.NewWorker(residency.Config{
-				Slots:      pool.Slots,
-				Batch:      pool.Batch,
-				QueueLimit: o.config.QueueLimit,
-			}),
+			machine: residency.NewWorker(r.Worker, o.policy(pool)),
 		}
 		o.workers[r.Worker] = w
 	}
@@ -156,12 +152,20 @@
 		Adapter:  r.Adapter,
 		Rank:     r.Rank,
 		Caller:   r.Caller,
+		Bytes:    len(r.Body),
 		Arrived:  now,
 		Deadline: now + r.Remaining(),
 	}})
 	return w, t
 }
 
+// policy returns the settings of a worker of the pool.
+func (o *Owner) policy(pool *table.Pool) residency.Config {
+	policy := residency.DefaultConfig(pool.Slots, pool.Batch)
+	policy.Queue.Limit = o.config.QueueLimit
+	return policy
+}
+
 // await returns nil when the request may be dispatched now.
 func (o *Owner) await(ctx context.Context, w *worker, id uint64, t *ticket) error {
 	select {
--- a/entry/owner/step.go
+++ b/entry/owner/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"sync"
 
 	"github.com/bulrushwick/bulrushwick/coord/residency"
@@ -47,7 +48,7 @@
 	err := o.loads.Submit(func() { o.load(w, order) })
 	if err != nil {
 		o.log.Error().Err(err).Str("event", "load_not_started").Str("worker", w.name).Send()
-		go o.step(w, residency.LoadFailed{Adapter: order.Adapter})
+		go o.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: rand.Float64()})
 	}
 }
 
@@ -59,7 +60,7 @@
 	}
 	if err := o.client.Load(w.address, order.Adapter, 0, loadTimeout); err != nil {
 		o.log.Warn().Err(err).Str("event", "load_failed").Str("worker", w.name).Send()
-		o.step(w, residency.LoadFailed{Adapter: order.Adapter})
+		o.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: rand.Float64()})
 		return
 	}
 	o.step(w, residency.Loaded{Adapter: order.Adapter})
