--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -25,10 +25,11 @@
 	pins  int
 }
 
-// run is a dispatched request.
+// run is a dispatched request. It pins the slot that it began on, and not the
+// slot that the same adapter has after a restart.
 type run struct {
-	adapter table.AdapterVersion
-	since   time.Duration
+	slot  *slot
+	since time.Duration
 }
 
 // NewWorker returns a worker with empty slots.
@@ -109,9 +110,7 @@
 		return
 	}
 	delete(w.running, id)
-	if s, resident := w.slots[ended.adapter]; resident && s.pins > 0 {
-		s.pins--
-	}
+	ended.slot.pins--
 }
 
 // restarted empties the slots; what waits for them wants them again.
@@ -149,8 +148,9 @@
 		if !found {
 			break
 		}
-		w.slots[r.Adapter].pins++
-		w.running[r.ID] = run{adapter: r.Adapter, since: now}
+		s := w.slots[r.Adapter]
+		s.pins++
+		w.running[r.ID] = run{slot: s, since: now}
 		actions = append(actions, Dispatch{ID: r.ID})
 	}
 	return actions
--- a/coord/residency/worker_test.go
+++ b/coord/residency/worker_test.go
@@ -78,6 +78,9 @@
 		if draw(10) == 0 {
 			clear(m.resident)
 			clear(m.loading)
+			for id := range m.running {
+				m.running[id] = table.AdapterVersion{} // lost, its end still to be told
+			}
 			return Restarted{}
 		}
 	}
