Choose workers by stages: holders, then home, then overflow

Sums of weights sent a request past a holder of its adapter when the holder was a little busier or stood in the other data centre of the region, and each such miss costs a load. A picker now has stages: a holder in the region that is not overloaded, the adapter's home in the region, a holder however loaded, any worker of the region, another region while the link is open. Reports name the adapters that are wanted too, so that two instances don't load one twice, and loads are reports corrected by what was sent since.

--- a/cmd/internal/experiment/entry.go
+++ b/cmd/internal/experiment/entry.go
@@ -18,6 +18,8 @@
 type view struct {
 	resident map[table.AdapterVersion]struct{}
 	inFlight int
+	reported int // requests at the worker by its last report
+	since    int // requests sent since then
 }
 
 func newEntry(s *simulation, name, dataCentre string) *entry {
@@ -35,16 +37,21 @@
 	return v
 }
 
-func (e *entry) begin(w *worker) { e.view(w).inFlight++ }
+func (e *entry) begin(w *worker) {
+	v := e.view(w)
+	v.inFlight++
+	v.since++
+}
 
 func (e *entry) end(w *worker) { e.view(w).inFlight-- }
 
-func (e *entry) report(w *worker, resident []table.AdapterVersion, _ int) {
-	set := make(map[table.AdapterVersion]struct{}, len(resident))
-	for _, adapter := range resident {
+func (e *entry) report(w *worker, held []table.AdapterVersion, load int) {
+	set := make(map[table.AdapterVersion]struct{}, len(held))
+	for _, adapter := range held {
 		set[adapter] = struct{}{}
 	}
-	e.view(w).resident = set
+	v := e.view(w)
+	v.resident, v.reported, v.since = set, load, 0
 }
 
 // pick chooses the worker of a request.
@@ -56,12 +63,15 @@
 		candidates[i] = placement.Candidate{
 			Endpoint: w.endpoint,
 			Resident: resident,
+			Load:     v.reported + v.since,
 			InFlight: v.inFlight,
 			Leaving:  w.engine.down || r.tried[w.endpoint.Name],
 		}
 	}
 	best, found := e.picker.Pick(placement.Query{
 		Adapter:    r.adapter,
+		Rank:       r.rank,
+		LinkOpen:   r.rank != table.Patient,
 		DataCentre: e.dataCentre,
 		Region:     e.sim.regions[e.dataCentre],
 		RegionOf:   func(dataCentre string) string { return e.sim.regions[dataCentre] },
--- a/cmd/internal/experiment/policy.go
+++ b/cmd/internal/experiment/policy.go
@@ -33,7 +33,7 @@
 	}
 }
 
-func productPicker(*simulation) picker { return placement.NewPicker() }
+func productPicker(*simulation) picker { return placement.NewPicker(placement.DefaultConfig()) }
 
 func productWorker(s *simulation, w *worker) *residency.Worker {
 	return residency.NewWorker(w.endpoint.Name, residency.DefaultConfig(s.spec.Slots, s.spec.Batch))
@@ -48,26 +48,20 @@
 
 // leastLoaded takes the worker of the region with the least work in flight.
 func leastLoaded(s *simulation) picker {
-	return &placement.Picker{
-		Filters: []placement.Filter{placement.NotLeaving{}, sameRegion{}},
-		Scorers: []placement.Scorer{placement.Load{}, chance{s.rng, tieBreak}},
-	}
+	return baseline(placement.Load{}, chance{s.rng, tieBreak})
 }
 
 // randomWorker takes any worker of the region.
 func randomWorker(s *simulation) picker {
-	return &placement.Picker{
-		Filters: []placement.Filter{placement.NotLeaving{}, sameRegion{}},
-		Scorers: []placement.Scorer{chance{s.rng, 1}},
-	}
+	return baseline(chance{s.rng, 1})
 }
 
-// sameRegion drops the workers of other regions.
-type sameRegion struct{}
-
-// Keep implements placement.Filter.
-func (sameRegion) Keep(q placement.Query, c placement.Candidate) bool {
-	return q.RegionOf(c.Endpoint.DataCentre) == q.Region
+// baseline returns a picker with a single stage within the region.
+func baseline(scorers ...placement.Scorer) picker {
+	return &placement.Picker{Stages: []placement.Stage{{
+		Filters: []placement.Filter{placement.NotLeaving{}, placement.SameRegion{}},
+		Scorers: scorers,
+	}}}
 }
 
 // tieBreak is below what one request in flight changes in the Load scorer.
--- a/cmd/internal/experiment/simulation.go
+++ b/cmd/internal/experiment/simulation.go
@@ -288,10 +288,10 @@
 // report brings every entry's view up to the present.
 func (s *simulation) report() {
 	for _, w := range s.workers {
-		resident := w.machine.Resident()
+		held := w.machine.Held()
 		load := w.machine.Waiting() + w.machine.Running()
 		for _, e := range s.entries {
-			e.report(w, resident, load)
+			e.report(w, held, load)
 		}
 	}
 }
--- /dev/null
+++ b/coord/placement/filters.go
@@ -0,0 +1,33 @@
+package placement
+
+// NotLeaving drops workers that take no new work.
+type NotLeaving struct{}
+
+// Keep implements Filter.
+func (NotLeaving) Keep(_ Query, c Candidate) bool { return !c.Leaving }
+
+// SameRegion drops the workers of other regions.
+type SameRegion struct{}
+
+// Keep implements Filter.
+func (SameRegion) Keep(q Query, c Candidate) bool { return q.InRegion(c) }
+
+// Holder drops workers without the adapter.
+type Holder struct{}
+
+// Keep implements Filter.
+func (Holder) Keep(_ Query, c Candidate) bool { return c.Resident }
+
+// NotOverloaded drops workers with too many requests for the query's rank.
+type NotOverloaded struct{ Config Config }
+
+// Keep implements Filter.
+func (f NotOverloaded) Keep(q Query, c Candidate) bool {
+	return float64(c.Requests()) < f.Config.Overload[q.Rank]*float64(max(q.Batch, 1))
+}
+
+// LinkOpen drops other regions' workers when the link's budget is used up.
+type LinkOpen struct{}
+
+// Keep implements Filter.
+func (LinkOpen) Keep(q Query, c Candidate) bool { return q.LinkOpen || q.InRegion(c) }
--- a/coord/placement/picker.go
+++ b/coord/placement/picker.go
@@ -1,16 +1,17 @@
 package placement
 
-import (
-	"github.com/bulrushwick/bulrushwick/coord/ownership"
-	"github.com/bulrushwick/bulrushwick/coord/table"
-)
+import "github.com/bulrushwick/bulrushwick/coord/table"
 
 // Candidate is a worker with what is known of it.
 type Candidate struct {
 	// Endpoint is the worker.
 	Endpoint table.Endpoint
-	// Resident says that the worker is believed to hold the adapter.
+	// Resident says that the worker is believed to hold the adapter, or to have
+	// requests that wait for it.
 	Resident bool
+	// Load is the number of requests that the worker was last reported to hold,
+	// waiting or running, corrected by those this instance has sent since.
+	Load int
 	// InFlight is the number of requests this instance has sent and not seen
 	// finished.
 	InFlight int
@@ -18,10 +19,15 @@
 	Leaving bool
 }
 
+// Requests returns the number of requests believed to be at the worker.
+func (c Candidate) Requests() int { return max(c.Load, c.InFlight) }
+
 // Query describes the request to place.
 type Query struct {
 	// Adapter is the adapter that must serve it; zero for plain services.
 	Adapter table.AdapterVersion
+	// Rank is the request's urgency.
+	Rank table.Rank
 	// DataCentre is where the caller arrived.
 	DataCentre string
 	// Region is the region of DataCentre.
@@ -30,6 +36,14 @@
 	RegionOf func(dataCentre string) string
 	// Batch is the number of requests a worker runs at once.
 	Batch int
+	// LinkOpen says that the budget of the link between regions has room for the
+	// request.
+	LinkOpen bool
+}
+
+// InRegion tells whether the candidate stands in the query's region.
+func (q Query) InRegion(c Candidate) bool {
+	return c.Endpoint.DataCentre == q.DataCentre || q.RegionOf != nil && q.RegionOf(c.Endpoint.DataCentre) == q.Region
 }
 
 // Filter tells whether a candidate may serve the query.
@@ -42,30 +56,60 @@
 	Score(q Query, c Candidate) float64
 }
 
-// Picker chooses among candidates.
-type Picker struct {
+// Stage is one way to choose: the best by Scorers of the candidates that every
+// Filter keeps.
+type Stage struct {
 	Filters []Filter
 	Scorers []Scorer
 }
 
-// NewPicker returns the picker with the default filters and scorers.
-func NewPicker() *Picker {
-	return &Picker{
-		Filters: []Filter{NotLeaving{}},
-		Scorers: []Scorer{Locality{}, Residency{}, Load{}, Home{}},
+// Picker tries its stages in turn and takes the first that keeps a candidate.
+type Picker struct {
+	Stages []Stage
+}
+
+// NewPicker returns the picker with the default stages:
+//
+//  1. a worker of the region that has the adapter and is not overloaded;
+//  2. the adapter's home in the region that is not overloaded, so that demand
+//     beyond what the holders take spreads to one more worker;
+//  3. a holder of the adapter in the region, however loaded;
+//  4. any worker of the region;
+//  5. another region's worker, while the link's budget has room.
+func NewPicker(config Config) *Picker {
+	load, home := Load{}, Home{}
+	near := []Filter{NotLeaving{}, SameRegion{}}
+	with := func(filters []Filter, more ...Filter) []Filter {
+		return append(append([]Filter(nil), filters...), more...)
 	}
+	return &Picker{Stages: []Stage{
+		{Filters: with(near, Holder{}, NotOverloaded{config}), Scorers: []Scorer{load, SameDataCentre{}}},
+		{Filters: with(near, NotOverloaded{config}), Scorers: []Scorer{home}},
+		{Filters: with(near, Holder{}), Scorers: []Scorer{load}},
+		{Filters: near, Scorers: []Scorer{load, home}},
+		{Filters: []Filter{NotLeaving{}, LinkOpen{}}, Scorers: []Scorer{Holding{}, load, home}},
+	}}
 }
 
-// Pick returns the index of the best candidate, or false where none may serve.
+// Pick returns the index of the chosen candidate, or false where none may serve.
 func (p *Picker) Pick(q Query, candidates []Candidate) (int, bool) {
+	for _, stage := range p.Stages {
+		if best, found := stage.pick(q, candidates); found {
+			return best, true
+		}
+	}
+	return 0, false
+}
+
+func (s Stage) pick(q Query, candidates []Candidate) (int, bool) {
 	best, bestScore := -1, 0.0
 	for i, c := range candidates {
-		if !p.keep(q, c) {
+		if !s.keep(q, c) {
 			continue
 		}
 		score := 0.0
-		for _, s := range p.Scorers {
-			score += s.Score(q, c)
+		for _, scorer := range s.Scorers {
+			score += scorer.Score(q, c)
 		}
 		if best < 0 || score > bestScore {
 			best, bestScore = i, score
@@ -74,73 +118,11 @@
 	return best, best >= 0
 }
 
-func (p *Picker) keep(q Query, c Candidate) bool {
-	for _, f := range p.Filters {
+func (s Stage) keep(q Query, c Candidate) bool {
+	for _, f := range s.Filters {
 		if !f.Keep(q, c) {
 			return false
 		}
 	}
 	return true
 }
-
-// NotLeaving drops workers that take no new work.
-type NotLeaving struct{}
-
-// Keep implements Filter.
-func (NotLeaving) Keep(_ Query, c Candidate) bool { return !c.Leaving }
-
-// Weights of the default scorers: locality outweighs residency, which outweighs
-// load; the home set only breaks ties among workers without the adapter.
-const (
-	localityWeight  = 8.0
-	residencyWeight = 4.0
-	loadWeight      = 2.0
-	homeWeight      = 1.0
-)
-
-// Locality prefers the caller's data centre, then its region.
-type Locality struct{}
-
-// Score implements Scorer.
-func (Locality) Score(q Query, c Candidate) float64 {
-	switch {
-	case c.Endpoint.DataCentre == q.DataCentre:
-		return localityWeight
-	case q.RegionOf != nil && q.RegionOf(c.Endpoint.DataCentre) == q.Region:
-		return localityWeight * 0.75
-	default:
-		return 0
-	}
-}
-
-// Residency prefers workers that hold the adapter.
-type Residency struct{}
-
-// Score implements Scorer.
-func (Residency) Score(_ Query, c Candidate) float64 {
-	if c.Resident {
-		return residencyWeight
-	}
-	return 0
-}
-
-// Load prefers workers with less work from this instance.
-type Load struct{}
-
-// Score implements Scorer.
-func (Load) Score(q Query, c Candidate) float64 {
-	return -loadWeight * float64(c.InFlight) / float64(max(q.Batch, 1))
-}
-
-// Home prefers the adapter's home by rendezvous hashing, so that all instances
-// load an absent adapter on the same worker.
-type Home struct{}
-
-// Score implements Scorer.
-func (Home) Score(q Query, c Candidate) float64 {
-	if q.Adapter == (table.AdapterVersion{}) {
-		return 0
-	}
-	const scale = float64(1 << 63)
-	return homeWeight * float64(ownership.Score(q.Adapter.String(), c.Endpoint.Name)>>1) / scale
-}
--- /dev/null
+++ b/coord/placement/scorers.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
+	"github.com/bulrushwick/bulrushwick/coord/table"
+)
+
+// Weights of the scorers, against one batch of requests for Load.
+const (
+	// sameDataCentreWeight decides among equally loaded workers.
+	sameDataCentreWeight = 0.25
+	// holdingWeight outweighs a load of several batches.
+	holdingWeight = 8.0
+)
+
+// SameDataCentre prefers workers of the caller's data centre.
+type SameDataCentre struct{}
+
+// Score implements Scorer.
+func (SameDataCentre) Score(q Query, c Candidate) float64 {
+	if c.Endpoint.DataCentre == q.DataCentre {
+		return sameDataCentreWeight
+	}
+	return 0
+}
+
+// Holding prefers workers that have the adapter.
+type Holding struct{}
+
+// Score implements Scorer.
+func (Holding) Score(_ Query, c Candidate) float64 {
+	if c.Resident {
+		return holdingWeight
+	}
+	return 0
+}
+
+// Load prefers workers with fewer requests.
+type Load struct{}
+
+// Score implements Scorer.
+func (Load) Score(q Query, c Candidate) float64 {
+	return -float64(c.Requests()) / float64(max(q.Batch, 1))
+}
+
+// Home prefers the adapter's home by rendezvous hashing, so that all instances
+// load an absent adapter on the same worker. Its score is from 0 to 1. Queries
+// without an adapter have no home: they go to the least loaded worker.
+type Home struct{}
+
+// Score implements Scorer.
+func (Home) Score(q Query, c Candidate) float64 {
+	if q.Adapter == (table.AdapterVersion{}) {
+		return Load{}.Score(q, c)
+	}
+	const scale = float64(1 << 63)
+	return float64(ownership.Score(q.Adapter.String(), c.Endpoint.Name)>>1) / scale
+}
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -57,6 +57,18 @@
 	return ready
 }
 
+// Held lists the adapters that occupy a slot or have requests that wait for one.
+func (w *Worker) Held() []table.AdapterVersion {
+	held := make([]table.AdapterVersion, 0, len(w.slots)+len(w.wants.byName))
+	for adapter := range w.slots {
+		held = append(held, adapter)
+	}
+	for adapter := range w.wants.byName {
+		held = append(held, adapter)
+	}
+	return held
+}
+
 // Waiting returns the number of queued requests.
 func (w *Worker) Waiting() int { return w.queue.Len() }
 
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -57,7 +57,7 @@
 		fleet:  f,
 		local:  local,
 		remote: remote,
-		picker: placement.NewPicker(),
+		picker: placement.NewPicker(placement.DefaultConfig()),
 		log:    log,
 		budget: attempt.NewBudget(attempt.DefaultBudgetConfig()),
 	}
@@ -166,6 +166,8 @@
 	}
 	query := placement.Query{
 		Adapter:    r.Adapter,
+		Rank:       r.Rank,
+		LinkOpen:   true,
 		DataCentre: s.fleet.DataCentre(),
 		Region:     t.RegionOf(s.fleet.DataCentre()),
 		RegionOf:   t.RegionOf,
