Keep the store's limits by shares and loans of single loads

Each instance now has the share of its workers over the published pool's, so the shares hold when the fleet is cut apart; a claim that stands asks a peer for a loan, the right to begin one load. The lender gives up a token and a transit first and has the transit back when the load is over, or when the term, the longest load and a margin have passed.

Ruled out: lending rate for a term. It needs both sides to measure a rate, and a loan of one load is used or dropped within its term.

--- a/cmd/internal/experiment/entry.go
+++ b/cmd/internal/experiment/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/bulrushwick/bulrushwick/coord/placement"
+	"github.com/bulrushwick/bulrushwick/coord/residency"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
@@ -12,6 +13,7 @@
 	dataCentre string
 	picker     picker
 	views      map[*worker]*view
+	budget     *residency.Budget
 }
 
 // view is what an entry knows of one worker.
@@ -24,6 +26,7 @@
 
 func newEntry(s *simulation, name, dataCentre string) *entry {
 	e := &entry{sim: s, name: name, dataCentre: dataCentre, views: make(map[*worker]*view)}
+	e.budget = residency.NewBudget(residency.DefaultBudgetConfig())
 	e.picker = s.policy.newPicker(s)
 	return e
 }
--- a/cmd/internal/experiment/faults.go
+++ b/cmd/internal/experiment/faults.go
@@ -43,3 +43,23 @@
 	}
 	return false
 }
+
+// connected tells whether two data centres reach each other now.
+func (s *simulation) connected(a, b string) bool {
+	for _, e := range s.scenario.Events {
+		if s.now < seconds(e.From) || s.now >= seconds(e.To) {
+			continue
+		}
+		switch e.Kind {
+		case RegionCut:
+			if s.regions[a] != s.regions[b] {
+				return false
+			}
+		case DataCentreLost:
+			if a == e.DataCentre || b == e.DataCentre {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/cmd/internal/experiment/policy.go
+++ b/cmd/internal/experiment/policy.go
@@ -27,7 +27,7 @@
 	return []Policy{
 		// The variants of the product's policy follow it, then the baselines.
 		{Name: "bulrushwick", newPicker: productPicker, newWorker: productWorker},
-		{Name: "plain-lru", newPicker: productPicker, newWorker: plainWorker},
+		{Name: "plain-lru", newPicker: productPicker, newWorker: lruWorker},
 		{Name: "least-loaded-lru", newPicker: leastLoaded, newWorker: plainWorker},
 		{Name: "random-worker", newPicker: randomWorker, newWorker: plainWorker},
 	}
@@ -36,7 +36,21 @@
 func productPicker(*simulation) picker { return placement.NewPicker(placement.DefaultConfig()) }
 
 func productWorker(s *simulation, w *worker) *residency.Worker {
-	return residency.NewWorker(w.endpoint.Name, residency.DefaultConfig(s.spec.Slots, s.spec.Batch))
+	return residency.NewWorker(w.endpoint.Name, productConfig(s, w))
+}
+
+func productConfig(s *simulation, w *worker) residency.Config {
+	config := residency.DefaultConfig(s.spec.Slots, s.spec.Batch)
+	config.Loads = w.owner.budget
+	return config
+}
+
+// lruWorker is the product's worker but for evicting the least recently used
+// adapter.
+func lruWorker(s *simulation, w *worker) *residency.Worker {
+	config := productConfig(s, w)
+	config.Eviction = residency.LeastRecent
+	return residency.NewWorker(w.endpoint.Name, config)
 }
 
 // plainWorker evicts the least recently used adapter.
--- a/cmd/internal/experiment/simulation.go
+++ b/cmd/internal/experiment/simulation.go
@@ -157,7 +157,13 @@
 		s.after(a.at, func() { s.arrive(r) })
 	}
 	s.every(millis(s.scenario.Service.ReportMs), end, s.report)
+	for _, e := range s.entries {
+		e.startBudget()
+	}
 	s.every(tickEvery, end, func() {
+		for _, e := range s.entries {
+			e.borrow()
+		}
 		for _, w := range s.workers {
 			s.step(w, residency.Tick{})
 		}
--- a/coord/residency/config.go
+++ b/coord/residency/config.go
@@ -81,9 +81,9 @@
 type Loads interface {
 	// Take tells whether the worker may begin its load now. Each true is followed
 	// by one Done.
-	Take(now time.Duration, worker string, w Want) bool
+	Take(now time.Duration, worker string, w Want) (Right, bool)
 	// Withdraw ends the worker's claim after a Take that returned false.
 	Withdraw(worker string)
-	// Done reports that a load has ended, however it ended.
-	Done(now time.Duration)
+	// Done reports that the load on a right has ended, however it ended.
+	Done(now time.Duration, right Right)
 }
--- a/coord/residency/loads.go
+++ b/coord/residency/loads.go
@@ -21,18 +21,26 @@
 		w.withdraw()
 		return nil
 	}
-	if w.config.Loads != nil && !w.config.Loads.Take(now, w.name, Want{Rank: best.rank(), Waiting: best.waiting}) {
+	right, granted := w.take(now, best)
+	if !granted {
 		return nil
 	}
 	w.wants.remove(best)
 	if evict != nil {
 		w.empty(now, *evict)
 	}
-	w.slots[best.adapter] = &slot{}
+	w.slots[best.adapter] = &slot{right: right}
 	w.loading++
 	return []Action{Load{Adapter: best.adapter, Evict: evict}}
 }
 
+func (w *Worker) take(now time.Duration, best *want) (Right, bool) {
+	if w.config.Loads == nil {
+		return Right{}, true
+	}
+	return w.config.Loads.Take(now, w.name, Want{Rank: best.rank(), Waiting: best.waiting})
+}
+
 func (w *Worker) withdraw() {
 	if w.config.Loads != nil {
 		w.config.Loads.Withdraw(w.name)
@@ -83,16 +91,16 @@
 	if !found || s.ready {
 		return
 	}
-	w.loadEnded(now)
+	w.loadEnded(now, s)
 	s.ready = true
 	delete(w.fails, adapter)
 	w.queue.SetReady(adapter)
 }
 
-func (w *Worker) loadEnded(now time.Duration) {
+func (w *Worker) loadEnded(now time.Duration, s *slot) {
 	w.loading--
 	if w.config.Loads != nil {
-		w.config.Loads.Done(now)
+		w.config.Loads.Done(now, s.right)
 	}
 }
 
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -23,6 +23,7 @@
 type slot struct {
 	ready bool
 	pins  int
+	right Right // that its load ran on
 }
 
 // run is a dispatched request. It pins the slot that it began on, and not the
@@ -135,7 +136,7 @@
 // empty gives up a slot.
 func (w *Worker) empty(now time.Duration, adapter table.AdapterVersion) {
 	if s := w.slots[adapter]; !s.ready {
-		w.loadEnded(now)
+		w.loadEnded(now, s)
 	}
 	delete(w.slots, adapter)
 	w.queue.Park(adapter)
