Keep floors for every rank and refuse what would be late

Ranks now earn a share of dispatches and loads while they have work, a slot can be drained for a load that goes before what waits there, a request is refused at once when the work ahead of it outlasts its deadline, and none is dispatched with less time left than the mean service takes.

--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -16,13 +16,13 @@
 	LimitBytes int
 	// Floors is the share of dispatches that a rank keeps while it has work that
 	// could run, whatever waits in more urgent ranks. A higher floor slows the
-	// urgent rank in a flood of its own. Default: 0.
+	// urgent rank in a flood of its own. Default: 0, 0.2 and 0.1.
 	Floors [table.RankCount]float64
 }
 
 // DefaultConfig returns the defaults.
 func DefaultConfig() Config {
-	return Config{Limit: 1000, LimitBytes: 16 << 20}
+	return Config{Limit: 1000, LimitBytes: 16 << 20, Floors: [table.RankCount]float64{0, 0.2, 0.1}}
 }
 
 // Queue holds waiting requests. Those whose adapter is ready are runnable and
@@ -36,7 +36,7 @@
 	items     map[uint64]*item
 	lines     map[table.AdapterVersion]*line
 	ranks     [table.RankCount]*rankQueue
-	credit    [table.RankCount]float64
+	floors    Floors
 	deadlines deadlineHeap
 }
 
@@ -44,6 +44,7 @@
 func NewQueue(config Config) *Queue {
 	q := &Queue{
 		config: config,
+		floors: NewFloors(config.Floors),
 		items:  make(map[uint64]*item),
 		lines:  make(map[table.AdapterVersion]*line),
 	}
@@ -164,42 +165,20 @@
 
 // Next takes the runnable request whose turn it is.
 func (q *Queue) Next() (Request, bool) {
-	rank, found := q.nextRank()
+	var work Work
+	for rank := range q.ranks {
+		work[rank] = q.ranks[rank].length > 0
+	}
+	rank, owed, found := q.floors.Next(work)
 	if !found {
 		return Request{}, false
 	}
+	q.floors.Took(rank, owed, work)
 	i := q.ranks[rank].pop()
 	q.forget(i)
 	return i.Request, true
 }
 
-// nextRank returns the rank to serve: the most urgent one with work, unless
-// another has earned its floor. While a rank has work, it earns its floor's
-// share of each dispatch.
-func (q *Queue) nextRank() (table.Rank, bool) {
-	first, found := table.Urgent, false
-	owed, owing := table.Urgent, false
-	for rank := range q.ranks {
-		if q.ranks[rank].length == 0 {
-			q.credit[rank] = 0
-			continue
-		}
-		if !found {
-			first, found = table.Rank(rank), true
-			continue
-		}
-		q.credit[rank] += q.config.Floors[rank]
-		if !owing && q.credit[rank] >= 1 {
-			owed, owing = table.Rank(rank), true
-		}
-	}
-	if owing {
-		q.credit[owed]--
-		return owed, true
-	}
-	return first, found
-}
-
 func (q *Queue) line(adapter table.AdapterVersion) *line {
 	l, found := q.lines[adapter]
 	if !found {
--- a/coord/residency/config.go
+++ b/coord/residency/config.go
@@ -31,6 +31,14 @@
 	// one use, so that a group of requests does not pass for lasting demand.
 	// Default: 5 s.
 	UseGap time.Duration
+	// SpareService is the time that a request must have left when it is dispatched,
+	// in mean times of service; one with less is rejected. More wastes less work on
+	// late answers and gives up requests that could have been in time. Default: 1.
+	SpareService float64
+	// MinStay is how long an adapter stays before its slot may be drained for more
+	// urgent work. Shorter serves the urgent rank sooner and thrashes in a flood.
+	// Default: 2 s.
+	MinStay time.Duration
 	// LoadTries is the number of failed loads of an adapter after which its
 	// requests are rejected, to be tried on another worker. Default: 2.
 	LoadTries int
@@ -63,6 +71,8 @@
 		GatherCount:  8,
 		HalfLife:     time.Minute,
 		UseGap:       5 * time.Second,
+		SpareService: 1,
+		MinStay:      2 * time.Second,
 		LoadTries:    2,
 		BackOff:      500 * time.Millisecond,
 		BackOffLimit: 10 * time.Second,
--- a/coord/residency/loads.go
+++ b/coord/residency/loads.go
@@ -3,28 +3,45 @@
 import (
 	"time"
 
+	"github.com/bulrushwick/bulrushwick/coord/admission"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
 // loadsAtOnce bounds the loads in progress on a worker.
 const loadsAtOnce = 1
 
-// load begins the best load for which there is a slot and the right.
+// load begins the load whose turn it is, if there is a slot and the right.
 func (w *Worker) load(now time.Duration) []Action {
-	best := w.wants.best(now)
-	if best == nil || w.loading >= loadsAtOnce {
+	work := w.wants.settle(now)
+	if w.loading >= loadsAtOnce {
 		w.withdraw()
 		return nil
 	}
-	evict, possible := w.room(now, best)
-	if !possible {
-		w.withdraw()
-		return nil
-	}
-	right, granted := w.take(now, best)
-	if !granted {
-		return nil
+	for remaining := work; ; {
+		rank, owed, found := w.wants.floors.Next(remaining)
+		if !found {
+			w.withdraw()
+			w.endDrain(work)
+			return nil
+		}
+		best := w.wants.asking[rank][0]
+		evict, possible := w.room(now, rank)
+		if !possible {
+			w.drain(now, rank, owed)
+			remaining[rank] = false
+			continue
+		}
+		right, granted := w.take(now, best, owed)
+		if !granted {
+			return nil
+		}
+		w.wants.floors.Took(rank, owed, work)
+		return w.begin(now, best, evict, right)
 	}
+}
+
+// begin orders a load.
+func (w *Worker) begin(now time.Duration, best *want, evict *table.AdapterVersion, right Right) []Action {
 	w.wants.remove(best)
 	if evict != nil {
 		w.empty(now, *evict)
@@ -34,11 +51,16 @@
 	return []Action{Load{Adapter: best.adapter, Evict: evict}}
 }
 
-func (w *Worker) take(now time.Duration, best *want) (Right, bool) {
+// take asks for the right to load. A rank that is owed its floor comes first.
+func (w *Worker) take(now time.Duration, best *want, owed bool) (Right, bool) {
 	if w.config.Loads == nil {
 		return Right{}, true
 	}
-	return w.config.Loads.Take(now, w.name, Want{Rank: best.rank(), Waiting: best.waiting})
+	claim := Want{Rank: best.rank, Waiting: best.waiting}
+	if owed {
+		claim.Rank = table.Urgent
+	}
+	return w.config.Loads.Take(now, w.name, claim)
 }
 
 func (w *Worker) withdraw() {
@@ -47,24 +69,62 @@
 	}
 }
 
-// room returns the adapter to unload for a want, nil where a slot is free.
-func (w *Worker) room(now time.Duration, best *want) (evict *table.AdapterVersion, possible bool) {
+// room returns the adapter to unload for a load of that rank, nil where a slot
+// is free.
+func (w *Worker) room(now time.Duration, rank table.Rank) (evict *table.AdapterVersion, possible bool) {
 	if len(w.slots) < w.config.Slots {
 		return nil, true
 	}
-	var victim table.AdapterVersion
+	return w.cheapest(now, func(adapter table.AdapterVersion, s *slot) bool {
+		return s.pins == 0 && (s.draining || !w.waitsAhead(adapter, rank))
+	})
+}
+
+// cheapest returns the ready adapter of the least value that suits.
+func (w *Worker) cheapest(now time.Duration, suits func(table.AdapterVersion, *slot) bool) (*table.AdapterVersion, bool) {
+	var cheapest table.AdapterVersion
 	found := false
 	lowest := 0.0
 	for adapter, s := range w.slots {
-		if !s.ready || s.pins > 0 || w.waitsAhead(adapter, best.rank()) {
+		if !s.ready || !suits(adapter, s) {
 			continue
 		}
 		value := w.value(now, adapter)
-		if !found || value < lowest || value == lowest && adapter.String() < victim.String() {
-			victim, lowest, found = adapter, value, true
+		if !found || value < lowest || value == lowest && adapter.String() < cheapest.String() {
+			cheapest, lowest, found = adapter, value, true
+		}
+	}
+	return &cheapest, found
+}
+
+// drain stops the dispatches on one adapter, so that its slot comes free for a
+// load that goes before what waits there. One slot drains at a time.
+func (w *Worker) drain(now time.Duration, rank table.Rank, owed bool) {
+	for _, s := range w.slots {
+		if s.draining {
+			return
+		}
+	}
+	adapter, found := w.cheapest(now, func(adapter table.AdapterVersion, s *slot) bool {
+		return now >= s.since+w.config.MinStay && (owed || !w.waitsAhead(adapter, rank))
+	})
+	if found {
+		w.slots[*adapter].draining = true
+		w.queue.Park(*adapter)
+	}
+}
+
+// endDrain resumes the dispatches when no load is wanted any more.
+func (w *Worker) endDrain(work admission.Work) {
+	if work != (admission.Work{}) {
+		return
+	}
+	for adapter, s := range w.slots {
+		if s.draining {
+			s.draining = false
+			w.queue.SetReady(adapter)
 		}
 	}
-	return &victim, found
 }
 
 // waitsAhead tells whether a request waits for a resident adapter that is not
@@ -93,6 +153,7 @@
 	}
 	w.loadEnded(now, s)
 	s.ready = true
+	s.since = now
 	delete(w.fails, adapter)
 	w.queue.SetReady(adapter)
 }
--- a/coord/residency/wants.go
+++ b/coord/residency/wants.go
@@ -16,12 +16,13 @@
 	due     time.Duration // when it asks for a load
 	since   time.Duration // first arrival
 	fails   int
-	asking  bool // in the asking heap, else in the gathering heap
+	asking  bool       // in an asking heap, else in the gathering heap
+	rank    table.Rank // of its asking heap
 	place   int
 }
 
-// rank returns the most urgent rank that waits.
-func (w *want) rank() table.Rank {
+// mostUrgent returns the most urgent rank that waits.
+func (w *want) mostUrgent() table.Rank {
 	for rank, n := range w.ranks {
 		if n > 0 {
 			return table.Rank(rank)
@@ -36,11 +37,16 @@
 	config    Config
 	byName    map[table.AdapterVersion]*want
 	gathering dueHeap
-	asking    askHeap
+	asking    [table.RankCount]askHeap
+	floors    admission.Floors
 }
 
 func newWants(c Config) *wants {
-	return &wants{config: c, byName: make(map[table.AdapterVersion]*want)}
+	return &wants{
+		config: c,
+		byName: make(map[table.AdapterVersion]*want),
+		floors: admission.NewFloors(c.Queue.Floors),
+	}
 }
 
 // add counts a waiting request.
@@ -78,47 +84,59 @@
 	s.fix(w)
 }
 
-// best returns the want that should be loaded first, or nil.
-func (s *wants) best(now time.Duration) *want {
+// settle lets the wants that are due ask, and tells which ranks ask.
+func (s *wants) settle(now time.Duration) admission.Work {
 	for len(s.gathering) > 0 && s.gathering[0].due <= now {
 		w := heap.Pop(&s.gathering).(*want)
 		w.asking = true
-		heap.Push(&s.asking, w)
+		s.ask(w)
 	}
-	if len(s.asking) == 0 {
-		return nil
+	var work admission.Work
+	for rank := range s.asking {
+		work[rank] = len(s.asking[rank]) > 0
 	}
-	return s.asking[0]
+	return work
+}
+
+// ask puts a want among those of its rank.
+func (s *wants) ask(w *want) {
+	w.rank = w.mostUrgent()
+	heap.Push(&s.asking[w.rank], w)
 }
 
 // postpone makes a want gather again until due.
 func (s *wants) postpone(w *want, due time.Duration) {
-	if w.asking {
-		heap.Remove(&s.asking, w.place)
-		w.asking = false
-		w.due = due
-		heap.Push(&s.gathering, w)
-		return
-	}
+	s.lift(w)
+	w.asking = false
 	w.due = due
-	heap.Fix(&s.gathering, w.place)
+	heap.Push(&s.gathering, w)
 }
 
 // remove forgets a want.
 func (s *wants) remove(w *want) {
+	s.lift(w)
+	delete(s.byName, w.adapter)
+}
+
+// lift takes a want out of its heap.
+func (s *wants) lift(w *want) {
 	if w.asking {
-		heap.Remove(&s.asking, w.place)
+		heap.Remove(&s.asking[w.rank], w.place)
 	} else {
 		heap.Remove(&s.gathering, w.place)
 	}
-	delete(s.byName, w.adapter)
 }
 
+// fix puts a want in its place after a change.
 func (s *wants) fix(w *want) {
-	if w.asking {
-		heap.Fix(&s.asking, w.place)
-	} else {
+	switch {
+	case !w.asking:
 		heap.Fix(&s.gathering, w.place)
+	case w.rank != w.mostUrgent():
+		s.lift(w)
+		s.ask(w)
+	default:
+		heap.Fix(&s.asking[w.rank], w.place)
 	}
 }
 
@@ -147,16 +165,11 @@
 // Pop implements heap.Interface.
 func (h *dueHeap) Pop() any { return pop((*[]*want)(h)) }
 
-// askHeap orders wants by rank, then by age.
+// askHeap orders the wants of a rank by age.
 type askHeap []*want
 
-func (h askHeap) Len() int { return len(h) }
-func (h askHeap) Less(i, j int) bool {
-	if h[i].rank() != h[j].rank() {
-		return h[i].rank() < h[j].rank()
-	}
-	return earlier(h[i], h[j])
-}
+func (h askHeap) Len() int           { return len(h) }
+func (h askHeap) Less(i, j int) bool { return earlier(h[i], h[j]) }
 func (h askHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].place, h[j].place = i, j
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -17,13 +17,16 @@
 	slots   map[table.AdapterVersion]*slot
 	running map[uint64]run
 	loading int
+	service time.Duration                // mean time from dispatch to end
 	fails   map[table.AdapterVersion]int // failed loads since the last success
 }
 
 type slot struct {
-	ready bool
-	pins  int
-	right Right // that its load ran on
+	ready    bool
+	since    time.Duration // ready
+	draining bool          // takes no more requests
+	pins     int
+	right    Right // that its load ran on
 }
 
 // run is a dispatched request. It pins the slot that it began on, and not the
@@ -88,7 +91,7 @@
 	case LoadFailed:
 		actions = w.loadFailed(now, e)
 	case Finished:
-		w.finished(e.ID)
+		w.finished(now, e.ID)
 	case Cancel:
 		w.cancel(e.ID)
 	case Restarted:
@@ -101,6 +104,9 @@
 }
 
 func (w *Worker) arrive(now time.Duration, r admission.Request) []Action {
+	if late := w.late(now, r); late > 0 {
+		return []Action{Reject{ID: r.ID, Reason: WouldBeLate, RetryAfter: late}}
+	}
 	if !w.queue.Push(r) {
 		return []Action{Reject{ID: r.ID, Reason: QueueFull}}
 	}
@@ -117,13 +123,14 @@
 	}
 }
 
-func (w *Worker) finished(id uint64) {
+func (w *Worker) finished(now time.Duration, id uint64) {
 	ended, found := w.running[id]
 	if !found {
 		return
 	}
 	delete(w.running, id)
 	ended.slot.pins--
+	w.observe(now - ended.since)
 }
 
 // restarted empties the slots; what waits for them wants them again.
@@ -147,7 +154,7 @@
 
 func (w *Worker) expire(now time.Duration) []Action {
 	var actions []Action
-	for _, r := range w.queue.Expired(now) {
+	for _, r := range w.queue.Expired(now + w.spare()) {
 		w.wants.drop(r)
 		actions = append(actions, Reject{ID: r.ID, Reason: DeadlinePassed})
 	}
--- a/coord/residency/worker_test.go
+++ b/coord/residency/worker_test.go
@@ -204,7 +204,7 @@
 	actions := w.Worker.Step(now, event)
 	for _, action := range actions {
 		if dispatched, is := action.(Dispatch); is {
-			w.finished(dispatched.ID)
+			w.finished(now, dispatched.ID)
 		}
 	}
 	return actions
