--- a/cmd/internal/capacity/measure.go
+++ b/cmd/internal/capacity/measure.go
@@ -272,7 +272,9 @@
 
 // busyWorker returns a worker with full slots, a full batch and a queue.
 func busyWorker(waiting int) *residency.Worker {
-	w := residency.NewWorker(residency.Config{Slots: slotsPerWorker, Batch: batchPerWorker, QueueLimit: queueLimit})
+	policy := residency.DefaultConfig(slotsPerWorker, batchPerWorker)
+	policy.Queue.Limit = queueLimit
+	w := residency.NewWorker("worker", policy)
 	adapters := resident(0, slotsPerWorker)
 	for i := range batchPerWorker + waiting {
 		adapter := adapters[i%slotsPerWorker]
@@ -292,7 +294,7 @@
 		}
 		f := fleet.New("entry-0000", dataCentreName(0))
 		f.Offer(t)
-		picker := placement.NewPicker()
+		picker := placement.NewPicker(placement.DefaultConfig())
 		adapter := resident(0, 1)[0]
 		query := placement.Query{
 			Adapter:    adapter,
--- a/cmd/internal/experiment/policy.go
+++ b/cmd/internal/experiment/policy.go
@@ -25,43 +25,57 @@
 // Policies lists the product's policy first and the baselines after it.
 func Policies() []Policy {
 	return []Policy{
+		// The variants of the product's policy follow it, then the baselines.
 		{Name: "bulrushwick", newPicker: productPicker, newWorker: productWorker},
-		{Name: "least-loaded-lru", newPicker: leastLoaded, newWorker: productWorker},
-		{Name: "random-worker", newPicker: randomWorker, newWorker: productWorker},
+		{Name: "plain-lru", newPicker: productPicker, newWorker: lruWorker},
+		{Name: "least-loaded-lru", newPicker: leastLoaded, newWorker: plainWorker},
+		{Name: "random-worker", newPicker: randomWorker, newWorker: plainWorker},
 	}
 }
 
-func productPicker(*simulation) picker { return placement.NewPicker() }
+func productPicker(*simulation) picker { return placement.NewPicker(placement.DefaultConfig()) }
 
-// queueLimit bounds the requests that wait for one worker.
-const queueLimit = 1000
+func productWorker(s *simulation, w *worker) *residency.Worker {
+	return residency.NewWorker(w.endpoint.Name, productConfig(s, w))
+}
+
+func productConfig(s *simulation, w *worker) residency.Config {
+	config := residency.DefaultConfig(s.spec.Slots, s.spec.Batch)
+	config.Loads = w.owner.budget
+	return config
+}
+
+// lruWorker is the product's worker but for evicting the least recently used
+// adapter.
+func lruWorker(s *simulation, w *worker) *residency.Worker {
+	config := productConfig(s, w)
+	config.Eviction = residency.LeastRecent
+	return residency.NewWorker(w.endpoint.Name, config)
+}
 
-func productWorker(s *simulation, _ *worker) *residency.Worker {
-	return residency.NewWorker(residency.Config{Slots: s.spec.Slots, Batch: s.spec.Batch, QueueLimit: queueLimit})
+// plainWorker evicts the least recently used adapter.
+func plainWorker(s *simulation, w *worker) *residency.Worker {
+	config := residency.DefaultConfig(s.spec.Slots, s.spec.Batch)
+	config.Eviction = residency.LeastRecent
+	return residency.NewWorker(w.endpoint.Name, config)
 }
 
 // leastLoaded takes the worker of the region with the least work in flight.
 func leastLoaded(s *simulation) picker {
-	return &placement.Picker{
-		Filters: []placement.Filter{placement.NotLeaving{}, sameRegion{}},
-		Scorers: []placement.Scorer{placement.Load{}, chance{s.rng, tieBreak}},
-	}
+	return baseline(placement.Load{}, chance{s.rng, tieBreak})
 }
 
 // randomWorker takes any worker of the region.
 func randomWorker(s *simulation) picker {
-	return &placement.Picker{
-		Filters: []placement.Filter{placement.NotLeaving{}, sameRegion{}},
-		Scorers: []placement.Scorer{chance{s.rng, 1}},
-	}
+	return baseline(chance{s.rng, 1})
 }
 
-// sameRegion drops the workers of other regions.
-type sameRegion struct{}
-
-// Keep implements placement.Filter.
-func (sameRegion) Keep(q placement.Query, c placement.Candidate) bool {
-	return q.RegionOf(c.Endpoint.DataCentre) == q.Region
+// baseline returns a picker with a single stage within the region.
+func baseline(scorers ...placement.Scorer) picker {
+	return &placement.Picker{Stages: []placement.Stage{{
+		Filters: []placement.Filter{placement.NotLeaving{}, placement.SameRegion{}},
+		Scorers: scorers,
+	}}}
 }
 
 // tieBreak is below what one request in flight changes in the Load scorer.
--- a/cmd/internal/experiment/simulation.go
+++ b/cmd/internal/experiment/simulation.go
@@ -157,7 +157,13 @@
 		s.after(a.at, func() { s.arrive(r) })
 	}
 	s.every(millis(s.scenario.Service.ReportMs), end, s.report)
+	for _, e := range s.entries {
+		e.startBudget()
+	}
 	s.every(tickEvery, end, func() {
+		for _, e := range s.entries {
+			e.borrow()
+		}
 		for _, w := range s.workers {
 			s.step(w, residency.Tick{})
 		}
@@ -244,7 +250,7 @@
 		switch {
 		case w.engine.epoch != epoch:
 		case !ok:
-			s.step(w, residency.LoadFailed{Adapter: order.Adapter})
+			s.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: s.rng.Float64()})
 		default:
 			w.engine.resident[order.Adapter] = 0
 			s.step(w, residency.Loaded{Adapter: order.Adapter})
@@ -288,10 +294,10 @@
 // report brings every entry's view up to the present.
 func (s *simulation) report() {
 	for _, w := range s.workers {
-		resident := w.machine.Resident()
+		held := w.machine.Held()
 		load := w.machine.Waiting() + w.machine.Running()
 		for _, e := range s.entries {
-			e.report(w, resident, load)
+			e.report(w, held, load)
 		}
 	}
 }
--- a/entry/ingress/explain.go
+++ b/entry/ingress/explain.go
@@ -50,7 +50,7 @@
 		Pool:     pool.Name,
 		Revision: t.Revision,
 	}
-	for _, x := range s.picker.Explain(s.query(t, pool, adapter), s.fleet.Candidates(pool, adapter)) {
+	for _, x := range s.picker.Explain(s.query(t, pool, adapter, table.Normal), s.fleet.Candidates(pool, adapter)) {
 		owner, _ := s.fleet.Owner(x.Candidate.Endpoint.Name)
 		e.Candidates = append(e.Candidates, CandidateView{
 			Worker:     x.Candidate.Endpoint.Name,
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -63,7 +63,7 @@
 		fleet:  f,
 		local:  local,
 		remote: remote,
-		picker: placement.NewPicker(),
+		picker: placement.NewPicker(placement.DefaultConfig()),
 		log:    log,
 		budget: attempt.NewBudget(attempt.DefaultBudgetConfig()),
 	}
@@ -174,7 +174,7 @@
 	for i := range candidates {
 		candidates[i].Leaving = candidates[i].Leaving || tried[candidates[i].Endpoint.Name]
 	}
-	best, found := s.picker.Pick(s.query(t, pool, r.Adapter), candidates)
+	best, found := s.picker.Pick(s.query(t, pool, r.Adapter, r.Rank), candidates)
 	if !found {
 		return member.Instance{}, unavailable("no_worker", "no worker of the pool takes new work")
 	}
@@ -186,9 +186,11 @@
 	return owner, nil
 }
 
-func (s *Server) query(t *table.Table, pool *table.Pool, adapter table.AdapterVersion) placement.Query {
+func (s *Server) query(t *table.Table, pool *table.Pool, adapter table.AdapterVersion, rank table.Rank) placement.Query {
 	return placement.Query{
 		Adapter:    adapter,
+		Rank:       rank,
+		LinkOpen:   true,
 		DataCentre: s.fleet.DataCentre(),
 		Region:     t.RegionOf(s.fleet.DataCentre()),
 		RegionOf:   t.RegionOf,
