--- a/coord/attempt/history_test.go
+++ b/coord/attempt/history_test.go
@@ -127,12 +127,17 @@
 	for n := range uint64(40) {
 		key := keyAt(epoch+s.now(), n)
 		var senders sync.WaitGroup
-		for range 4 {
+		replaced, settled := random.IntN(16), random.IntN(2) == 0
+		for sender := range 4 {
 			id++
 			send, lost := id, random.IntN(3) == 0
 			senders.Go(func() { s.send(send, key, lost) })
-		}
-		if random.IntN(4) == 0 {
+			if sender != replaced {
+				continue
+			}
+			if settled {
+				senders.Wait() // the next holder meets a key that has run
+			}
 			senders.Go(s.replace)
 		}
 		senders.Wait()
--- a/entry/forward/codec_test.go
+++ b/entry/forward/codec_test.go
@@ -20,6 +20,7 @@
 		Adapter: table.AdapterVersion{Adapter: "tolk-1", Version: "v1"},
 		Key:     "01890a5d-ac96-774b-bcce-b302099a8057", Home: "tln-a", Offset: 7, Stream: true,
 		Deadline: time.Now().Add(time.Minute),
+		Table:    table.Stamp{Revision: 3, Digest: "0123456789abcdef"}, Entry: "entry-0",
 	}
 }
 
