--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -27,6 +27,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(demoCommand(), experimentCommand(), standinCommand())
+	root.AddCommand(
+		capacityCommand(),
+		demoCommand(),
+		experimentCommand(),
+		explainCommand(),
+		loadCommand(),
+		standinCommand(),
+		statusCommand(),
+		versionCommand(),
+	)
 	return root
 }
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"io"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -12,14 +13,33 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	_ "github.com/bulrushwick/bulrushwick/cmd/internal/capacity"
+	_ "github.com/bulrushwick/bulrushwick/cmd/internal/demo"
+	_ "github.com/bulrushwick/bulrushwick/cmd/internal/experiment"
+	_ "github.com/bulrushwick/bulrushwick/cmd/internal/loadgen"
+	_ "github.com/bulrushwick/bulrushwick/entry/daemon"
+	_ "github.com/bulrushwick/bulrushwick/standin"
 )
 
 // startLimit is how long a process may take to say that it listens, far above
 // what it needs.
 const startLimit = time.Minute
 
-// binaries are the two programs, built once for all tests.
+// binaries are the two programs, built once for all tests. Their sources are read
+// here, and imported below, so that go test caches no result of older programs.
 var binaries = sync.OnceValues(func() (string, error) {
+	for _, pattern := range []string{"../bulrushwick/*.go", "../bulrushctl/*.go"} {
+		sources, err := filepath.Glob(pattern)
+		if err != nil {
+			return "", err
+		}
+		for _, source := range sources {
+			if _, err := os.ReadFile(source); err != nil {
+				return "", err
+			}
+		}
+	}
 	dir := filepath.Join(buildDir, "bin")
 	out, err := exec.Command("go", "build", "-o", dir+"/", "../bulrushwick", "../bulrushctl").CombinedOutput()
 	if err != nil {
@@ -42,6 +62,7 @@
 	Callers  string `json:"callers"`
 	Peers    string `json:"peers"`
 	Control  string `json:"control"`
+	Operator string `json:"operator"`
 	Revision uint64 `json:"revision"`
 }
 
--- a/cmd/internal/demo/silence_test.go
+++ b/cmd/internal/demo/silence_test.go
@@ -52,9 +52,26 @@
 	ready, cancel := context.WithTimeout(context.Background(), eventLimit)
 	defer cancel()
 	require.NoError(t, cluster.WaitReady(ready))
+	cluster.awaitKeys(t)
 	return cluster, l
 }
 
+// awaitKeys waits until every data centre runs new keys: the first ones after a
+// start are below the floor of their owner's record.
+func (c *Cluster) awaitKeys(t *testing.T) {
+	t.Helper()
+	const inARow = 12 // keys that hash to every home
+	ran := 0
+	require.Eventually(t, func() bool {
+		order := serviceSample("order", "/orders", "{}", true)
+		if one(io.Discard, c.Callers[ran%len(c.Callers)], order) != nil {
+			ran = 0
+		}
+		ran++
+		return ran > inARow
+	}, eventLimit, readyPoll)
+}
+
 // labels are the samples of the deployment that translates labels, with time
 // for a second attempt after a silent first one.
 func labels() []sample {
--- a/coord/attempt/record.go
+++ b/coord/attempt/record.go
@@ -21,7 +21,8 @@
 	MaxBytes int
 	// MaxAnswerBytes bounds one answer that is kept. Default: 64 KiB.
 	MaxAnswerBytes int
-	// MaxJoined bounds the sends that wait for one run. Default: 16.
+	// MaxJoined bounds the sends that wait for one run: a caller may repeat its
+	// send through each instance of a data centre. Default: 256.
 	MaxJoined int
 }
 
@@ -34,7 +35,7 @@
 		MaxKeys:        50_000,
 		MaxBytes:       16 << 20,
 		MaxAnswerBytes: 64 << 10,
-		MaxJoined:      16,
+		MaxJoined:      256,
 	}
 }
 
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -18,6 +18,10 @@
 	Attempt int
 	// Route is the name of the route that matched.
 	Route string
+	// Table is the stamp of the table that resolved the request.
+	Table table.Stamp
+	// Entry is the instance that received the request from its caller.
+	Entry string
 	// Worker is the endpoint chosen for this attempt.
 	Worker string
 	// Method, Path, Content and Body are the caller's own.
@@ -38,6 +42,9 @@
 	Home string
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
+	// Offset is the number of events of the stream that the caller holds; an
+	// attempt's answer starts there.
+	Offset int
 	// Stream says that the caller asked for server-sent events.
 	Stream bool
 	// Deadline is when the answer is worthless.
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -13,17 +14,21 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/coord/table/replica"
 	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
 	"github.com/bulrushwick/bulrushwick/entry/keys"
+	"github.com/bulrushwick/bulrushwick/entry/operator"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 	"github.com/bulrushwick/bulrushwick/entry/platform"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
+	"github.com/bulrushwick/bulrushwick/entry/tables"
+	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
 
 // tickEvery is the resolution of deadlines in the owners' queues.
@@ -50,10 +55,14 @@
 	keys     *keys.Keys
 	exchange *peer.Exchange
 	reader   *platform.Reader
+	follower *tables.Follower
 	callers  *fasthttp.Server
 	peers    *fasthttp.Server
 	control  *http.Server
 
+	telemetry *telemetry.Telemetry
+	operator  *http.Server
+
 	listeners []net.Listener
 }
 
@@ -62,6 +71,8 @@
 	Callers string
 	Peers   string
 	Control string
+	// Operator is empty where the settings name no operator address.
+	Operator string
 }
 
 // New builds an instance; nothing listens before Run.
@@ -87,27 +98,55 @@
 	if err != nil {
 		return nil, err
 	}
+	reads := platform.NewClient(s.PlatformAddress)
+	follower, err := tables.NewFollower(followerConfig(s), f, reads, exchange, log)
+	if err != nil {
+		return nil, err
+	}
 	peers := forward.NewClient(clients)
-	front := ingress.NewServer(f, own, peers, log)
+	front := ingress.NewServer(f, own, peers, flooded(log))
+	observed, err := telemetry.New(telemetryConfig(s))
+	if err != nil {
+		return nil, err
+	}
+	own.Observe(observed)
+	peers.Observe(observed)
+	front.Observe(observed)
 	keyed, err := keys.New(keys.Config{Record: s.Keys.Record(), Concurrency: s.DispatchConcurrency}, f, f, peers, front.Run, log)
 	if err != nil {
 		return nil, err
 	}
 	front.UseKeyed(keyed)
+	caughtUp := func(inner forward.Server) forward.Server {
+		return tables.NewCatchUp(f, inner, s.TableCatchUp.Std())
+	}
 	return &Daemon{
-		settings: s,
-		log:      log,
-		fleet:    f,
-		owner:    own,
-		keys:     keyed,
-		exchange: exchange,
-		reader:   platform.NewReader(platform.NewClient(s.PlatformAddress), f, s.WatchWait.Std(), log),
-		callers:  newServer(front.Handle, s.BodyLimit),
-		peers:    newServer(forward.Handler(own, keyed), s.BodyLimit),
-		control:  peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
+		telemetry: observed,
+		operator:  newOperator(operator.NewServer(f, front, observed.Handler())),
+		settings:  s,
+		log:       log,
+		fleet:     f,
+		owner:     own,
+		keys:      keyed,
+		exchange:  exchange,
+		follower:  follower,
+		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
+		callers:   newServer(front.Handle, s.BodyLimit),
+		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
+		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
 	}, nil
 }
 
+// followerConfig seeds the choice of peers, which need not repeat.
+func followerConfig(s settings.Settings) tables.Config {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	config := replica.DefaultConfig(s.Instance, s.DataCentre, random)
+	config.Readers = s.TableReaders
+	config.WatchWait = s.TableWatchWait.Std()
+	config.AskEvery = s.TableAskEvery.Std()
+	return tables.Config{Replica: config, Concurrency: s.ControlConcurrency}
+}
+
 func newServer(handler fasthttp.RequestHandler, bodyLimit int) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      handler,
@@ -124,16 +163,24 @@
 // Listen opens the listeners and returns their addresses, which tell the ports
 // that were taken where the settings name port 0.
 func (d *Daemon) Listen() (Addresses, error) {
-	listeners, err := listenAll(d.settings.CallerAddress, d.settings.PeerAddress, d.settings.ControlAddress)
+	wanted := []string{d.settings.CallerAddress, d.settings.PeerAddress, d.settings.ControlAddress}
+	if d.settings.OperatorAddress != "" {
+		wanted = append(wanted, d.settings.OperatorAddress)
+	}
+	listeners, err := listenAll(wanted...)
 	if err != nil {
 		return Addresses{}, err
 	}
 	d.listeners = listeners
-	return Addresses{
+	addresses := Addresses{
 		Callers: listeners[0].Addr().String(),
 		Peers:   listeners[1].Addr().String(),
 		Control: listeners[2].Addr().String(),
-	}, nil
+	}
+	if len(listeners) > operatorListener {
+		addresses.Operator = listeners[operatorListener].Addr().String()
+	}
+	return addresses, nil
 }
 
 // Run serves until ctx is done, then stops gracefully: it finishes every
@@ -145,9 +192,14 @@
 	go func() { failed <- d.callers.Serve(d.listeners[0]) }()
 	go func() { failed <- d.peers.Serve(d.listeners[1]) }()
 	go func() { failed <- d.control.Serve(d.listeners[2]) }()
+	if len(d.listeners) > operatorListener {
+		go func() { failed <- d.operator.Serve(d.listeners[operatorListener]) }()
+	}
 	go d.reader.Run(background)
+	go d.follower.Run(background)
 	go d.exchange.Run(background)
 	go d.tick(background)
+	go d.observe(background)
 	select {
 	case <-ctx.Done():
 		return d.drain()
@@ -189,6 +241,7 @@
 	err := errors.Join(d.callers.ShutdownWithContext(limit), d.peers.ShutdownWithContext(limit), d.control.Shutdown(limit))
 	d.owner.Close()
 	d.keys.Close()
+	err = errors.Join(err, d.operator.Close(), d.telemetry.Close())
 	d.log.Info().Str("event", "stopped").Send()
 	return oops.Wrap(err)
 }
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -39,6 +39,9 @@
 	setHeader(request, httpx.Traceparent, r.Trace)
 	request.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
 	request.Header.Set(httpx.RankHeader, r.Rank.String())
+	if r.Offset > 0 {
+		request.Header.Set(httpx.LastEventID, strconv.Itoa(r.Offset-1))
+	}
 	request.SetBodyRaw(r.Body)
 
 	response, err := c.http.Do(ctx, address, request, c.options(r))
@@ -58,11 +61,11 @@
 // connection may have gone silent.
 func (c *Client) options(r *call.Request) httpx.Options {
 	options := httpx.Options{Fresh: !r.Idempotent || r.Attempt > 1}
-	switch {
-	case r.Stream:
+	if r.Stream {
 		options.HeadTimeout = c.headTimeout
-	case r.Idempotent:
-		options.HeadTimeout = r.Remaining() / 2
+	}
+	if half := r.Remaining() / 2; r.Idempotent && (options.HeadTimeout == 0 || half < options.HeadTimeout) {
+		options.HeadTimeout = half
 	}
 	return options
 }
--- a/entry/httpx/headers.go
+++ b/entry/httpx/headers.go
@@ -24,9 +24,11 @@
 // Headers that only travel between instances and to endpoints.
 const (
 	WorkerHeader = "Bulrushwick-Worker"
+	TableHeader  = "Bulrushwick-Table"
 	RouteHeader  = "Bulrushwick-Route"
 	PathHeader   = "Bulrushwick-Path"
 	MethodHeader = "Bulrushwick-Method"
 	AttemptID    = "Bulrushwick-Attempt"
+	LastEventID  = "Last-Event-ID"
 	Fence        = "Bulrushwick-Fence"
 )
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -2,7 +2,6 @@
 package settings
 
 import (
-	"net/netip"
 	"os"
 	"time"
 
@@ -49,9 +48,25 @@
 	// HeartbeatEvery is the interval between heartbeats to each peer. Shorter
 	// finds a failure sooner and costs more control traffic. Default: 500ms.
 	HeartbeatEvery Duration `json:"heartbeatEvery"`
-	// WatchWait is how long a blocking query may wait at the platform.
+	// WatchWait is how long a watch for the lists of instances and endpoints may
+	// wait at the platform.
 	// Default: 30s.
 	WatchWait Duration `json:"watchWait"`
+	// TableReaders is how many instances of each data centre watch the platform
+	// for tables. More ride out more failures at once and cost the platform more
+	// calls. Default: 3.
+	TableReaders int `json:"tableReaders"`
+	// TableWatchWait is how long a watch for tables may wait at the platform. It
+	// bounds how long a watch that has gone silent hides a change; shorter costs
+	// the platform more calls. Default: 2s.
+	TableWatchWait Duration `json:"tableWatchWait"`
+	// TableAskEvery is the interval between questions to random peers about
+	// newer tables. Shorter spreads a table sooner and costs more control
+	// traffic. Default: 1s.
+	TableAskEvery Duration `json:"tableAskEvery"`
+	// TableCatchUp is how long a forwarded request waits for the table that it
+	// was resolved by before it is refused. Default: 1s.
+	TableCatchUp Duration `json:"tableCatchUp"`
 	// ConnectTimeout bounds a connection attempt to a peer or an endpoint.
 	// Default: 1s.
 	ConnectTimeout Duration `json:"connectTimeout"`
@@ -74,8 +89,18 @@
 	Processors int `json:"processors"`
 	// Keys configures what is remembered of idempotency keys.
 	Keys Keys `json:"keys"`
-	// TraceFile receives spans as JSON lines; empty switches tracing off.
+	// OperatorAddress serves metrics and the instance's state to operators,
+	// IP:port; empty for none. Keep it from callers. Default: empty.
+	OperatorAddress string `json:"operatorAddress"`
+	// TraceFile receives spans as JSON lines; empty for none. Default: empty.
 	TraceFile string `json:"traceFile"`
+	// TraceURL receives spans by OTLP over HTTP, such as
+	// http://10.0.0.9:4318/v1/traces; empty for none. Default: empty.
+	TraceURL string `json:"traceUrl"`
+	// TraceShare is the part of the traces that begin here and are recorded,
+	// from 0 to 1. More costs processor time at each hop. A caller's choice in
+	// traceparent comes first. Default: 1.
+	TraceShare float64 `json:"traceShare"`
 }
 
 // Default returns the settings with every default filled in and no addresses.
@@ -83,6 +108,10 @@
 	return Settings{
 		HeartbeatEvery:      Duration(500 * time.Millisecond),
 		WatchWait:           Duration(30 * time.Second),
+		TableReaders:        3,
+		TableWatchWait:      Duration(2 * time.Second),
+		TableAskEvery:       Duration(time.Second),
+		TableCatchUp:        Duration(time.Second),
 		ConnectTimeout:      Duration(time.Second),
 		ProgressTimeout:     Duration(10 * time.Second),
 		QueueLimit:          1000,
@@ -91,6 +120,7 @@
 		ControlConcurrency:  64,
 		Processors:          2,
 		Keys:                DefaultKeys(),
+		TraceShare:          1,
 	}
 }
 
@@ -117,58 +147,3 @@
 	findings.Sort()
 	return s, findings.Err()
 }
-
-// check reports every value that can't be used.
-func (s Settings) check(find func(path, format string, args ...any)) {
-	if s.Instance == "" {
-		find("instance", "is empty")
-	}
-	if s.DataCentre == "" {
-		find("dataCentre", "is empty")
-	}
-	addresses := []struct{ field, value string }{
-		{"callerAddress", s.CallerAddress},
-		{"peerAddress", s.PeerAddress},
-		{"controlAddress", s.ControlAddress},
-		{"platformAddress", s.PlatformAddress},
-	}
-	for _, a := range addresses {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			find(a.field, "%q is not an IP address and port", a.value)
-		}
-	}
-	durations := []struct {
-		field string
-		value Duration
-	}{
-		{"heartbeatEvery", s.HeartbeatEvery},
-		{"watchWait", s.WatchWait},
-		{"connectTimeout", s.ConnectTimeout},
-		{"progressTimeout", s.ProgressTimeout},
-		{"keys.futureLimit", s.Keys.FutureLimit},
-		{"keys.clockSkew", s.Keys.ClockSkew},
-		{"keys.retention", s.Keys.Retention},
-	}
-	for _, d := range durations {
-		if d.value <= 0 {
-			find(d.field, "must be above zero")
-		}
-	}
-	counts := []struct {
-		field string
-		value int
-	}{
-		{"queueLimit", s.QueueLimit},
-		{"bodyLimit", s.BodyLimit},
-		{"dispatchConcurrency", s.DispatchConcurrency},
-		{"controlConcurrency", s.ControlConcurrency},
-		{"processors", s.Processors},
-		{"keys.limit", s.Keys.Limit},
-		{"keys.byteLimit", s.Keys.ByteLimit},
-	}
-	for _, c := range counts {
-		if c.value < 1 {
-			find(c.field, "must be at least 1")
-		}
-	}
-}
