--- a/cmd/e2e/path_test.go
+++ b/cmd/e2e/path_test.go
@@ -10,8 +10,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
 
 	"github.com/bulrushwick/bulrushwick/cmd/internal/deployment"
 	"github.com/bulrushwick/bulrushwick/coord/table"
@@ -31,6 +33,7 @@
 // and checks each answer against its own request.
 func TestMixServedByOwnAdapter(t *testing.T) {
 	s := startSystem(t, deployment.Silttolge(), 2)
+	s.awaitKeys(t)
 	adapters := s.adapters(mixAdapters)
 	random := rand.New(rand.NewPCG(mixSeed, 1))
 	t.Logf("seed %d", mixSeed)
@@ -54,6 +57,23 @@
 	}
 }
 
+// keysInARow is enough orders to meet every home of a key.
+const keysInARow = 24
+
+// awaitKeys waits until new keys run at every home: the first ones after the
+// whole fleet has started are below the floor of their owner's record.
+func (s *system) awaitKeys(t *testing.T) {
+	t.Helper()
+	ran := 0
+	require.Eventually(t, func() bool {
+		if order(s.callers[ran%len(s.callers)], "first label") != nil {
+			ran = 0
+		}
+		ran++
+		return ran > keysInARow
+	}, startLimit, time.Millisecond)
+}
+
 func oneOfMix(entry string, kind int, adapter table.AdapterVersion, rank table.Rank, prompt string, tokens int) error {
 	switch kind {
 	case 0:
--- a/entry/httpx/watch_test.go
+++ b/entry/httpx/watch_test.go
@@ -34,7 +34,7 @@
 	go func() { served <- server.Serve(WatchListener(listener, stall)) }()
 	t.Cleanup(func() {
 		require.NoError(t, listener.Close())
-		<-served
+		require.NoError(t, <-served)
 	})
 	return listener.Addr().String()
 }
