--- a/cmd/e2e/docs_test.go
+++ b/cmd/e2e/docs_test.go
@@ -8,9 +8,12 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushwick/bulrushwick/cmd/internal/deployment"
 )
 
 // root is the repository's root.
@@ -22,8 +25,9 @@
 	line string
 }
 
-// commandProof says how a command of a page is proved.
-type commandProof func(t *testing.T)
+// commandProof says how a command of a page is proved; fleet returns a running
+// deployment.
+type commandProof func(t *testing.T, fleet func() *system)
 
 // commandProofs maps every command of the pages to its proof.
 var commandProofs = map[string]commandProof{
@@ -32,16 +36,19 @@
 	"go run ./cmd/bulrushctl experiment suzgec-steady": proveByRun("bulrushctl", "experiment", "suzgec-steady"),
 
 	"go test work": proveByCI("go test work"),
+
+	"go build -o bin/ ./cmd/bulrushwick ./cmd/bulrushctl": proveByBuild,
+	"bin/bulrushwick serve --settings entry-a.json":       proveByServing("docs/operate/start.md"),
 }
 
 // proveByRun runs a program to its end and wants exit code 0.
 func proveByRun(program string, args ...string) commandProof {
-	return func(t *testing.T) { run(t, program, args...) }
+	return func(t *testing.T, _ func() *system) { run(t, program, args...) }
 }
 
 // proveByCI wants the command in the script that CI runs.
 func proveByCI(line string) commandProof {
-	return func(t *testing.T) {
+	return func(t *testing.T, _ func() *system) {
 		script, err := os.ReadFile(filepath.Join(root, ".ci/run"))
 		require.NoError(t, err)
 		require.Contains(t, strings.Split(string(script), "\n"), line)
@@ -52,11 +59,12 @@
 func TestEveryCommandOnAPageRuns(t *testing.T) {
 	commands := pageCommands(t)
 	require.NotEmpty(t, commands)
+	fleet := sync.OnceValue(func() *system { return startSystem(t, deployment.Silttolge(), 1) })
 	for _, c := range commands {
 		t.Run(c.page+"/"+c.line, func(t *testing.T) {
-			proof, known := commandProofs[c.line]
-			require.True(t, known, "no test runs %q of %s", c.line, c.page)
-			proof(t)
+			proof := proofOf(c.line)
+			require.NotNil(t, proof, "no test runs %q of %s", c.line, c.page)
+			proof(t, fleet)
 		})
 	}
 }
--- a/cmd/e2e/fleet_test.go
+++ b/cmd/e2e/fleet_test.go
@@ -42,7 +42,8 @@
 	entries   []*process
 	callers   []string
 	operators []string
-	traces    []string // the files that the entries write spans to
+	traced    bool
+	traces    []string // the files that the entries write spans to, where traced
 	instances []member.Instance
 }
 
@@ -57,6 +58,13 @@
 func startSystemWith(t testing.TB, spec deployment.Spec, entriesPerDataCentre int, engineFlags ...string) *system {
 	t.Helper()
 	s := &system{spec: spec}
+	s.startAll(t, entriesPerDataCentre, engineFlags...)
+	return s
+}
+
+func (s *system) startAll(t testing.TB, entriesPerDataCentre int, engineFlags ...string) {
+	t.Helper()
+	spec := s.spec
 	s.platform = start(t, "bulrushctl", "standin", "platform").await(t, "listening").Address
 	store := start(t, "bulrushctl", "standin", "store", "--rate", "50", "--load-time", "5ms").await(t, "listening").Address
 	engine := []string{"standin", "engine", "--store", store, "--slots", fmt.Sprint(spec.Slots)}
@@ -79,7 +87,6 @@
 	for _, entry := range s.entries {
 		entry.await(t, "ready")
 	}
-	return s
 }
 
 func startMany(t testing.TB, count int, args ...string) []string {
@@ -102,7 +109,9 @@
 	conf.DataCentre = dataCentre
 	conf.CallerAddress, conf.PeerAddress, conf.ControlAddress = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	conf.OperatorAddress = "127.0.0.1:0"
-	conf.TraceFile = filepath.Join(t.TempDir(), conf.Instance+".spans")
+	if s.traced {
+		conf.TraceFile = filepath.Join(t.TempDir(), conf.Instance+".spans")
+	}
 	conf.PlatformAddress = s.platform
 	entry := startEntryWith(t, conf)
 	at := entry.await(t, "listening")
--- a/cmd/e2e/operator_test.go
+++ b/cmd/e2e/operator_test.go
@@ -35,7 +35,8 @@
 // TestOperatorsSeeARequest follows one request through metrics, status, explain
 // and traces.
 func TestOperatorsSeeARequest(t *testing.T) {
-	s := startSystem(t, deployment.Silttolge(), 2)
+	s := &system{spec: deployment.Silttolge(), traced: true}
+	s.startAll(t, 2)
 	adapter := s.adapters(1)[0]
 	headers := map[string]string{
 		httpx.RankHeader:  "urgent",
--- /dev/null
+++ b/cmd/e2e/settings_page_test.go
@@ -0,0 +1,89 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushwick/bulrushwick/entry/settings"
+)
+
+// TestSettingsPageSaysWhatTheCodeSays wants a row of each setting, with the
+// default and the comment that the code has, and no other row.
+func TestSettingsPageSaysWhatTheCodeSays(t *testing.T) {
+	comments := settingComments(t)
+	var want []string
+	for _, row := range settingRows(t, comments, "", reflect.ValueOf(settings.Default())) {
+		want = append(want, row)
+	}
+	text, err := os.ReadFile(filepath.Join(root, "docs/operate/settings.md"))
+	require.NoError(t, err)
+	var got []string
+	for _, line := range strings.Split(string(text), "\n") {
+		if strings.HasPrefix(line, "| `") {
+			got = append(got, line)
+		}
+	}
+	require.Equal(t, strings.Join(want, "\n"), strings.Join(got, "\n"))
+}
+
+// settingRows returns a row of each field of a struct, and of those below it.
+func settingRows(t *testing.T, comments map[string]string, prefix string, value reflect.Value) []string {
+	t.Helper()
+	var rows []string
+	for i := range value.NumField() {
+		field := value.Type().Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.Type.Kind() == reflect.Struct {
+			rows = append(rows, settingRows(t, comments, prefix+name+".", value.Field(i))...)
+			continue
+		}
+		data, err := json.Marshal(value.Field(i).Interface())
+		require.NoError(t, err)
+		comment := comments[value.Type().Name()+"."+field.Name]
+		require.NotEmpty(t, comment, "%s%s has no comment", prefix, name)
+		rows = append(rows, fmt.Sprintf("| `%s%s` | `%s` | %s |", prefix, name, data, comment))
+	}
+	return rows
+}
+
+// settingComments returns the comment of each struct field, on one line and
+// without the default, which has a column of its own.
+func settingComments(t *testing.T) map[string]string {
+	t.Helper()
+	comments := make(map[string]string)
+	files, err := filepath.Glob(filepath.Join(root, "entry/settings/*.go"))
+	require.NoError(t, err)
+	for _, file := range files {
+		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
+		require.NoError(t, err)
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			declared, is := n.(*ast.TypeSpec)
+			if !is {
+				return true
+			}
+			fields, is := declared.Type.(*ast.StructType)
+			if !is {
+				return true
+			}
+			for _, field := range fields.Fields.List {
+				for _, name := range field.Names {
+					text := strings.Join(strings.Fields(field.Doc.Text()), " ")
+					text, _, _ = strings.Cut(text, " Default:")
+					comments[declared.Name.Name+"."+name.Name] = text
+				}
+			}
+			return true
+		})
+	}
+	return comments
+}
