--- a/cmd/e2e/settings_page_test.go
+++ b/cmd/e2e/settings_page_test.go
@@ -21,10 +21,7 @@
 // default and the comment that the code has, and no other row.
 func TestSettingsPageSaysWhatTheCodeSays(t *testing.T) {
 	comments := settingComments(t)
-	var want []string
-	for _, row := range settingRows(t, comments, "", reflect.ValueOf(settings.Default())) {
-		want = append(want, row)
-	}
+	want := settingRows(t, comments, "", reflect.ValueOf(settings.Default()))
 	text, err := os.ReadFile(filepath.Join(root, "docs/operate/settings.md"))
 	require.NoError(t, err)
 	var got []string
