--- a/cmd/internal/experiment/entry.go
+++ b/cmd/internal/experiment/entry.go
@@ -19,9 +19,9 @@
 // view is what an entry knows of one worker.
 type view struct {
 	resident map[table.AdapterVersion]struct{}
-	inFlight int
 	reported int // requests at the worker by its last report
 	since    int // requests sent since then
+	loadCost float64
 }
 
 func newEntry(s *simulation, name, dataCentre string) *entry {
@@ -41,20 +41,16 @@
 }
 
 func (e *entry) begin(w *worker) {
-	v := e.view(w)
-	v.inFlight++
-	v.since++
+	e.view(w).since++
 }
 
-func (e *entry) end(w *worker) { e.view(w).inFlight-- }
-
-func (e *entry) report(w *worker, held []table.AdapterVersion, load int) {
+func (e *entry) report(w *worker, held []table.AdapterVersion, load int, cost float64) {
 	set := make(map[table.AdapterVersion]struct{}, len(held))
 	for _, adapter := range held {
 		set[adapter] = struct{}{}
 	}
 	v := e.view(w)
-	v.resident, v.reported, v.since = set, load, 0
+	v.resident, v.reported, v.since, v.loadCost = set, load, 0, cost
 }
 
 // pick chooses the worker of a request.
@@ -67,7 +63,7 @@
 			Endpoint: w.endpoint,
 			Resident: resident,
 			Load:     v.reported + v.since,
-			InFlight: v.inFlight,
+			LoadCost: v.loadCost,
 			Leaving:  w.engine.down || r.tried[w.endpoint.Name],
 		}
 	}
--- a/cmd/internal/experiment/faults.go
+++ b/cmd/internal/experiment/faults.go
@@ -24,7 +24,6 @@
 	for _, r := range dropped {
 		s.step(w, residency.Finished{ID: r.id})
 		delete(s.requests, r.id)
-		r.entry.end(w)
 		if r.attempts >= maxAttempts {
 			r.outcome = refused
 			continue
--- a/cmd/internal/experiment/simulation.go
+++ b/cmd/internal/experiment/simulation.go
@@ -235,7 +235,7 @@
 			r.started = s.now
 			w.engine.dispatch(r)
 		case residency.Reject:
-			s.rejected(w, s.requests[a.ID], a.Reason)
+			s.rejected(s.requests[a.ID], a.Reason)
 		}
 	}
 }
@@ -262,9 +262,8 @@
 // engine was lost.
 const maxAttempts = 3
 
-func (s *simulation) rejected(w *worker, r *request, reason residency.Reason) {
+func (s *simulation) rejected(r *request, reason residency.Reason) {
 	delete(s.requests, r.id)
-	r.entry.end(w)
 	if reason == residency.LoadError && r.attempts < maxAttempts {
 		s.retry(r)
 		return
@@ -280,7 +279,6 @@
 
 func (s *simulation) finished(w *worker, r *request) {
 	delete(s.requests, r.id)
-	r.entry.end(w)
 	back := s.latency(r) + millis(s.scenario.Service.CallerMs)
 	r.first += back
 	r.ended = s.now + back
@@ -295,9 +293,10 @@
 func (s *simulation) report() {
 	for _, w := range s.workers {
 		held := w.machine.Held()
-		load := w.machine.Waiting() + w.machine.Running()
+		load := w.machine.Load()
+		cost := w.machine.LoadCost(s.now)
 		for _, e := range s.entries {
-			e.report(w, held, load)
+			e.report(w, held, load, cost)
 		}
 	}
 }
--- a/coord/placement/filters.go
+++ b/coord/placement/filters.go
@@ -23,7 +23,7 @@
 
 // Keep implements Filter.
 func (f NotOverloaded) Keep(q Query, c Candidate) bool {
-	return float64(c.Requests()) < f.Config.Overload[q.Rank]*float64(max(q.Batch, 1))
+	return float64(c.Load) < f.Config.Overload[q.Rank]*float64(max(q.Batch, 1))
 }
 
 // LinkOpen drops other regions' workers when the link's budget is used up.
--- a/coord/placement/picker.go
+++ b/coord/placement/picker.go
@@ -9,19 +9,16 @@
 	// Resident says that the worker is believed to hold the adapter, or to have
 	// requests that wait for it.
 	Resident bool
-	// Load is the number of requests that the worker was last reported to hold,
-	// waiting or running, corrected by those this instance has sent since.
+	// Load is the number of requests at the worker by its last report, corrected
+	// by those this instance has sent since.
 	Load int
-	// InFlight is the number of requests this instance has sent and not seen
-	// finished.
-	InFlight int
+	// LoadCost is what another load at the worker would cost, in uses of the
+	// adapter that it would unload.
+	LoadCost float64
 	// Leaving says that the worker takes no new work.
 	Leaving bool
 }
 
-// Requests returns the number of requests believed to be at the worker.
-func (c Candidate) Requests() int { return max(c.Load, c.InFlight) }
-
 // Query describes the request to place.
 type Query struct {
 	// Adapter is the adapter that must serve it; zero for plain services.
@@ -77,14 +74,14 @@
 //  4. any worker of the region;
 //  5. another region's worker, while the link's budget has room.
 func NewPicker(config Config) *Picker {
-	load, home := Load{}, Home{}
+	load, home, cost := Load{}, Home{}, Cost{config}
 	near := []Filter{NotLeaving{}, SameRegion{}}
 	with := func(filters []Filter, more ...Filter) []Filter {
 		return append(append([]Filter(nil), filters...), more...)
 	}
 	return &Picker{Stages: []Stage{
 		{Filters: with(near, Holder{}, NotOverloaded{config}), Scorers: []Scorer{load, SameDataCentre{}}},
-		{Filters: with(near, NotOverloaded{config}), Scorers: []Scorer{home}},
+		{Filters: with(near, NotOverloaded{config}), Scorers: []Scorer{home, cost}},
 		{Filters: with(near, Holder{}), Scorers: []Scorer{load}},
 		{Filters: near, Scorers: []Scorer{load, home}},
 		{Filters: []Filter{NotLeaving{}, LinkOpen{}}, Scorers: []Scorer{Holding{}, load, home}},
--- a/coord/placement/scorers.go
+++ b/coord/placement/scorers.go
@@ -40,7 +40,7 @@
 
 // Score implements Scorer.
 func (Load) Score(q Query, c Candidate) float64 {
-	return -float64(c.Requests()) / float64(max(q.Batch, 1))
+	return -float64(c.Load) / float64(max(q.Batch, 1))
 }
 
 // Home prefers the adapter's home by rendezvous hashing, so that all instances
@@ -56,3 +56,10 @@
 	const scale = float64(1 << 63)
 	return float64(ownership.Score(q.Adapter.String(), c.Endpoint.Name)>>1) / scale
 }
+
+// Cost prefers workers where a load costs little, so that the slots of a region
+// act as one cache.
+type Cost struct{ Config Config }
+
+// Score implements Scorer.
+func (s Cost) Score(_ Query, c Candidate) float64 { return -s.Config.CostWeight * c.LoadCost }
--- a/coord/residency/budget.go
+++ b/coord/residency/budget.go
@@ -57,6 +57,8 @@
 	Lender, Borrower string
 	// Number is unique for the borrower.
 	Number uint64
+	// Rank is the rank that waits at the borrower.
+	Rank table.Rank
 }
 
 // Right is what a load runs on: the zero Right is the instance's own.
@@ -79,7 +81,7 @@
 func (b *Budget) Take(now time.Duration, worker string, w Want) (Right, bool) {
 	b.settle(now)
 	if !b.outranked(worker, w) {
-		if b.tokens >= 1 && b.inUse+len(b.lent) < b.share.Transit {
+		if b.tokens >= b.needed(w.Rank) && b.inUse+len(b.lent) < b.share.Transit {
 			b.tokens--
 			b.inUse++
 			delete(b.claims, worker)
@@ -117,19 +119,24 @@
 // instances that can be reached; they are asked in turn.
 func (b *Budget) Ask(now time.Duration, self string, peers []string) (Loan, bool) {
 	b.settle(now)
-	if len(peers) == 0 || len(b.borrowed) > 0 || !b.wanting(now) || now < b.asked.at+b.config.AskAfter {
+	if len(peers) == 0 || len(b.borrowed) > 0 || now < b.asked.at+b.config.AskAfter {
+		return Loan{}, false
+	}
+	rank, wanting := b.wanting(now)
+	if !wanting {
 		return Loan{}, false
 	}
 	b.asks++
-	b.asked = ask{loan: Loan{Lender: peers[b.asks%uint64(len(peers))], Borrower: self, Number: b.asks}, at: now}
+	b.asked = ask{loan: Loan{Lender: peers[b.asks%uint64(len(peers))], Borrower: self, Number: b.asks, Rank: rank}, at: now}
 	return b.asked.loan, true
 }
 
 // Lend answers a peer that asks: true gives up the right until it is returned.
+// A right goes to work that is more urgent than what claims it here.
 func (b *Budget) Lend(now time.Duration, loan Loan) bool {
 	b.settle(now)
 	_, already := b.lent[loan]
-	if already || len(b.claims) > 0 || b.tokens < 1 || b.inUse+len(b.lent) >= b.share.Transit {
+	if already || b.claimed(loan.Rank) || b.tokens < b.needed(loan.Rank) || b.inUse+len(b.lent) >= b.share.Transit {
 		return false
 	}
 	b.tokens--
@@ -168,6 +175,12 @@
 	delete(b.lent, loan)
 }
 
+// needed returns the tokens that must be there for a load of that rank: less
+// urgent ones leave the reserve, where the bucket is deep enough for it.
+func (b *Budget) needed(rank table.Rank) float64 {
+	return max(min(1+b.config.Reserve[rank], b.depth()), 1)
+}
+
 // depth is what the bucket holds: the transits that are not lent.
 func (b *Budget) depth() float64 { return float64(b.share.Transit - len(b.lent)) }
 
@@ -206,10 +219,22 @@
 	return false
 }
 
-// wanting tells whether a claim has stood long enough to ask a peer.
-func (b *Budget) wanting(now time.Duration) bool {
+// wanting returns the most urgent rank whose claim has stood long enough to ask
+// a peer.
+func (b *Budget) wanting(now time.Duration) (table.Rank, bool) {
+	rank, found := table.Patient, false
 	for _, c := range b.claims {
 		if now >= c.since+b.config.AskAfter || c.Rank == table.Urgent {
+			rank, found = min(rank, c.Rank), true
+		}
+	}
+	return rank, found
+}
+
+// claimed tells whether a worker claims a load that is as urgent as rank.
+func (b *Budget) claimed(rank table.Rank) bool {
+	for _, c := range b.claims {
+		if c.Rank <= rank {
 			return true
 		}
 	}
--- a/coord/residency/budget_config.go
+++ b/coord/residency/budget_config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/ownership"
+	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
 // StoreLimits is what the weight store allows the whole fleet.
@@ -59,6 +60,10 @@
 
 // BudgetConfig holds the settings of a Budget.
 type BudgetConfig struct {
+	// Reserve is the number of loads that a load of a rank leaves in the bucket for
+	// more urgent ones. More shortens the urgent rank's wait after a quiet moment
+	// and leaves fewer loads for bursts of the others. Default: 0, 0 and 1.
+	Reserve [table.RankCount]float64
 	// ClaimTerm is how long a refused claim of one worker holds back less urgent
 	// ones of others. Default: 250 ms.
 	ClaimTerm time.Duration
@@ -80,6 +85,7 @@
 // DefaultBudgetConfig returns the defaults.
 func DefaultBudgetConfig() BudgetConfig {
 	return BudgetConfig{
+		Reserve:     [table.RankCount]float64{0, 0, 1},
 		ClaimTerm:   250 * time.Millisecond,
 		AskAfter:    100 * time.Millisecond,
 		LoanTerm:    2 * time.Second,
--- a/coord/residency/loads.go
+++ b/coord/residency/loads.go
@@ -80,6 +80,21 @@
 	})
 }
 
+// LoadCost returns what the worker's next load would cost, in decayed uses of
+// the adapter to be unloaded: 0 with a free slot. Each adapter that waits for a
+// slot adds to it.
+func (w *Worker) LoadCost(now time.Duration) float64 {
+	waiting := float64(len(w.wants.byName))
+	if len(w.slots) < w.config.Slots {
+		return waiting
+	}
+	evict, found := w.cheapest(now, func(table.AdapterVersion, *slot) bool { return true })
+	if !found {
+		return waiting
+	}
+	return waiting + w.uses.score(now, *evict)
+}
+
 // cheapest returns the ready adapter of the least value that suits.
 func (w *Worker) cheapest(now time.Duration, suits func(table.AdapterVersion, *slot) bool) (*table.AdapterVersion, bool) {
 	var cheapest table.AdapterVersion
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -76,6 +76,21 @@
 // Waiting returns the number of queued requests.
 func (w *Worker) Waiting() int { return w.queue.Len() }
 
+// parkedWeight is what a request that waits for a load counts in Load.
+const parkedWeight = 0.25
+
+// Load returns the number of requests that run or could run, and a part of those
+// that wait for a load: the worker could serve others meanwhile, but will have to
+// serve them in the end.
+func (w *Worker) Load() int {
+	runnable := 0
+	for _, rank := range table.Ranks {
+		runnable += w.queue.Runnable(rank)
+	}
+	parked := w.queue.Len() - runnable
+	return len(w.running) + runnable + int(parkedWeight*float64(parked))
+}
+
 // Running returns the number of dispatched requests.
 func (w *Worker) Running() int { return len(w.running) }
 
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -208,7 +208,7 @@
 		candidates[i] = placement.Candidate{
 			Endpoint: endpoint,
 			Resident: resident,
-			InFlight: f.inFlight[endpoint.Name],
+			Load:     f.inFlight[endpoint.Name],
 			Leaving:  f.endpoints[endpoint.Name] == member.Leaving,
 		}
 	}
