Let urgent work take the place of patient work in a full queue

In a patient flood the queues were full of patient requests and an urgent one that came was refused. It now displaces the least urgent with the latest deadline.

--- a/coord/admission/callers.go
+++ b/coord/admission/callers.go
@@ -149,3 +149,29 @@
 	*h = (*h)[:last]
 	return i
 }
+
+// latestHeap orders the waiting requests of one rank by deadline, latest first.
+type latestHeap []*item
+
+func (h latestHeap) Len() int           { return len(h) }
+func (h latestHeap) Less(i, j int) bool { return h[j].sooner(h[i]) }
+func (h latestHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].latest, h[j].latest = i, j
+}
+
+// Push implements heap.Interface.
+func (h *latestHeap) Push(x any) {
+	i := x.(*item)
+	i.latest = len(*h)
+	*h = append(*h, i)
+}
+
+// Pop implements heap.Interface.
+func (h *latestHeap) Pop() any {
+	last := len(*h) - 1
+	i := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return i
+}
--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -33,11 +33,13 @@
 type Queue struct {
 	config    Config
 	bytes     int
+	rankBytes [table.RankCount]int
 	items     map[uint64]*item
 	lines     map[table.AdapterVersion]*line
 	ranks     [table.RankCount]*rankQueue
 	floors    Floors
 	deadlines deadlineHeap
+	latest    [table.RankCount]latestHeap
 }
 
 // NewQueue returns an empty queue.
@@ -84,21 +86,54 @@
 	return requests
 }
 
-// Push queues a request and tells whether there was room.
-func (q *Queue) Push(r Request) bool {
-	if len(q.items) >= q.config.Limit || q.bytes+r.Bytes > q.config.LimitBytes {
-		return false
+// Push queues a request and tells whether there was room. In a full queue a
+// request takes the place of less urgent ones, the latest deadlines first; they
+// are returned.
+func (q *Queue) Push(r Request) (displaced []Request, queued bool) {
+	if !q.fits(r) {
+		return nil, false
+	}
+	for q.full(r) {
+		displaced = append(displaced, q.displace(r.Rank))
 	}
 	i := &item{Request: r}
 	q.items[r.ID] = i
 	q.bytes += r.Bytes
+	q.rankBytes[r.Rank] += r.Bytes
 	heap.Push(&q.deadlines, i)
+	heap.Push(&q.latest[r.Rank], i)
 	l := q.line(r.Adapter)
 	l.add(i)
 	if l.ready {
 		q.ranks[i.Rank].push(i)
 	}
-	return true
+	return displaced, true
+}
+
+// full tells whether there is no room for the request as things are.
+func (q *Queue) full(r Request) bool {
+	return len(q.items) >= q.config.Limit || q.bytes+r.Bytes > q.config.LimitBytes
+}
+
+// fits tells whether there is room once less urgent requests give way.
+func (q *Queue) fits(r Request) bool {
+	items, bytes := len(q.items), q.bytes
+	for rank := r.Rank + 1; int(rank) < len(q.latest); rank++ {
+		items -= len(q.latest[rank])
+		bytes -= q.rankBytes[rank]
+	}
+	return items < q.config.Limit && bytes+r.Bytes <= q.config.LimitBytes
+}
+
+// displace takes out the least urgent request with the latest deadline; there
+// must be one that is less urgent than rank.
+func (q *Queue) displace(rank table.Rank) Request {
+	last := table.Rank(len(q.latest) - 1)
+	for last > rank+1 && len(q.latest[last]) == 0 {
+		last--
+	}
+	r, _ := q.Remove(q.latest[last][0].ID)
+	return r
 }
 
 // SetReady makes the adapter's requests runnable, now and later.
@@ -192,7 +227,9 @@
 func (q *Queue) forget(i *item) {
 	delete(q.items, i.ID)
 	q.bytes -= i.Bytes
+	q.rankBytes[i.Rank] -= i.Bytes
 	heap.Remove(&q.deadlines, i.deadline)
+	heap.Remove(&q.latest[i.Rank], i.latest)
 	i.line.remove(i)
 	q.prune(i.Adapter, i.line)
 }
--- a/coord/admission/request.go
+++ b/coord/admission/request.go
@@ -30,6 +30,7 @@
 	line       *line
 	linePlace  int
 	deadline   int
+	latest     int
 	caller     *callerQueue // nil while it is parked
 	callerSlot int
 }
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -122,14 +122,20 @@
 	if late := w.late(now, r); late > 0 {
 		return []Action{Reject{ID: r.ID, Reason: WouldBeLate, RetryAfter: late}}
 	}
-	if !w.queue.Push(r) {
+	displaced, queued := w.queue.Push(r)
+	if !queued {
 		return []Action{Reject{ID: r.ID, Reason: QueueFull}}
 	}
+	var actions []Action
+	for _, out := range displaced {
+		w.wants.drop(out)
+		actions = append(actions, Reject{ID: out.ID, Reason: QueueFull})
+	}
 	w.uses.count(now, r.Adapter)
 	if _, held := w.slots[r.Adapter]; !held {
 		w.wants.add(now, r)
 	}
-	return nil
+	return actions
 }
 
 func (w *Worker) cancel(id uint64) {
