Let a peer's more urgent claim hold the next right

An urgent load at an instance without a right asked peers whose patient loads had just taken theirs. A refused ask now stands as a claim there for a while, which less urgent work doesn't overtake.

--- a/coord/residency/budget.go
+++ b/coord/residency/budget.go
@@ -32,9 +32,10 @@
 	returns  []Loan
 }
 
-// claim is a worker's want that was refused.
+// claim is a want of a worker or of a peer that was refused.
 type claim struct {
 	Want
+	peer  bool // asked for by another instance
 	since time.Duration
 	last  time.Duration
 }
@@ -51,6 +52,9 @@
 	until time.Duration
 }
 
+// peerClaim begins the names of peers' claims; no worker's name does.
+const peerClaim = "\x00"
+
 // Loan names the right to begin one load.
 type Loan struct {
 	// Lender and Borrower name instances.
@@ -132,13 +136,20 @@
 }
 
 // Lend answers a peer that asks: true gives up the right until it is returned.
-// A right goes to work that is more urgent than what claims it here.
+// A right goes to work that is more urgent than what claims it here; where there
+// is none left, the peer's claim holds back less urgent work for a while, so that
+// the next right is there when the peer asks again.
 func (b *Budget) Lend(now time.Duration, loan Loan) bool {
 	b.settle(now)
 	_, already := b.lent[loan]
-	if already || b.claimed(loan.Rank) || b.tokens < b.needed(loan.Rank) || b.inUse+len(b.lent) >= b.share.Transit {
+	if already || b.claimed(loan.Rank) {
+		return false
+	}
+	if b.tokens < b.needed(loan.Rank) || b.inUse+len(b.lent) >= b.share.Transit {
+		b.claims[peerClaim+loan.Borrower] = claim{Want: Want{Rank: loan.Rank}, peer: true, since: now, last: now}
 		return false
 	}
+	delete(b.claims, peerClaim+loan.Borrower)
 	b.tokens--
 	b.lent[loan] = now + b.config.LoanTerm + b.config.LoadTimeout + b.config.Margin
 	b.tokens = min(b.tokens, b.depth())
@@ -224,7 +235,7 @@
 func (b *Budget) wanting(now time.Duration) (table.Rank, bool) {
 	rank, found := table.Patient, false
 	for _, c := range b.claims {
-		if now >= c.since+b.config.AskAfter || c.Rank == table.Urgent {
+		if !c.peer && (now >= c.since+b.config.AskAfter || c.Rank == table.Urgent) {
 			rank, found = min(rank, c.Rank), true
 		}
 	}
@@ -234,7 +245,7 @@
 // claimed tells whether a worker claims a load that is as urgent as rank.
 func (b *Budget) claimed(rank table.Rank) bool {
 	for _, c := range b.claims {
-		if c.Rank <= rank {
+		if !c.peer && c.Rank <= rank {
 			return true
 		}
 	}
--- a/coord/residency/budget_config.go
+++ b/coord/residency/budget_config.go
@@ -64,8 +64,8 @@
 	// more urgent ones. More shortens the urgent rank's wait after a quiet moment
 	// and leaves fewer loads for bursts of the others. Default: 0, 0 and 1.
 	Reserve [table.RankCount]float64
-	// ClaimTerm is how long a refused claim of one worker holds back less urgent
-	// ones of others. Default: 250 ms.
+	// ClaimTerm is how long a refused claim holds back less urgent ones. It should
+	// outlast the time to ask every peer once. Default: 600 ms.
 	ClaimTerm time.Duration
 	// AskAfter is how long a claim stands before a peer is asked for a loan, and
 	// the time between two such calls. Shorter finds unused rights sooner and costs
@@ -86,7 +86,7 @@
 func DefaultBudgetConfig() BudgetConfig {
 	return BudgetConfig{
 		Reserve:     [table.RankCount]float64{0, 0, 1},
-		ClaimTerm:   250 * time.Millisecond,
+		ClaimTerm:   600 * time.Millisecond,
 		AskAfter:    100 * time.Millisecond,
 		LoanTerm:    2 * time.Second,
 		LoadTimeout: 30 * time.Second,
