--- a/cmd/bulrushctl/explain.go
+++ b/cmd/bulrushctl/explain.go
@@ -51,9 +51,9 @@
 }
 
 func explainTable(w io.Writer, e ingress.Explanation) {
-	row(w, "WORKER", "DATA CENTRE", "OWNER", "RESIDENT", "IN FLIGHT", "SCORE", "WHY")
+	row(w, "WORKER", "DATA CENTRE", "OWNER", "RESIDENT", "LOAD", "SCORE", "WHY")
 	for _, c := range e.Candidates {
-		row(w, c.Worker, c.DataCentre, c.Owner, fmt.Sprint(c.Resident), fmt.Sprint(c.InFlight), fmt.Sprintf("%.2f", c.Score), why(c))
+		row(w, c.Worker, c.DataCentre, c.Owner, fmt.Sprint(c.Resident), fmt.Sprint(c.Load), fmt.Sprintf("%.2f", c.Score), why(c))
 	}
 }
 
--- a/entry/ingress/explain.go
+++ b/entry/ingress/explain.go
@@ -13,8 +13,8 @@
 	// Owner is the instance that orders the worker.
 	Owner    string `json:"owner"`
 	Resident bool   `json:"resident"`
-	// InFlight counts the requests that this instance has in progress there.
-	InFlight  int                   `json:"inFlight"`
+	// Load counts the requests believed to be there.
+	Load      int                   `json:"load"`
 	RefusedBy string                `json:"refusedBy,omitempty"`
 	Score     float64               `json:"score"`
 	Parts     []placement.ScorePart `json:"parts,omitempty"`
@@ -57,7 +57,7 @@
 			DataCentre: x.Candidate.Endpoint.DataCentre,
 			Owner:      owner.Name,
 			Resident:   x.Candidate.Resident,
-			InFlight:   x.Candidate.InFlight,
+			Load:       x.Candidate.Load,
 			RefusedBy:  x.RefusedBy,
 			Score:      x.Score,
 			Parts:      x.Parts,
