Leave half a load for the urgent rank, and let owed claims go first

Half of the urgent rank's wait was for a right that normal work had just taken. And a load that a rank was owed by its floor was overtaken by urgent claims of other workers.

--- a/coord/residency/budget.go
+++ b/coord/residency/budget.go
@@ -85,7 +85,7 @@
 func (b *Budget) Take(now time.Duration, worker string, w Want) (Right, bool) {
 	b.settle(now)
 	if !b.outranked(worker, w) {
-		if b.tokens >= b.needed(w.Rank) && b.inUse+len(b.lent) < b.share.Transit {
+		if b.tokens >= b.needed(w.urgency()) && b.inUse+len(b.lent) < b.share.Transit {
 			b.tokens--
 			b.inUse++
 			delete(b.claims, worker)
@@ -186,6 +186,15 @@
 	delete(b.lent, loan)
 }
 
+// urgency is the rank for which the want counts: an owed one goes with the most
+// urgent.
+func (w Want) urgency() table.Rank {
+	if w.Owed {
+		return table.Urgent
+	}
+	return w.Rank
+}
+
 // needed returns the tokens that must be there for a load of that rank: less
 // urgent ones leave the reserve, where the bucket is deep enough for it.
 func (b *Budget) needed(rank table.Rank) float64 {
@@ -235,8 +244,8 @@
 func (b *Budget) wanting(now time.Duration) (table.Rank, bool) {
 	rank, found := table.Patient, false
 	for _, c := range b.claims {
-		if !c.peer && (now >= c.since+b.config.AskAfter || c.Rank == table.Urgent) {
-			rank, found = min(rank, c.Rank), true
+		if !c.peer && (now >= c.since+b.config.AskAfter || c.urgency() == table.Urgent) {
+			rank, found = min(rank, c.urgency()), true
 		}
 	}
 	return rank, found
@@ -245,15 +254,19 @@
 // claimed tells whether a worker claims a load that is as urgent as rank.
 func (b *Budget) claimed(rank table.Rank) bool {
 	for _, c := range b.claims {
-		if !c.peer && c.Rank <= rank {
+		if !c.peer && c.urgency() <= rank {
 			return true
 		}
 	}
 	return false
 }
 
-// before orders wants: by rank, then by the number of requests.
+// before orders wants: those that are owed first, then by rank, then by the
+// number of requests.
 func (w Want) before(other Want) bool {
+	if w.Owed != other.Owed {
+		return w.Owed
+	}
 	if w.Rank != other.Rank {
 		return w.Rank < other.Rank
 	}
--- a/coord/residency/budget_config.go
+++ b/coord/residency/budget_config.go
@@ -62,7 +62,7 @@
 type BudgetConfig struct {
 	// Reserve is the number of loads that a load of a rank leaves in the bucket for
 	// more urgent ones. More shortens the urgent rank's wait after a quiet moment
-	// and leaves fewer loads for bursts of the others. Default: 0, 0 and 1.
+	// and leaves fewer loads for bursts of the others. Default: 0, 0.5 and 1.
 	Reserve [table.RankCount]float64
 	// ClaimTerm is how long a refused claim holds back less urgent ones. It should
 	// outlast the time to ask every peer once. Default: 600 ms.
@@ -85,7 +85,7 @@
 // DefaultBudgetConfig returns the defaults.
 func DefaultBudgetConfig() BudgetConfig {
 	return BudgetConfig{
-		Reserve:     [table.RankCount]float64{0, 0, 1},
+		Reserve:     [table.RankCount]float64{0, 0.5, 1},
 		ClaimTerm:   600 * time.Millisecond,
 		AskAfter:    100 * time.Millisecond,
 		LoanTerm:    2 * time.Second,
--- a/coord/residency/config.go
+++ b/coord/residency/config.go
@@ -83,6 +83,8 @@
 type Want struct {
 	// Rank is the most urgent rank that waits for it.
 	Rank table.Rank
+	// Owed says that the rank has earned its floor; such a load goes first.
+	Owed bool
 	// Waiting is the number of requests that it would serve.
 	Waiting int
 }
--- a/coord/residency/loads.go
+++ b/coord/residency/loads.go
@@ -56,11 +56,7 @@
 	if w.config.Loads == nil {
 		return Right{}, true
 	}
-	claim := Want{Rank: best.rank, Waiting: best.waiting}
-	if owed {
-		claim.Rank = table.Urgent
-	}
-	return w.config.Loads.Take(now, w.name, claim)
+	return w.config.Loads.Take(now, w.name, Want{Rank: best.rank, Owed: owed, Waiting: best.waiting})
 }
 
 func (w *Worker) withdraw() {
