--- a/coord/residency/budget.go
+++ b/coord/residency/budget.go
@@ -32,9 +32,10 @@
 	returns  []Loan
 }
 
-// claim is a worker's want that was refused.
+// claim is a want of a worker or of a peer that was refused.
 type claim struct {
 	Want
+	peer  bool // asked for by another instance
 	since time.Duration
 	last  time.Duration
 }
@@ -51,12 +52,17 @@
 	until time.Duration
 }
 
+// peerClaim begins the names of peers' claims; no worker's name does.
+const peerClaim = "\x00"
+
 // Loan names the right to begin one load.
 type Loan struct {
 	// Lender and Borrower name instances.
 	Lender, Borrower string
 	// Number is unique for the borrower.
 	Number uint64
+	// Rank is the rank that waits at the borrower.
+	Rank table.Rank
 }
 
 // Right is what a load runs on: the zero Right is the instance's own.
@@ -79,7 +85,7 @@
 func (b *Budget) Take(now time.Duration, worker string, w Want) (Right, bool) {
 	b.settle(now)
 	if !b.outranked(worker, w) {
-		if b.tokens >= 1 && b.inUse+len(b.lent) < b.share.Transit {
+		if b.tokens >= b.needed(w.urgency()) && b.inUse+len(b.lent) < b.share.Transit {
 			b.tokens--
 			b.inUse++
 			delete(b.claims, worker)
@@ -117,21 +123,33 @@
 // instances that can be reached; they are asked in turn.
 func (b *Budget) Ask(now time.Duration, self string, peers []string) (Loan, bool) {
 	b.settle(now)
-	if len(peers) == 0 || len(b.borrowed) > 0 || !b.wanting(now) || now < b.asked.at+b.config.AskAfter {
+	if len(peers) == 0 || len(b.borrowed) > 0 || now < b.asked.at+b.config.AskAfter {
+		return Loan{}, false
+	}
+	rank, wanting := b.wanting(now)
+	if !wanting {
 		return Loan{}, false
 	}
 	b.asks++
-	b.asked = ask{loan: Loan{Lender: peers[b.asks%uint64(len(peers))], Borrower: self, Number: b.asks}, at: now}
+	b.asked = ask{loan: Loan{Lender: peers[b.asks%uint64(len(peers))], Borrower: self, Number: b.asks, Rank: rank}, at: now}
 	return b.asked.loan, true
 }
 
 // Lend answers a peer that asks: true gives up the right until it is returned.
+// A right goes to work that is more urgent than what claims it here; where there
+// is none left, the peer's claim holds back less urgent work for a while, so that
+// the next right is there when the peer asks again.
 func (b *Budget) Lend(now time.Duration, loan Loan) bool {
 	b.settle(now)
 	_, already := b.lent[loan]
-	if already || len(b.claims) > 0 || b.tokens < 1 || b.inUse+len(b.lent) >= b.share.Transit {
+	if already || b.claimed(loan.Rank) {
+		return false
+	}
+	if b.tokens < b.needed(loan.Rank) || b.inUse+len(b.lent) >= b.share.Transit {
+		b.claims[peerClaim+loan.Borrower] = claim{Want: Want{Rank: loan.Rank}, peer: true, since: now, last: now}
 		return false
 	}
+	delete(b.claims, peerClaim+loan.Borrower)
 	b.tokens--
 	b.lent[loan] = now + b.config.LoanTerm + b.config.LoadTimeout + b.config.Margin
 	b.tokens = min(b.tokens, b.depth())
@@ -168,6 +186,21 @@
 	delete(b.lent, loan)
 }
 
+// urgency is the rank for which the want counts: an owed one goes with the most
+// urgent.
+func (w Want) urgency() table.Rank {
+	if w.Owed {
+		return table.Urgent
+	}
+	return w.Rank
+}
+
+// needed returns the tokens that must be there for a load of that rank: less
+// urgent ones leave the reserve, where the bucket is deep enough for it.
+func (b *Budget) needed(rank table.Rank) float64 {
+	return max(min(1+b.config.Reserve[rank], b.depth()), 1)
+}
+
 // depth is what the bucket holds: the transits that are not lent.
 func (b *Budget) depth() float64 { return float64(b.share.Transit - len(b.lent)) }
 
@@ -206,18 +239,34 @@
 	return false
 }
 
-// wanting tells whether a claim has stood long enough to ask a peer.
-func (b *Budget) wanting(now time.Duration) bool {
+// wanting returns the most urgent rank whose claim has stood long enough to ask
+// a peer.
+func (b *Budget) wanting(now time.Duration) (table.Rank, bool) {
+	rank, found := table.Patient, false
+	for _, c := range b.claims {
+		if !c.peer && (now >= c.since+b.config.AskAfter || c.urgency() == table.Urgent) {
+			rank, found = min(rank, c.urgency()), true
+		}
+	}
+	return rank, found
+}
+
+// claimed tells whether a worker claims a load that is as urgent as rank.
+func (b *Budget) claimed(rank table.Rank) bool {
 	for _, c := range b.claims {
-		if now >= c.since+b.config.AskAfter || c.Rank == table.Urgent {
+		if !c.peer && c.urgency() <= rank {
 			return true
 		}
 	}
 	return false
 }
 
-// before orders wants: by rank, then by the number of requests.
+// before orders wants: those that are owed first, then by rank, then by the
+// number of requests.
 func (w Want) before(other Want) bool {
+	if w.Owed != other.Owed {
+		return w.Owed
+	}
 	if w.Rank != other.Rank {
 		return w.Rank < other.Rank
 	}
--- a/coord/residency/budget_config.go
+++ b/coord/residency/budget_config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/ownership"
+	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
 // StoreLimits is what the weight store allows the whole fleet.
@@ -59,8 +60,12 @@
 
 // BudgetConfig holds the settings of a Budget.
 type BudgetConfig struct {
-	// ClaimTerm is how long a refused claim of one worker holds back less urgent
-	// ones of others. Default: 250 ms.
+	// Reserve is the number of loads that a load of a rank leaves in the bucket for
+	// more urgent ones. More shortens the urgent rank's wait after a quiet moment
+	// and leaves fewer loads for bursts of the others. Default: 0, 0.5 and 1.
+	Reserve [table.RankCount]float64
+	// ClaimTerm is how long a refused claim holds back less urgent ones. It should
+	// outlast the time to ask every peer once. Default: 600 ms.
 	ClaimTerm time.Duration
 	// AskAfter is how long a claim stands before a peer is asked for a loan, and
 	// the time between two such calls. Shorter finds unused rights sooner and costs
@@ -80,7 +85,8 @@
 // DefaultBudgetConfig returns the defaults.
 func DefaultBudgetConfig() BudgetConfig {
 	return BudgetConfig{
-		ClaimTerm:   250 * time.Millisecond,
+		Reserve:     [table.RankCount]float64{0, 0.5, 1},
+		ClaimTerm:   600 * time.Millisecond,
 		AskAfter:    100 * time.Millisecond,
 		LoanTerm:    2 * time.Second,
 		LoadTimeout: 30 * time.Second,
