--- a/coord/attempt/scopes_test.go
+++ b/coord/attempt/scopes_test.go
@@ -114,7 +114,7 @@
 	return w
 }
 
-func (w *scopes) mended() { w.cut = func(a, b *scopeInstance) bool { return false } }
+func (w *scopes) mended() { w.cut = func(_, _ *scopeInstance) bool { return false } }
 
 func (w *scopes) reaches(a, b *scopeInstance) bool {
 	return a == b || !b.dead && !b.frozen && !w.cut(a, b)
