--- a/coord/attempt/key.go
+++ b/coord/attempt/key.go
@@ -44,6 +44,17 @@
 // String returns the canonical text form.
 func (k Key) String() string { return uuid.UUID(k).String() }
 
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) { return uuid.UUID(k).MarshalText() }
+
+// UnmarshalText implements encoding.TextUnmarshaler. Its error is
+// ErrKeyMalformed.
+func (k *Key) UnmarshalText(text []byte) error {
+	parsed, err := ParseKey(string(text))
+	*k = parsed
+	return err
+}
+
 // Minted returns when the key was made by its caller's clock, as the time since
 // the Unix epoch in whole milliseconds.
 func (k Key) Minted() time.Duration {
--- a/coord/attempt/record_bounds.go
+++ b/coord/attempt/record_bounds.go
@@ -83,7 +83,10 @@
 		if _, found := r.keys[kept.Key]; found {
 			continue
 		}
-		state := &keyState{key: kept.Key, digest: kept.Digest, outcome: kept.Outcome, answer: kept.Answer}
+		state := &keyState{key: kept.Key, digest: kept.Digest, outcome: Unknown}
+		if kept.Outcome == Served {
+			state.outcome, state.answer = Served, kept.Answer
+		}
 		r.keys[kept.Key] = state
 		r.keep(state)
 	}
--- a/entry/keys/keys.go
+++ b/entry/keys/keys.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,15 @@
 	mu      sync.Mutex
 	record  *attempt.Record
 	waiting map[uint64]chan decision
+	shards  [attempt.Shards]shardRuns
+	idle    *sync.Cond // a run has ended
+}
+
+// shardRuns counts the runs in progress of a shard.
+type shardRuns struct {
+	running int
+	// handing says that the shard is being handed over: nothing more runs.
+	handing bool
 }
 
 // decision is what a send waits for: an answer or an error.
@@ -65,7 +75,7 @@
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
-	return &Keys{
+	k := &Keys{
 		config:  config,
 		fleet:   f,
 		rights:  settled{rights: rights, now: f.Now, dataCentre: f.DataCentre()},
@@ -75,7 +85,9 @@
 		pool:    pool,
 		record:  attempt.NewRecord(config.Record),
 		waiting: make(map[uint64]chan decision),
-	}, nil
+	}
+	k.idle = sync.NewCond(&k.mu)
+	return k, nil
 }
 
 // Close releases the pool.
@@ -136,14 +148,16 @@
 		Key:    key,
 		Digest: digest(r),
 		Wall:   wall(),
-		Held:   held,
+		Held:   held && !k.shards[key.Shard()].handing,
 		Since:  since,
 	})
+	run := slices.Contains(actions, attempt.RecordAction(attempt.Run{Send: id}))
+	if run {
+		k.shards[key.Shard()].running++
+	}
 	k.mu.Unlock()
-	for _, action := range actions {
-		if _, run := action.(attempt.Run); run {
-			k.start(id, key, since, *r)
-		}
+	if run {
+		k.start(id, key, since, *r)
 	}
 	return id, decided
 }
@@ -152,10 +166,10 @@
 func (k *Keys) start(id uint64, key attempt.Key, since time.Duration, r call.Request) {
 	err := k.pool.Submit(func() {
 		answer, err := k.once(key, since, &r)
-		k.finish(id, answer, err)
+		k.finish(id, key, answer, err)
 	})
 	if err != nil {
-		k.finish(id, attempt.Answer{}, refused(fasthttp.StatusServiceUnavailable, "key_runs_full", err))
+		k.finish(id, key, attempt.Answer{}, refused(fasthttp.StatusServiceUnavailable, "key_runs_full", err))
 	}
 }
 
@@ -180,7 +194,7 @@
 }
 
 // finish records a run's outcome and answers every send that waits for it.
-func (k *Keys) finish(id uint64, answer attempt.Answer, err error) {
+func (k *Keys) finish(id uint64, key attempt.Key, answer attempt.Answer, err error) {
 	outcome := attempt.Served
 	if err != nil {
 		outcome = outcomeOf(err)
@@ -189,6 +203,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.stepLocked(attempt.Finished{Send: id, Outcome: outcome, Answer: answer})
+	k.shards[key.Shard()].running--
+	k.idle.Broadcast()
 	k.decide(id, decision{answer: answer, err: err})
 }
 
--- a/entry/keys/rights.go
+++ b/entry/keys/rights.go
@@ -21,9 +21,9 @@
 // for a pause of the process.
 const pauseLimit = time.Second
 
-// settled delays rights whose grants don't tell when they began: a right begins
-// a settleTerm after the instance was first seen to hold it, and begins anew
-// after a pause.
+// settled delays rights whose grants carry no fencing number, since they don't
+// tell when they began: such a right begins a settleTerm after the instance was
+// first seen to hold it, and begins anew after a pause.
 type settled struct {
 	rights     Rights
 	now        func() time.Duration
@@ -54,6 +54,9 @@
 // held returns since when the right to a shard is held.
 func (s *settled) held(shard int) (since time.Duration, held bool) {
 	grant, granted := s.rights.Held(ownership.KeyRight(s.dataCentre, shard))
+	if granted && grant.Fence > 0 {
+		return grant.Since, true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
