Order workers and own keys under leases

Owners were the first by rendezvous over the usable instances, without lease and with fencing number 0: two instances with different views ordered one worker. entry/lease now runs the ownership machine; the lease and the fencing number are checked immediately before each order and dispatch, a step of the wall clock against the monotonic one drops every grant, and a worker is claimed and its adapters are listed before the first order. After a take-over without hand-over nothing is evicted for the serve grace and the longest deadline, which is now 2 minutes instead of an hour so that this wait stays bounded. A planned stop hands workers over with their pins and sends waiting requests back as not run.

Ruled out: leases inside heartbeats, since voters are mostly not among the peers that the topology sends heartbeats to.

--- a/cmd/e2e/fleet_test.go
+++ b/cmd/e2e/fleet_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -19,6 +20,9 @@
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
 
+// leaseTerm is short, so that the instances are ready soon.
+const leaseTerm = time.Second
+
 // buildDir holds the built programs for the life of the test binary.
 var buildDir string
 
@@ -104,6 +108,9 @@
 	conf.OperatorAddress = "127.0.0.1:0"
 	conf.TraceFile = filepath.Join(t.TempDir(), conf.Instance+".spans")
 	conf.PlatformAddress = s.platform
+	conf.LeaseTerm = settings.Duration(leaseTerm)
+	conf.LeaseListLag = settings.Duration(leaseTerm / 4)
+	conf.LeaseAloneTerm = settings.Duration(leaseTerm / 2)
 	entry := startEntryWith(t, conf)
 	at := entry.await(t, "listening")
 	s.entries = append(s.entries, entry)
--- a/cmd/internal/capacity/peers.go
+++ b/cmd/internal/capacity/peers.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	n.exchange = exchange
-	n.server = peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(n.fleet, records)), callTimeout)
+	n.server = peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(n.fleet, records, nil)), callTimeout)
 	go func() { _ = n.server.Serve(listener) }()
 	return n, nil
 }
--- a/coord/member/list.go
+++ b/coord/member/list.go
@@ -170,6 +170,20 @@
 	return usable
 }
 
+// Staying returns the instances that are published and not leaving, silent ones
+// included, sorted by name.
+func (l *List) Staying(now time.Duration) []Instance {
+	found := l.findings(now)
+	var staying []Instance
+	for name, instance := range l.published {
+		if instance.State != Leaving && !l.saysLeaving(now, found, name) {
+			staying = append(staying, instance)
+		}
+	}
+	sortByName(staying)
+	return staying
+}
+
 // Instance returns the published instance of that name.
 func (l *List) Instance(name string) (Instance, bool) {
 	instance, found := l.published[name]
--- a/coord/ownership/machine.go
+++ b/coord/ownership/machine.go
@@ -43,17 +43,6 @@
 	return c.grant, true
 }
 
-// Alone tells whether a right depends on the list's word, so that the list
-// should be read more often than AloneTerm.
-func (m *Machine) Alone() bool {
-	for _, c := range m.claims {
-		if !c.arbitrated && c.voters.current().alone(m.self.Name) {
-			return true
-		}
-	}
-	return false
-}
-
 // Step applies an event at now and returns the actions that follow.
 func (m *Machine) Step(now time.Duration, event Event) []Action {
 	var actions []Action
@@ -250,3 +239,27 @@
 		c.grant.Fence = c.highest
 	}
 }
+
+// HeldCount returns the number of rights that are held at now.
+func (m *Machine) HeldCount(now time.Duration) int {
+	held := 0
+	for _, c := range m.claims {
+		if c.holds(now) {
+			held++
+		}
+	}
+	return held
+}
+
+// Settled tells whether every right that this instance owns by the list is held,
+// or could have been.
+func (m *Machine) Settled(now time.Duration) bool {
+	for _, c := range m.claims {
+		names := c.voters.current().names
+		owner := len(names) > 0 && names[0] == m.self.Name
+		if owner && !c.holds(now) && now < c.settled+m.config.promise() {
+			return false
+		}
+	}
+	return true
+}
--- a/coord/residency/loads.go
+++ b/coord/residency/loads.go
@@ -13,7 +13,7 @@
 // load begins the load whose turn it is, if there is a slot and the right.
 func (w *Worker) load(now time.Duration) []Action {
 	work := w.wants.settle(now)
-	if w.loading >= loadsAtOnce {
+	if w.suspended || w.loading >= loadsAtOnce {
 		w.withdraw()
 		return nil
 	}
@@ -86,7 +86,7 @@
 	found := false
 	lowest := 0.0
 	for adapter, s := range w.slots {
-		if !s.ready || !suits(adapter, s) {
+		if !s.ready || now < s.protected || !suits(adapter, s) {
 			continue
 		}
 		value := w.value(now, adapter)
--- a/coord/residency/worker.go
+++ b/coord/residency/worker.go
@@ -19,6 +19,8 @@
 	loading int
 	service time.Duration                // mean time from dispatch to end
 	fails   map[table.AdapterVersion]int // failed loads since the last success
+	// suspended says that nothing may be loaded or evicted.
+	suspended bool
 }
 
 type slot struct {
@@ -27,6 +29,8 @@
 	draining bool          // takes no more requests
 	pins     int
 	right    Right // that its load ran on
+	// protected is until when requests of a former holder may use the adapter.
+	protected time.Duration
 }
 
 // run is a dispatched request. It pins the slot that it began on, and not the
@@ -96,6 +100,12 @@
 		w.cancel(e.ID)
 	case Restarted:
 		w.restarted(now)
+	case Adopted:
+		w.adopt(now, e)
+	case Suspended:
+		w.suspended = true
+	case Abandoned:
+		w.abandon(now, e.Order)
 	case Tick:
 	}
 	actions = append(actions, w.expire(now)...)
--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -10,6 +10,10 @@
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
+// MaxDeadline is the longest deadline a caller may ask for. After an instance was
+// lost without a hand-over, its workers evict nothing for as long.
+const MaxDeadline = 2 * time.Minute
+
 // Request is one caller's request as the hops pass it on.
 type Request struct {
 	// ID identifies the request over all hops.
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -15,12 +15,14 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/coord/table/replica"
+	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
 	"github.com/bulrushwick/bulrushwick/entry/keys"
+	"github.com/bulrushwick/bulrushwick/entry/lease"
 	"github.com/bulrushwick/bulrushwick/entry/operator"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer"
@@ -54,6 +56,7 @@
 	owner    *owner.Owner
 	keys     *keys.Keys
 	exchange *peer.Exchange
+	keeper   *lease.Keeper
 	reader   *platform.Reader
 	follower *tables.Follower
 	callers  *fasthttp.Server
@@ -86,6 +89,8 @@
 	own, err := owner.New(owner.Config{
 		QueueLimit:          s.QueueLimit,
 		DispatchConcurrency: s.DispatchConcurrency,
+		ServeGrace:          s.ServeGrace.Std(),
+		MaxDeadline:         call.MaxDeadline,
 	}, f, endpoint.NewClient(clients), log)
 	if err != nil {
 		return nil, err
@@ -103,6 +108,10 @@
 	if err != nil {
 		return nil, err
 	}
+	keeper, err := newKeeper(s, f, exchange, own, log)
+	if err != nil {
+		return nil, err
+	}
 	peers := forward.NewClient(clients)
 	front := ingress.NewServer(f, own, peers, flooded(log))
 	observed, err := telemetry.New(telemetryConfig(s))
@@ -130,10 +139,11 @@
 		keys:      keyed,
 		exchange:  exchange,
 		follower:  follower,
+		keeper:    keeper,
 		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
 		callers:   newServer(front.Handle, s.BodyLimit),
 		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
-		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
+		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records, keeper)), headerReadTimeout),
 	}, nil
 }
 
@@ -198,6 +208,7 @@
 	go d.reader.Run(background)
 	go d.follower.Run(background)
 	go d.exchange.Run(background)
+	go d.keeper.Run(background)
 	go d.tick(background)
 	go d.observe(background)
 	select {
@@ -209,7 +220,9 @@
 }
 
 // Ready tells whether the instance takes new work.
-func (d *Daemon) Ready() bool { return d.fleet.Ready() && d.keys.Ready() }
+func (d *Daemon) Ready() bool {
+	return d.fleet.Ready() && d.keeper.Settled() && d.keys.Ready()
+}
 
 // Revision returns the revision in force, or 0 before the first.
 func (d *Daemon) Revision() uint64 {
@@ -238,6 +251,7 @@
 	limit, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
 	d.exchange.Beat(limit)
+	d.handOver()
 	err := errors.Join(d.callers.ShutdownWithContext(limit), d.peers.ShutdownWithContext(limit), d.control.Shutdown(limit))
 	d.owner.Close()
 	d.keys.Close()
--- /dev/null
+++ b/entry/daemon/leases.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/rs/zerolog"
+
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
+	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/lease"
+	"github.com/bulrushwick/bulrushwick/entry/owner"
+	"github.com/bulrushwick/bulrushwick/entry/settings"
+)
+
+// renewals is the number of renewals in a lease's term.
+const renewals = 3
+
+// newKeeper returns the keeper of this instance's leases, with own acting on
+// the rights to workers.
+func newKeeper(s settings.Settings, f *fleet.Fleet, sender lease.Sender, own *owner.Owner, log zerolog.Logger) (*lease.Keeper, error) {
+	self := lease.Self(s.Instance)
+	timing := ownership.DefaultConfig(lease.Ordinal(self))
+	timing.Term = s.LeaseTerm.Std()
+	timing.ListLag = s.LeaseListLag.Std()
+	timing.AloneTerm = s.LeaseAloneTerm.Std()
+	keeper, err := lease.NewKeeper(lease.Config{
+		Lease:       timing,
+		RenewEvery:  s.LeaseTerm.Std() / renewals,
+		Concurrency: s.ControlConcurrency,
+	}, self, f, sender, log)
+	if err != nil {
+		return nil, err
+	}
+	keeper.Handle(string(ownership.WorkerRight("")), own)
+	own.UseFences(keeper)
+	return keeper, nil
+}
+
+// handOver passes every right on. What can't be passed on within a term runs out.
+func (d *Daemon) handOver() {
+	limit, cancel := context.WithTimeout(context.Background(), 2*d.settings.LeaseTerm.Std())
+	defer cancel()
+	if err := d.keeper.AwaitHandOver(limit); err != nil {
+		d.log.Warn().Err(err).Str("event", "hand_over_incomplete").Send()
+	}
+}
--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"strconv"
 	"time"
 
-	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
-	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
@@ -75,46 +71,3 @@
 		request.Header.Set(name, value)
 	}
 }
-
-// loadOrder is the published body of the adapter calls.
-type loadOrder struct {
-	Name string `json:"lora_name"`
-	Path string `json:"lora_path,omitempty"`
-}
-
-// Load orders an engine to load an adapter.
-func (c *Client) Load(address string, adapter table.AdapterVersion, fence uint64, timeout time.Duration) error {
-	order := loadOrder{Name: adapter.String(), Path: adapter.String()}
-	return c.order(address, "/v1/load_lora_adapter", order, fence, timeout)
-}
-
-// Unload orders an engine to drop an adapter.
-func (c *Client) Unload(address string, adapter table.AdapterVersion, fence uint64, timeout time.Duration) error {
-	return c.order(address, "/v1/unload_lora_adapter", loadOrder{Name: adapter.String()}, fence, timeout)
-}
-
-func (c *Client) order(address, path string, order loadOrder, fence uint64, timeout time.Duration) error {
-	body, err := json.Marshal(order)
-	if err != nil {
-		return oops.Wrap(err)
-	}
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	request.SetRequestURI("http://" + address + path)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.Header.SetContentType("application/json")
-	request.Header.Set(httpx.Fence, strconv.FormatUint(fence, 10))
-	request.SetBodyRaw(body)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	response, err := c.http.Do(ctx, address, request, httpx.Options{})
-	if err != nil {
-		return oops.Code("order_failed").With("address", address).Wrap(err)
-	}
-	defer func() { _ = response.Close() }()
-	if status := response.Status; status != fasthttp.StatusOK {
-		return oops.Code("order_refused").With("address", address, "status", status).Errorf("%s answered %d", path, status)
-	}
-	_, err = io.Copy(io.Discard, response)
-	return oops.Wrap(err)
-}
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -33,6 +33,7 @@
 	resident  map[string]map[table.AdapterVersion]struct{}
 	leaving   bool
 	topology  *member.Topology
+	leases    leases
 
 	installed chan struct{} // closed when the next table is installed
 	announced func(peer string, stamp table.Stamp)
@@ -49,6 +50,7 @@
 		endpoints:  make(map[string]member.State),
 		inFlight:   make(map[string]int),
 		resident:   make(map[string]map[table.AdapterVersion]struct{}),
+		leases:     leases{changed: make(chan struct{}, 1)},
 		installed:  make(chan struct{}),
 	}
 }
@@ -79,6 +81,7 @@
 	close(f.installed)
 	f.installed = make(chan struct{})
 	f.assign()
+	f.elect()
 	return true
 }
 
@@ -122,6 +125,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaving = true
+	f.elect()
+	f.leases.signal()
 }
 
 // Ready tells whether the instance takes new work: it has tables and instances
@@ -163,6 +168,7 @@
 
 // refresh reassigns owners when the usable instances have changed.
 func (f *Fleet) refresh() {
+	f.elect()
 	usable := f.members.Usable(f.Now())
 	if slices.Equal(usable, f.usable) {
 		return
@@ -191,7 +197,7 @@
 			if len(candidates) == 0 {
 				candidates = all
 			}
-			if order := ownership.Order(endpoint.Name, candidates); len(order) > 0 {
+			if order := ownership.Order(string(ownership.WorkerRight(endpoint.Name)), candidates); len(order) > 0 {
 				f.owners[endpoint.Name], _ = f.members.Instance(order[0])
 			}
 		}
--- a/entry/ingress/parse.go
+++ b/entry/ingress/parse.go
@@ -19,9 +19,6 @@
 // defaultDeadline applies where neither the caller nor the route names one.
 const defaultDeadline = 30 * time.Second
 
-// maxDeadline is the longest deadline a caller may ask for.
-const maxDeadline = time.Hour
-
 // Paths of the completion calls.
 const (
 	completionsPath     = "/v1/completions"
@@ -120,8 +117,8 @@
 		return defaultDeadline, nil
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms < 1 || ms > maxDeadline.Milliseconds() {
-		return 0, malformed("deadline", fmt.Sprintf("%s must be from 1 to %d", httpx.DeadlineHeader, maxDeadline.Milliseconds()))
+	if err != nil || ms < 1 || ms > call.MaxDeadline.Milliseconds() {
+		return 0, malformed("deadline", fmt.Sprintf("%s must be from 1 to %d", httpx.DeadlineHeader, call.MaxDeadline.Milliseconds()))
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
--- /dev/null
+++ b/entry/lease/actions.go
@@ -0,0 +1,73 @@
+package lease
+
+import (
+	"context"
+
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
+)
+
+// carryOut carries the queued actions out in order until ctx is done.
+func (k *Keeper) carryOut(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.pending:
+		}
+		k.mu.Lock()
+		actions := k.actions
+		k.actions = nil
+		k.mu.Unlock()
+		for _, action := range actions {
+			k.carryOutOne(ctx, action)
+		}
+	}
+}
+
+func (k *Keeper) carryOutOne(ctx context.Context, action ownership.Action) {
+	switch a := action.(type) {
+	case ownership.Send:
+		k.submit(func() { k.send(ctx, a) })
+	case ownership.HandOver:
+		k.log.Info().Str("event", "hand_over").Str("right", string(a.Right)).Str("to", a.To.Name).Send()
+		k.submit(func() { k.handOver(a.Right) })
+	case ownership.Acquired:
+		k.log.Info().Str("event", "acquired").Str("right", string(a.Right)).
+			Uint64("fence", a.Grant.Fence).Bool("handed", a.Handed).Send()
+		if h, found := k.handler(a.Right); found {
+			h.Acquired(a)
+		}
+	case ownership.Lost:
+		k.log.Info().Str("event", "lost").Str("right", string(a.Right)).Send()
+		if h, found := k.handler(a.Right); found {
+			h.Lost(a.Right)
+		}
+	}
+}
+
+func (k *Keeper) submit(task func()) {
+	if err := k.pool.Submit(task); err != nil {
+		k.log.Warn().Err(err).Str("event", "lease_call_skipped").Send()
+	}
+}
+
+func (k *Keeper) send(ctx context.Context, s ownership.Send) {
+	peer, published := k.fleet.Instance(s.To)
+	if !published {
+		return
+	}
+	reply, err := k.sender.Lease(ctx, peer, s.Message)
+	if err != nil {
+		k.log.Debug().Err(err).Str("event", "lease_failed").Str("peer", s.To).Send()
+		return
+	}
+	k.step(ownership.Replied{Reply: reply})
+}
+
+func (k *Keeper) handOver(r ownership.Right) {
+	var state []byte
+	if h, found := k.handler(r); found {
+		state = h.HandOver(r)
+	}
+	k.step(ownership.Released{Right: r, State: state})
+}
--- a/entry/owner/step.go
+++ b/entry/owner/step.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -14,18 +15,24 @@
 	o.mu.Lock()
 	actions := w.machine.Step(o.fleet.Now(), event)
 	var orders []residency.Load
+	var abandoned []uint64
 	for _, action := range actions {
 		switch a := action.(type) {
 		case residency.Load:
 			orders = append(orders, a)
 		case residency.Dispatch:
-			w.decide(a.ID, a)
+			if !w.decide(a.ID, a) {
+				abandoned = append(abandoned, a.ID)
+			}
 		case residency.Reject:
 			w.decide(a.ID, a)
 		}
 	}
-	if cancelled, is := event.(residency.Cancel); is {
-		delete(w.tickets, cancelled.ID)
+	switch e := event.(type) {
+	case residency.Cancel:
+		delete(w.tickets, e.ID)
+	case residency.Finished:
+		delete(w.auth.sent, e.ID)
 	}
 	resident := w.machine.Resident()
 	o.mu.Unlock()
@@ -33,14 +40,24 @@
 	for _, order := range orders {
 		o.order(w, order)
 	}
+	for _, id := range abandoned {
+		o.step(w, residency.Finished{ID: id})
+	}
 }
 
-// decide hands a decision to the waiting request.
-func (w *worker) decide(id uint64, action residency.Action) {
-	if t, found := w.tickets[id]; found {
-		t.decided <- action
-		delete(w.tickets, id)
+// decide hands a decision to the waiting request and tells whether it still
+// waits. A dispatched request uses its adapter from here on.
+func (w *worker) decide(id uint64, action residency.Action) bool {
+	t, found := w.tickets[id]
+	if !found {
+		return false
+	}
+	if _, dispatched := action.(residency.Dispatch); dispatched {
+		w.auth.sent[id] = t.pin
 	}
+	t.decided <- action
+	delete(w.tickets, id)
+	return true
 }
 
 // order carries out a load on the loads pool.
@@ -48,27 +65,74 @@
 	err := o.loads.Submit(func() { o.load(w, order) })
 	if err != nil {
 		o.log.Error().Err(err).Str("event", "load_not_started").Str("worker", w.name).Send()
-		go o.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: rand.Float64()})
+		go o.step(w, residency.Abandoned{Order: order})
 	}
 }
 
 func (o *Owner) load(w *worker, order residency.Load) {
-	if order.Evict != nil {
-		if err := o.client.Unload(w.address, *order.Evict, 0, loadTimeout); err != nil {
-			o.log.Warn().Err(err).Str("event", "unload_failed").Str("worker", w.name).Send()
-		} else {
-			o.telemetry.Evicted()
-		}
+	err := o.evict(w, &order)
+	if err == nil {
+		err = o.fetch(w, order.Adapter)
+	}
+	if err == nil {
+		o.step(w, residency.Loaded{Adapter: order.Adapter})
+		return
+	}
+	o.log.Warn().Err(err).Str("event", "load_failed").Str("worker", w.name).Send()
+	fenced := o.fenced(w, err)
+	if fenced || errors.Is(err, errNotHeld) {
+		o.step(w, residency.Abandoned{Order: order})
+	} else {
+		o.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: rand.Float64()})
+	}
+	if fenced || order.Evict != nil {
+		o.readopt(w)
+	}
+}
+
+// evict unloads the adapter that the order names, and then names it no more.
+func (o *Owner) evict(w *worker, order *residency.Load) error {
+	if order.Evict == nil {
+		return nil
 	}
-	hop := o.telemetry.Load(o.traceOf(w, order.Adapter), w.name, order.Adapter)
-	err := o.client.Load(w.address, order.Adapter, 0, loadTimeout)
+	address, _ := o.at(w)
+	err := o.send(w, func(fence uint64) error {
+		return o.client.Unload(address, *order.Evict, fence, loadTimeout)
+	})
+	if err == nil {
+		order.Evict = nil
+		o.telemetry.Evicted()
+	}
+	return err
+}
+
+func (o *Owner) fetch(w *worker, adapter table.AdapterVersion) error {
+	address, _ := o.at(w)
+	hop := o.telemetry.Load(o.traceOf(w, adapter), w.name, adapter)
+	err := o.send(w, func(fence uint64) error {
+		return o.client.Load(address, adapter, fence, loadTimeout)
+	})
 	hop.End(err)
+	return err
+}
+
+// send sends one order with the fencing number of the right that is held now.
+func (o *Owner) send(w *worker, order func(fence uint64) error) error {
+	fence, err := o.beginOrder(w)
 	if err != nil {
-		o.log.Warn().Err(err).Str("event", "load_failed").Str("worker", w.name).Send()
-		o.step(w, residency.LoadFailed{Adapter: order.Adapter, Jitter: rand.Float64()})
-		return
+		return err
+	}
+	defer o.endOrder(w)
+	return order(fence)
+}
+
+// at returns a worker's address and whether it refuses old fencing numbers.
+func (o *Owner) at(w *worker) (address string, fencing bool) {
+	endpoint, pool, found := o.fleet.Table().Endpoint(w.name)
+	if !found {
+		return "", false
 	}
-	o.step(w, residency.Loaded{Adapter: order.Adapter})
+	return endpoint.Address, pool.Fencing
 }
 
 // Tick lets time pass on every worker.
@@ -80,6 +144,7 @@
 	}
 	o.mu.Unlock()
 	for _, w := range workers {
+		o.startAdopt(w)
 		o.step(w, residency.Tick{})
 	}
 }
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -13,11 +13,12 @@
 type Server struct {
 	fleet   *fleet.Fleet
 	records *Records
+	voter   Voter
 }
 
-// NewServer returns a server over f.
-func NewServer(f *fleet.Fleet, records *Records) *Server {
-	return &Server{fleet: f, records: records}
+// NewServer returns a server over f that answers lease messages with voter.
+func NewServer(f *fleet.Fleet, records *Records, voter Voter) *Server {
+	return &Server{fleet: f, records: records, voter: voter}
 }
 
 // Heartbeat implements peerpb.Peer.
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -14,6 +14,10 @@
 // retryAfter is the pause after a failed read.
 const retryAfter = 250 * time.Millisecond
 
+// confirmEvery is the interval between readings of the list while rights depend
+// on it.
+const confirmEvery = time.Second
+
 // Reader keeps a fleet's lists of instances and endpoints up to date from the
 // platform.
 type Reader struct {
@@ -31,17 +35,22 @@
 // Run watches both lists until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
 	go r.watch(ctx, InstancesKey, r.instances)
+	go r.confirm(ctx)
 	r.watch(ctx, EndpointsKey, r.endpoints)
 }
 
 func (r *Reader) watch(ctx context.Context, key string, apply func([]byte) error) {
 	index := uint64(0)
 	for ctx.Err() == nil {
+		asked := r.fleet.Now()
 		value, err := r.client.Get(key, index, r.wait)
 		if err == nil && value.Index != index {
 			err = apply(value.Data)
 			index = value.Index
 		}
+		if err == nil && key == InstancesKey {
+			r.fleet.ListRead(asked)
+		}
 		if err == nil {
 			continue
 		}
@@ -53,6 +62,31 @@
 	}
 }
 
+// confirm reads the list of instances often while rights of this instance depend
+// on it.
+func (r *Reader) confirm(ctx context.Context) {
+	ticker := time.NewTicker(confirmEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !r.fleet.Alone() {
+			continue
+		}
+		asked := r.fleet.Now()
+		value, err := r.client.Get(InstancesKey, 0, 0)
+		if err == nil {
+			err = r.instances(value.Data)
+		}
+		if err == nil {
+			r.fleet.ListRead(asked)
+		}
+	}
+}
+
 func (r *Reader) instances(data []byte) error {
 	instances, findings := ParseInstances(data)
 	if instances == nil {
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -44,6 +44,10 @@
 		value Duration
 	}{
 		{"heartbeatEvery", s.HeartbeatEvery},
+		{"leaseTerm", s.LeaseTerm},
+		{"leaseListLag", s.LeaseListLag},
+		{"leaseAloneTerm", s.LeaseAloneTerm},
+		{"serveGrace", s.ServeGrace},
 		{"watchWait", s.WatchWait},
 		{"tableWatchWait", s.TableWatchWait},
 		{"tableAskEvery", s.TableAskEvery},
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -48,6 +48,20 @@
 	// HeartbeatEvery is the interval between heartbeats to each peer. Shorter
 	// finds a failure sooner and costs more control traffic. Default: 500ms.
 	HeartbeatEvery Duration `json:"heartbeatEvery"`
+	// LeaseTerm is how long a lease counts. All instances use the same. Shorter
+	// takes over sooner from a lost instance; longer rides out more lost calls.
+	// Default: 3s.
+	LeaseTerm Duration `json:"leaseTerm"`
+	// LeaseListLag is how much later than another instance one may read a change
+	// of the platform's list. All instances use the same. Default: 2s.
+	LeaseListLag Duration `json:"leaseListLag"`
+	// LeaseAloneTerm is how long an instance without another voter goes on after
+	// its last reading of the list. All instances use the same. Default: 4s.
+	LeaseAloneTerm Duration `json:"leaseAloneTerm"`
+	// ServeGrace is for how long adapters that are loaded are used after a lease
+	// has ended. Longer serves more while no voter answers; the next owner evicts
+	// nothing for as long. Default: 10s.
+	ServeGrace Duration `json:"serveGrace"`
 	// WatchWait is how long a watch for the lists of instances and endpoints may
 	// wait at the platform.
 	// Default: 30s.
@@ -107,6 +121,10 @@
 func Default() Settings {
 	return Settings{
 		HeartbeatEvery:      Duration(500 * time.Millisecond),
+		LeaseTerm:           Duration(3 * time.Second),
+		LeaseListLag:        Duration(2 * time.Second),
+		LeaseAloneTerm:      Duration(4 * time.Second),
+		ServeGrace:          Duration(10 * time.Second),
 		WatchWait:           Duration(30 * time.Second),
 		TableReaders:        3,
 		TableWatchWait:      Duration(2 * time.Second),
