--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -15,8 +15,6 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/coord/table/replica"
-	"github.com/bulrushwick/bulrushwick/entry/call"
-	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
@@ -86,12 +84,7 @@
 		ConnectTimeout:  s.ConnectTimeout.Std(),
 		ProgressTimeout: s.ProgressTimeout.Std(),
 	}
-	own, err := owner.New(owner.Config{
-		QueueLimit:          s.QueueLimit,
-		DispatchConcurrency: s.DispatchConcurrency,
-		ServeGrace:          s.ServeGrace.Std(),
-		MaxDeadline:         call.MaxDeadline,
-	}, f, endpoint.NewClient(clients), log)
+	own, err := newOwner(s, f, clients, log)
 	if err != nil {
 		return nil, err
 	}
@@ -114,13 +107,10 @@
 	}
 	peers := forward.NewClient(clients)
 	front := ingress.NewServer(f, own, peers, flooded(log))
-	observed, err := telemetry.New(telemetryConfig(s))
+	observed, err := observe(s, own, peers, front)
 	if err != nil {
 		return nil, err
 	}
-	own.Observe(observed)
-	peers.Observe(observed)
-	front.Observe(observed)
 	keyed, err := keys.New(keys.Config{Record: s.Keys.Record(), Concurrency: s.DispatchConcurrency}, f, f, peers, front.Run, log)
 	if err != nil {
 		return nil, err
--- a/entry/daemon/leases.go
+++ b/entry/daemon/leases.go
@@ -6,7 +6,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bulrushwick/bulrushwick/coord/ownership"
+	"github.com/bulrushwick/bulrushwick/entry/call"
+	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/lease"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
@@ -15,6 +18,16 @@
 // renewals is the number of renewals in a lease's term.
 const renewals = 3
 
+// newOwner returns the owner of this instance's workers.
+func newOwner(s settings.Settings, f *fleet.Fleet, clients httpx.ClientConfig, log zerolog.Logger) (*owner.Owner, error) {
+	return owner.New(owner.Config{
+		QueueLimit:          s.QueueLimit,
+		DispatchConcurrency: s.DispatchConcurrency,
+		ServeGrace:          s.ServeGrace.Std(),
+		MaxDeadline:         call.MaxDeadline,
+	}, f, endpoint.NewClient(clients), log)
+}
+
 // newKeeper returns the keeper of this instance's leases, with own acting on
 // the rights to workers.
 func newKeeper(s settings.Settings, f *fleet.Fleet, sender lease.Sender, own *owner.Owner, log zerolog.Logger) (*lease.Keeper, error) {
--- a/entry/daemon/observe.go
+++ b/entry/daemon/observe.go
@@ -7,7 +7,10 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/bulrushwick/bulrushwick/entry/forward"
+	"github.com/bulrushwick/bulrushwick/entry/ingress"
 	"github.com/bulrushwick/bulrushwick/entry/operator"
+	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
@@ -88,3 +91,15 @@
 	}
 	return s
 }
+
+// observe returns the telemetry that the parts report to.
+func observe(s settings.Settings, own *owner.Owner, peers *forward.Client, front *ingress.Server) (*telemetry.Telemetry, error) {
+	observed, err := telemetry.New(telemetryConfig(s))
+	if err != nil {
+		return nil, err
+	}
+	own.Observe(observed)
+	peers.Observe(observed)
+	front.Observe(observed)
+	return observed, nil
+}
