--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -15,12 +15,12 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/coord/table/replica"
-	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
 	"github.com/bulrushwick/bulrushwick/entry/keys"
+	"github.com/bulrushwick/bulrushwick/entry/lease"
 	"github.com/bulrushwick/bulrushwick/entry/operator"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer"
@@ -54,6 +54,7 @@
 	owner    *owner.Owner
 	keys     *keys.Keys
 	exchange *peer.Exchange
+	keeper   *lease.Keeper
 	reader   *platform.Reader
 	follower *tables.Follower
 	callers  *fasthttp.Server
@@ -83,10 +84,7 @@
 		ConnectTimeout:  s.ConnectTimeout.Std(),
 		ProgressTimeout: s.ProgressTimeout.Std(),
 	}
-	own, err := owner.New(owner.Config{
-		QueueLimit:          s.QueueLimit,
-		DispatchConcurrency: s.DispatchConcurrency,
-	}, f, endpoint.NewClient(clients), log)
+	own, err := newOwner(s, f, clients, log)
 	if err != nil {
 		return nil, err
 	}
@@ -103,15 +101,16 @@
 	if err != nil {
 		return nil, err
 	}
+	keeper, err := newKeeper(s, f, exchange, own, log)
+	if err != nil {
+		return nil, err
+	}
 	peers := forward.NewClient(clients)
 	front := ingress.NewServer(f, own, peers, flooded(log))
-	observed, err := telemetry.New(telemetryConfig(s))
+	observed, err := observe(s, own, peers, front)
 	if err != nil {
 		return nil, err
 	}
-	own.Observe(observed)
-	peers.Observe(observed)
-	front.Observe(observed)
 	keyed, err := keys.New(keys.Config{Record: s.Keys.Record(), Concurrency: s.DispatchConcurrency}, f, f, peers, front.Run, log)
 	if err != nil {
 		return nil, err
@@ -130,10 +129,11 @@
 		keys:      keyed,
 		exchange:  exchange,
 		follower:  follower,
+		keeper:    keeper,
 		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
 		callers:   newServer(front.Handle, s.BodyLimit),
 		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
-		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records)), headerReadTimeout),
+		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records, keeper)), headerReadTimeout),
 	}, nil
 }
 
@@ -198,6 +198,7 @@
 	go d.reader.Run(background)
 	go d.follower.Run(background)
 	go d.exchange.Run(background)
+	go d.keeper.Run(background)
 	go d.tick(background)
 	go d.observe(background)
 	select {
@@ -209,7 +210,9 @@
 }
 
 // Ready tells whether the instance takes new work.
-func (d *Daemon) Ready() bool { return d.fleet.Ready() && d.keys.Ready() }
+func (d *Daemon) Ready() bool {
+	return d.fleet.Ready() && d.keeper.Settled() && d.keys.Ready()
+}
 
 // Revision returns the revision in force, or 0 before the first.
 func (d *Daemon) Revision() uint64 {
@@ -238,6 +241,7 @@
 	limit, cancel := context.WithTimeout(context.Background(), drainLimit)
 	defer cancel()
 	d.exchange.Beat(limit)
+	d.handOver()
 	err := errors.Join(d.callers.ShutdownWithContext(limit), d.peers.ShutdownWithContext(limit), d.control.Shutdown(limit))
 	d.owner.Close()
 	d.keys.Close()
