--- a/coord/table/build.go
+++ b/coord/table/build.go
@@ -16,12 +16,11 @@
 	Routes   []Route
 	Pools    map[string]*Pool
 
-	manifest Manifest
-	digest   string
-	refs     []ChunkRef
-	parts    map[string]*part
-	// holders are the parts with adapters, in the order of the manifest.
-	holders   []*part
+	manifest  Manifest
+	digest    string
+	refs      []ChunkRef
+	parts     map[string]*part
+	adapters  *adapterIndex
 	engines   []*Route
 	services  []*Route
 	endpoints map[string]located
@@ -51,13 +50,14 @@
 // Build joins and validates the chunks. It returns every finding together, as
 // Findings. Chunks that the base table has are not parsed or compared again.
 func (a *Assembly) Build() (*Table, error) {
-	b := builder{assembly: a, table: &Table{
+	b := builder{assembly: a, keys: make(map[*part]string, len(a.parts)), table: &Table{
 		Revision:  a.manifest.Revision,
 		Pools:     make(map[string]*Pool),
 		manifest:  a.manifest,
 		refs:      a.refs,
 		parts:     a.parts,
-		endpoints: make(map[string]located),
+		adapters:  a.adapters(),
+		endpoints: make(map[string]located, a.endpointCount()),
 		regionOf:  make(map[string]string),
 	}}
 	b.manifest()
@@ -67,7 +67,6 @@
 			join(&b.placed[i])
 		}
 	}
-	b.duplicateAdapters()
 	if err := b.result(); err != nil {
 		return nil, err
 	}
@@ -81,6 +80,7 @@
 	table    *Table
 	findings Findings
 	placed   []placed
+	keys     map[*part]string
 	// incomplete says that a chunk is missing or could not be decoded.
 	incomplete bool
 }
@@ -136,9 +136,7 @@
 		b.incomplete = b.incomplete || !p.usable
 		fresh := b.assembly.base == nil || b.assembly.base.parts[ref.Digest] == nil
 		b.placed = append(b.placed, placed{part: p, key: ref.Key, fresh: fresh})
-		if len(p.versions) > 0 {
-			b.table.holders = append(b.table.holders, p)
-		}
+		b.keys[p] = ref.Key
 	}
 }
 
@@ -176,7 +174,9 @@
 		pool.Endpoints = pool.Endpoints[:len(pool.Endpoints):len(pool.Endpoints)] // appends copy
 		b.table.Pools[pool.Name] = &pool
 		for j, endpoint := range pool.Endpoints {
-			b.uniqueEndpoint(p, pathOf(path+".endpoints", j), endpoint.Name)
+			if b.repeated(endpoint.Name) {
+				p.Find(pathOf(path+".endpoints", j)+".name", "endpoint %q is defined twice", endpoint.Name)
+			}
 		}
 	}
 }
@@ -184,22 +184,23 @@
 // endpoints adds the endpoints that are published apart from their pools.
 func (b *builder) endpoints(p *placed) {
 	for i, e := range p.chunk.Endpoints {
-		path := pathOf("endpoints", i)
 		pool, found := b.table.Pools[e.Pool]
 		if !found {
-			b.undefined(p, path+".pool", "pool", e.Pool)
+			b.undefined(p, pathOf("endpoints", i)+".pool", "pool", e.Pool)
 			continue
 		}
-		b.uniqueEndpoint(p, path, e.Name)
+		if b.repeated(e.Name) {
+			p.Find(pathOf("endpoints", i)+".name", "endpoint %q is defined twice", e.Name)
+		}
 		pool.Endpoints = append(pool.Endpoints, e.endpoint())
 	}
 }
 
-func (b *builder) uniqueEndpoint(p *placed, path, name string) {
-	if _, twice := b.table.endpoints[name]; twice {
-		p.Find(path+".name", "endpoint %q is defined twice", name)
-	}
+// repeated notes an endpoint's name and tells whether it was noted before.
+func (b *builder) repeated(name string) bool {
+	before := len(b.table.endpoints)
 	b.table.endpoints[name] = located{}
+	return len(b.table.endpoints) == before
 }
 
 func (b *builder) routes(p *placed) {
@@ -243,44 +244,13 @@
 		what := fmt.Sprintf("in %d adapters the engine pool", use.count)
 		b.undefined(p, pathOf("adapters", use.first)+".pool", what, name)
 	}
-}
-
-// duplicateAdapters compares the fresh parts with all others: the parts of the
-// base table have been compared with each other.
-func (b *builder) duplicateAdapters() {
-	for i := range b.placed {
-		p := &b.placed[i]
-		if !p.fresh {
-			continue
-		}
-		for j := range b.placed {
-			if other := &b.placed[j]; j < i || (j > i && !other.fresh) {
-				b.compare(p, other)
-			}
-		}
-	}
-}
-
-// compare finds the adapters of p that other has as well.
-func (b *builder) compare(p, other *placed) {
-	few, many := p.versions, other.versions
-	if len(few) > len(many) {
-		few, many = many, few
-	}
-	twice := make(map[poolAdapter]bool)
-	for id := range few {
-		if _, found := many[id]; found {
-			twice[id] = true
-		}
-	}
-	if len(twice) == 0 {
+	if !p.fresh {
 		return
 	}
-	var chunk Chunk
-	_, _ = strictjson.Decode(p.data, &chunk) // once more for the places, which are not kept
-	for i, adapter := range chunk.Adapters {
-		if twice[poolAdapter{adapter.Pool, adapter.Name}] {
-			p.Find(pathOf("adapters", i)+".name", "adapter %q is defined in chunk %q as well", adapter.Name, other.key)
+	for i := range p.chunk.Adapters {
+		a := &p.chunk.Adapters[i]
+		if other := b.table.adapters.add(p.part, a); other != nil {
+			p.Find(pathOf("adapters", i)+".name", "adapter %q is defined in chunk %q as well", a.Name, b.keys[other])
 		}
 	}
 }
--- a/coord/table/lookup.go
+++ b/coord/table/lookup.go
@@ -65,13 +65,7 @@
 
 // HasVersion tells whether the pool serves that version of the adapter.
 func (t *Table) HasVersion(pool string, a AdapterVersion) bool {
-	id := poolAdapter{pool, a.Adapter}
-	for _, p := range t.holders {
-		if versions, found := p.versions[id]; found {
-			return slices.Contains(versions, a.Version)
-		}
-	}
-	return false
+	return t.adapters.has(pool, a)
 }
 
 // Endpoint returns the endpoint of that name and its pool.
--- a/coord/table/manifest.go
+++ b/coord/table/manifest.go
@@ -14,8 +14,9 @@
 
 // ChunkRef names a chunk and the digest that its bytes must have.
 type ChunkRef struct {
-	// Key is where the platform publishes the chunk.
-	Key string `json:"key"`
+	// Key is where the platform publishes the chunk. Default: the manifest's
+	// KeyPrefix and the digest.
+	Key string `json:"key,omitempty"`
 	// Digest is the XXH64 of the chunk's bytes in 16 hexadecimal digits.
 	Digest string `json:"digest"`
 }
@@ -24,8 +25,10 @@
 type Manifest struct {
 	// Revision counts from 1; a table with a higher one replaces the table in
 	// force.
-	Revision uint64     `json:"revision"`
-	Chunks   []ChunkRef `json:"chunks"`
+	Revision uint64 `json:"revision"`
+	// KeyPrefix begins the keys of the chunks that are listed by digest alone.
+	KeyPrefix string     `json:"keyPrefix,omitempty"`
+	Chunks    []ChunkRef `json:"chunks"`
 }
 
 // Snapshot is a manifest with the bytes of its chunks, by key.
@@ -71,16 +74,12 @@
 func checkRefs(c *strictjson.Collector, refs []ChunkRef) {
 	seen := make(map[string]bool, len(refs))
 	for i, ref := range refs {
-		path := fmt.Sprintf("chunks[%d]", i)
-		if ref.Key == "" {
-			c.Find(path+".key", "is empty")
-		}
-		if seen[ref.Key] {
-			c.Find(path+".key", "chunk %q is listed twice", ref.Key)
+		if ref.Key != "" && seen[ref.Key] {
+			c.Find(pathOf("chunks", i)+".key", "chunk %q is listed twice", ref.Key)
 		}
 		seen[ref.Key] = true
 		if !isDigest(ref.Digest) {
-			c.Find(path+".digest", "%q is not 16 hexadecimal digits", ref.Digest)
+			c.Find(pathOf("chunks", i)+".digest", "%q is not 16 hexadecimal digits", ref.Digest)
 		}
 	}
 }
--- a/coord/table/part.go
+++ b/coord/table/part.go
@@ -13,8 +13,6 @@
 type part struct {
 	data  []byte
 	chunk Chunk
-	// versions holds the chunk's adapters; chunk.Adapters is dropped.
-	versions map[poolAdapter][]string
 	// adapterPools holds the pools that the adapters name.
 	adapterPools map[string]poolUse
 	findings     strictjson.Findings
@@ -26,8 +24,6 @@
 // many do.
 type poolUse struct{ first, count int }
 
-type poolAdapter struct{ pool, adapter string }
-
 // isIndex tells whether the chunk lists further chunks.
 func (p *part) isIndex() bool { return len(p.chunk.Chunks) > 0 }
 
@@ -45,7 +41,7 @@
 	p.checkRoutes(c)
 	p.checkPools(c)
 	p.checkEndpoints(c)
-	p.indexAdapters(c)
+	p.checkAdapters(c)
 	p.findings = append(p.findings, c.Locate(data)...)
 	return p
 }
@@ -116,7 +112,7 @@
 
 func (p *part) checkEndpoints(c *strictjson.Collector) {
 	for i, e := range p.chunk.Endpoints {
-		checkEndpoint(c, fmt.Sprintf("endpoints[%d]", i), e.endpoint())
+		checkEndpoint(c, pathOf("endpoints", i), e.endpoint())
 	}
 }
 
@@ -136,37 +132,40 @@
 	return Endpoint{Name: e.Name, Address: e.Address, DataCentre: e.DataCentre}
 }
 
-func (p *part) indexAdapters(c *strictjson.Collector) {
-	p.versions = make(map[poolAdapter][]string, len(p.chunk.Adapters))
+func (p *part) checkAdapters(c *strictjson.Collector) {
+	seen := make(map[poolAdapter]bool, len(p.chunk.Adapters))
 	p.adapterPools = make(map[string]poolUse)
 	for i, adapter := range p.chunk.Adapters {
-		path := fmt.Sprintf("adapters[%d]", i)
-		use, named := p.adapterPools[adapter.Pool]
-		if !named {
-			use.first = i
-		}
-		use.count++
-		p.adapterPools[adapter.Pool] = use
+		p.countPool(i, adapter.Pool)
 		if adapter.Name == "" || strings.Contains(adapter.Name, "@") {
-			c.Find(path+".name", "%q is empty or has an @", adapter.Name)
+			c.Find(pathOf("adapters", i)+".name", "%q is empty or has an @", adapter.Name)
 		}
 		id := poolAdapter{adapter.Pool, adapter.Name}
-		if _, twice := p.versions[id]; twice {
-			c.Find(path+".name", "adapter %q is defined twice", adapter.Name)
+		if seen[id] {
+			c.Find(pathOf("adapters", i)+".name", "adapter %q is defined twice", adapter.Name)
 		}
-		checkVersions(c, path+".versions", adapter.Versions)
-		p.versions[id] = adapter.Versions
+		seen[id] = true
+		checkVersions(c, i, adapter.Versions)
+	}
+}
+
+func (p *part) countPool(i int, pool string) {
+	use, named := p.adapterPools[pool]
+	if !named {
+		use.first = i
 	}
-	p.chunk.Adapters = nil
+	use.count++
+	p.adapterPools[pool] = use
 }
 
-func checkVersions(c *strictjson.Collector, path string, versions []string) {
+func checkVersions(c *strictjson.Collector, i int, versions []string) {
+	path := func() string { return pathOf("adapters", i) + ".versions" }
 	if len(versions) == 0 {
-		c.Find(path, "is empty")
+		c.Find(path(), "is empty")
 	}
-	for i, version := range versions {
+	for j, version := range versions {
 		if version == "" || strings.Contains(version, "@") {
-			c.Find(fmt.Sprintf("%s[%d]", path, i), "%q is empty or has an @", version)
+			c.Find(pathOf(path(), j), "%q is empty or has an @", version)
 		}
 	}
 }
