--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -115,6 +115,7 @@
 		problem.Write(ctx)
 		return
 	}
+	r.Table, r.Entry = t.Stamp(), s.fleet.Self()
 	ctx.Response.Header.Set(httpx.RequestID, r.ID)
 	hop := s.telemetry.Ingress(r)
 	answer, err := forward.Watched(ctx, r, func(ctx context.Context, r *call.Request) (*call.Answer, error) {
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -21,7 +21,7 @@
 
 // watchMargin is added to the wait of a blocking query before the connection
 // counts as silent.
-const watchMargin = 2 * time.Second
+const watchMargin = time.Second
 
 // Client reads keys. It is safe for concurrent use.
 type Client struct {
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -49,8 +49,8 @@
 	// finds a failure sooner and costs more control traffic. Default: 500ms.
 	HeartbeatEvery Duration `json:"heartbeatEvery"`
 	// WatchWait is how long a watch for the lists of instances and endpoints may
-	// wait at the platform.
-	// Default: 30s.
+	// wait at the platform. It bounds how long a watch that has gone silent hides
+	// a change; shorter costs the platform more calls. Default: 4s.
 	WatchWait Duration `json:"watchWait"`
 	// TableReaders is how many instances of each data centre watch the platform
 	// for tables. More ride out more failures at once and cost the platform more
@@ -107,7 +107,7 @@
 func Default() Settings {
 	return Settings{
 		HeartbeatEvery:      Duration(500 * time.Millisecond),
-		WatchWait:           Duration(30 * time.Second),
+		WatchWait:           Duration(4 * time.Second),
 		TableReaders:        3,
 		TableWatchWait:      Duration(2 * time.Second),
 		TableAskEvery:       Duration(time.Second),
