--- a/entry/tables/catchup.go
+++ b/entry/tables/catchup.go
@@ -33,15 +33,27 @@
 		bounded, cancel := context.WithTimeout(ctx, c.wait)
 		defer cancel()
 		if err := c.fleet.AwaitStamp(bounded, r.Table); err != nil {
-			return nil, refuse("tables_behind", time.Second, "the request was resolved by table %s, here %s is in force", r.Table, c.fleet.Stamp())
+			return nil, c.behind(r)
 		}
 	}
+	if keyed(r) { // the record decides, and each run is checked where it is forwarded
+		return c.next.Serve(ctx, r)
+	}
 	if err := c.stands(r); err != nil {
 		return nil, err
 	}
 	return c.next.Serve(ctx, r)
 }
 
+// keyed tells whether the call may have run when it was sent before.
+func keyed(r *call.Request) bool { return r.Key != "" && !r.Idempotent }
+
+func (c *CatchUp) behind(r *call.Request) error {
+	failed := refuse("tables_behind", time.Second, "the request was resolved by table %s, here %s is in force", r.Table, c.fleet.Stamp())
+	failed.Failure.Sent = keyed(r) // an earlier send may have run: unknown
+	return failed
+}
+
 // stands refuses what the newer table here does not serve any more.
 func (c *CatchUp) stands(r *call.Request) error {
 	t := c.fleet.Table()
--- a/entry/tables/catchup_test.go
+++ b/entry/tables/catchup_test.go
@@ -59,6 +59,12 @@
 	require.Equal(t, "tables_behind", failed.Code)
 	require.Equal(t, attempt.NotRun, failed.Failure.Outcome())
 	require.Equal(t, second.Stamp(), <-asked)
+	keyed := *request
+	keyed.Key = "key"
+	_, err = refusing.Serve(context.Background(), &keyed)
+	require.ErrorAs(t, err, &failed)
+	require.Equal(t, attempt.Unknown, failed.Failure.Outcome(), "an earlier send of the key may have run")
+	<-asked
 
 	waiting := tables.NewCatchUp(f, n, time.Hour)
 	served := make(chan error, 1)
