Check settings, tables and lists in files

bulrushctl check tells a file's kind by its fields, joins the chunks as an instance would and prints every finding of all files in one run; exit 1 on findings, 2 on wrong usage.

--- /dev/null
+++ b/cmd/bulrushctl/check_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushwick/bulrushwick/cmd/internal/check"
+	"github.com/bulrushwick/bulrushwick/coord/table"
+)
+
+const pools = `{"pools": [{"name": "models", "kind": "engine", "slots": 1, "batch": 1, "endpoints": []}]}`
+
+// files holds one file of each kind; the names say which have findings.
+var files = map[string]string{
+	"settings.json": `{
+  "instance": "entry-0", "instanse": "x",
+  "callerAddress": "127.0.0.1:1", "peerAddress": "127.0.0.1:1", "controlAddress": "127.0.0.1:1", "platformAddress": "here"
+}`,
+	"pools.json":     pools,
+	"routes.json":    "{\n  \"routes\": [\n    {\"name\": \"r\", \"pool\": \"model\", \"idempotnt\": true}\n  ]\n}",
+	"adapters.json":  `{"adapters": [{"name": "a", "pool": "models", "versions": ["v1"]}, {"name": "a", "pool": "models", "versions": ["v1"], "versions": []}]}`,
+	"instances.json": `[{"name": "e", "dataCentre": "d", "peerAddress": "127.0.0.1:1", "controlAddress": "127.0.0.1:1", "state": "lives"}]`,
+	"endpoints.json": `[{"name": "", "state": "leaving"}]`,
+	"broken.json":    `{"pools": [`,
+}
+
+// checked runs check over files and returns the lines with their exit code.
+func checked(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	var out bytes.Buffer
+	c := command()
+	c.SetArgs(append([]string{"check"}, args...))
+	c.SetOut(&out)
+	c.SetErr(&out)
+	err := c.ExecuteContext(t.Context())
+	if err == nil {
+		return out.String(), 0
+	}
+	return out.String(), exitCode(err)
+}
+
+func write(t *testing.T, all map[string]string) {
+	t.Helper()
+	t.Chdir(t.TempDir())
+	for name, data := range all {
+		require.NoError(t, os.WriteFile(filepath.Clean(name), []byte(data), 0o600))
+	}
+}
+
+func TestCheckReportsEveryFindingOfEveryFile(t *testing.T) {
+	write(t, files)
+	out, code := checked(t, "settings.json", "pools.json", "routes.json", "adapters.json", "instances.json", "endpoints.json")
+	require.Equal(t, exitFailed, code)
+	require.Equal(t, strings.Split(`settings.json:1:1: dataCentre: is empty
+settings.json:2:26: instanse: unknown field; did you mean "instance"?
+settings.json:3:98: platformAddress: "here" is not an IP address and port
+routes.json:3:19: routes[0].pool: pool "model" is not defined; did you mean "models"?
+routes.json:3:36: routes[0].idempotnt: unknown field; did you mean "idempotent"?
+adapters.json:1:69: adapters[1].name: adapter "a" is defined twice
+adapters.json:1:100: adapters[1].versions: is empty
+adapters.json:1:120: adapters[1].versions: the field is written twice
+instances.json:1:98: [0].state: "lives" is not live or leaving; did you mean "live"?
+endpoints.json:1:3: [0].name: is empty
+`, "\n"), strings.Split(out, "\n"))
+
+	out, code = checked(t, "--output", "json", "broken.json", "routes.json")
+	require.Equal(t, exitFailed, code)
+	var findings []check.Finding
+	require.NoError(t, json.Unmarshal([]byte(out), &findings))
+	require.Len(t, findings, 2, "a pool that may stand in the broken file is not called undefined")
+	require.Equal(t, "broken.json", findings[0].File)
+}
+
+func TestCheckJoinsByTheManifest(t *testing.T) {
+	manifest := func(digest string) string {
+		return fmt.Sprintf("{\n  \"revision\": 3,\n  \"chunks\": [{\"key\": \"c/pools\", \"digest\": %q}]\n}", digest)
+	}
+	write(t, map[string]string{"pools.json": pools, "good.json": manifest(table.Digest([]byte(pools))), "old.json": manifest(table.Digest(nil))})
+	out, code := checked(t, "good.json", "pools.json")
+	require.Empty(t, out)
+	require.Zero(t, code)
+	out, code = checked(t, "old.json", "pools.json")
+	require.Equal(t, exitFailed, code)
+	require.Contains(t, out, `old.json:3:3: chunks: chunk "c/pools" with digest `)
+	require.Contains(t, out, "pools.json:1:1: $: no manifest lists the digest ")
+}
+
+func TestCheckUsage(t *testing.T) {
+	write(t, files)
+	for _, args := range [][]string{{}, {"absent.json"}, {"--outptu", "json", "pools.json"}, {"--output", "xml", "pools.json"}} {
+		_, code := checked(t, args...)
+		require.Equal(t, exitUsage, code, "%v", args)
+	}
+}
--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -16,7 +16,7 @@
 	defer stop()
 	if err := command().ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
 
@@ -29,6 +29,7 @@
 	}
 	root.AddCommand(
 		capacityCommand(),
+		checkCommand(),
 		demoCommand(),
 		experimentCommand(),
 		explainCommand(),
--- a/cmd/bulrushctl/output.go
+++ b/cmd/bulrushctl/output.go
@@ -37,7 +37,7 @@
 		rows(aligned)
 		return aligned.Flush()
 	default:
-		return fmt.Errorf("--output %q is not table or json", o.name)
+		return usageError{fmt.Errorf("--output %q is not table or json", o.name)}
 	}
 }
 
--- a/coord/table/assembly.go
+++ b/coord/table/assembly.go
@@ -36,6 +36,16 @@
 // Manifest returns the manifest whose chunks are gathered.
 func (a *Assembly) Manifest() Manifest { return a.manifest }
 
+// DigestOf returns the digest of the chunk that is listed under a key.
+func (a *Assembly) DigestOf(key string) (string, bool) {
+	for _, ref := range a.refs {
+		if ref.Key == key {
+			return ref.Digest, true
+		}
+	}
+	return "", false
+}
+
 // Missing returns the chunks that are still to be read, those in index chunks
 // that have not been read excepted.
 func (a *Assembly) Missing() []ChunkRef { return a.missing }
