Ask about tables on fresh connections and compress the answers

Random peers over kept connections would leave one open to each of up to 970 instances, each pinged every second: about 33 KB a second by count. A fresh connection costs 472 bytes a question (99 on a kept one), and can not have gone silent. gzip brings a leaf chunk's call to 718 bytes.

--- a/coord/table/replica/world_test.go
+++ b/coord/table/replica/world_test.go
@@ -41,6 +41,7 @@
 	inForce     *table.Table
 	platform    int // calls of the platform
 	asked       int // questions to peers
+	fetches     int // calls for chunks
 }
 
 type event struct {
@@ -194,6 +195,7 @@
 			return answer
 		})
 	case replica.FetchChunks:
+		in.fetches++
 		w.call(in, a.Peer, a.Call, func(peer *instance) replica.Event {
 			answer := replica.ChunksFetched{Call: a.Call}
 			for _, digest := range a.Digests {
--- a/entry/peer/exchange.go
+++ b/entry/peer/exchange.go
@@ -33,6 +33,7 @@
 	records *Records
 	log     zerolog.Logger
 	http    *http.Client
+	tables  *http.Client
 	pool    *ants.Pool
 	beats   atomic.Uint64
 	calls   sync.WaitGroup
@@ -63,6 +64,7 @@
 		records: records,
 		log:     log,
 		http:    newControlClient(config.HeartbeatEvery),
+		tables:  newTablesClient(tablesTimeout),
 		pool:    pool,
 		links:   make(map[string]*link),
 	}, nil
--- a/entry/peer/tables.go
+++ b/entry/peer/tables.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/samber/oops"
 
@@ -49,10 +50,17 @@
 	return out, nil
 }
 
+// tablesTimeout bounds a call about tables.
+const tablesTimeout = 2 * time.Second
+
+func (e *Exchange) tablesClient(address string) peerpb.Peer {
+	return peerpb.NewPeerProtobufClient("http://"+address, e.tables)
+}
+
 // CompareTables tells the peer at address which table is in force here. It
 // returns what the peer has and, when that is above, its manifest.
 func (e *Exchange) CompareTables(ctx context.Context, address string, have table.Stamp) (table.Stamp, []byte, error) {
-	out, err := e.link(address).client.CompareTables(ctx, &peerpb.CompareTablesRequest{
+	out, err := e.tablesClient(address).CompareTables(ctx, &peerpb.CompareTablesRequest{
 		Instance: e.fleet.Self(),
 		Revision: have.Revision,
 		Digest:   have.Digest,
@@ -65,7 +73,7 @@
 
 // FetchChunks returns some or all of the chunks from the peer at address.
 func (e *Exchange) FetchChunks(ctx context.Context, address string, digests []string) ([][]byte, error) {
-	out, err := e.link(address).client.FetchChunks(ctx, &peerpb.FetchChunksRequest{Digests: digests})
+	out, err := e.tablesClient(address).FetchChunks(ctx, &peerpb.FetchChunksRequest{Digests: digests})
 	if err != nil {
 		return nil, oops.Code("fetch_failed").Wrap(err)
 	}
--- a/entry/peer/transport.go
+++ b/entry/peer/transport.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
+
+	"github.com/klauspost/compress/gzhttp"
 )
 
 // NewControlServer returns the server of the control listener. HTTP/2 carries
@@ -30,3 +33,23 @@
 		},
 	}
 }
+
+// newTablesClient returns the client for calls about tables. They go to many
+// peers, to each one seldom, so every call takes a connection of its own: none
+// is kept alive by pings, and none can have gone silent before.
+func newTablesClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// CompressTables compresses the answers to calls about tables, which are JSON
+// that repeats itself, where the caller takes gzip.
+func CompressTables(next http.Handler) http.Handler {
+	compressed := gzhttp.GzipHandler(next)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "Tables") || strings.HasSuffix(r.URL.Path, "Chunks") {
+			compressed.ServeHTTP(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
