--- a/cmd/e2e/docs_test.go
+++ b/cmd/e2e/docs_test.go
@@ -5,12 +5,15 @@
 	"bytes"
 	"io/fs"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
 // root is the repository's root.
@@ -31,6 +34,12 @@
 	"go run ./cmd/bulrushctl demo":                     proveByRun("bulrushctl", "demo"),
 	"go run ./cmd/bulrushctl experiment suzgec-steady": proveByRun("bulrushctl", "experiment", "suzgec-steady"),
 
+	"go run ./cmd/bulrushctl check manifest.json routes.json pools.json": proveCheck,
+
+	"go test ./coord/table -run '^$' -bench 'Change|Start'": proveByGo("./coord/table", "-run", "^$", "-bench", "Change|Start", "-benchtime", "1x"),
+	"go test ./entry/peer -run '^$' -bench Calls":           proveByGo("./entry/peer", "-run", "^$", "-bench", "Calls", "-benchtime", "1x"),
+	"go test ./coord/table/replica -run FullSize -v":        proveByGo("./coord/table/replica", "-run", "FullSize", "-v"),
+
 	"go test work": proveByCI("go test work"),
 }
 
@@ -48,6 +57,34 @@
 	}
 }
 
+// proveByGo runs tests of a package and wants at least one to run.
+func proveByGo(args ...string) commandProof {
+	return func(t *testing.T) {
+		command := exec.CommandContext(t.Context(), "go", append([]string{"test"}, args...)...)
+		command.Dir = root
+		out, err := command.CombinedOutput()
+		require.NoError(t, err, string(out))
+		require.NotContains(t, string(out), "no tests to run")
+		require.Regexp(t, "(?m)^(Benchmark|--- PASS)", string(out))
+	}
+}
+
+// proveCheck checks a table in three files.
+func proveCheck(t *testing.T) {
+	dir := t.TempDir()
+	pools := `{"pools": [{"name": "models", "kind": "engine", "slots": 1, "batch": 1, "endpoints": []}]}`
+	routes := `{"routes": [{"name": "completions", "pool": "models"}]}`
+	manifest := table.Manifest{Revision: 1}
+	args := []string{"check", filepath.Join(dir, "manifest.json")}
+	for name, data := range map[string]string{"pools.json": pools, "routes.json": routes} {
+		manifest.Chunks = append(manifest.Chunks, table.ChunkRef{Digest: table.Digest([]byte(data))})
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(data), 0o600))
+		args = append(args, filepath.Join(dir, name))
+	}
+	require.NoError(t, os.WriteFile(args[1], manifest.Encode(), 0o600))
+	require.Empty(t, run(t, "bulrushctl", args...))
+}
+
 // TestEveryCommandOnAPageRuns fails for a command that has no proof.
 func TestEveryCommandOnAPageRuns(t *testing.T) {
 	commands := pageCommands(t)
