--- a/cmd/bulrushctl/check_test.go
+++ b/cmd/bulrushctl/check_test.go
@@ -20,7 +20,7 @@
 // files holds one file of each kind; the names say which have findings.
 var files = map[string]string{
 	"settings.json": `{
-  "instance": "entry-0", "instanse": "x",
+  "instance": "entry-0", "instancee": "x",
   "callerAddress": "127.0.0.1:1", "peerAddress": "127.0.0.1:1", "controlAddress": "127.0.0.1:1", "platformAddress": "here"
 }`,
 	"pools.json":     pools,
@@ -59,7 +59,7 @@
 	out, code := checked(t, "settings.json", "pools.json", "routes.json", "adapters.json", "instances.json", "endpoints.json")
 	require.Equal(t, exitFailed, code)
 	require.Equal(t, strings.Split(`settings.json:1:1: dataCentre: is empty
-settings.json:2:26: instanse: unknown field; did you mean "instance"?
+settings.json:2:26: instancee: unknown field; did you mean "instance"?
 settings.json:3:98: platformAddress: "here" is not an IP address and port
 routes.json:3:19: routes[0].pool: pool "model" is not defined; did you mean "models"?
 routes.json:3:36: routes[0].idempotnt: unknown field; did you mean "idempotent"?
