--- a/coord/attempt/world_test.go
+++ b/coord/attempt/world_test.go
@@ -102,6 +102,11 @@
 	if from == to || from.frozen || to.frozen || !from.held || w.now >= from.expires {
 		return
 	}
+	w.pass(from, to)
+}
+
+// pass moves the right with everything that the holder knows.
+func (w *world) pass(from, to *worldInstance) {
 	from.held = false
 	to.held, to.since, to.expires = true, w.now-to.booted, from.expires
 	for shard := range Shards {
@@ -129,6 +134,11 @@
 	if w.between(0, 9) > 0 {
 		return
 	}
+	w.reboot(i)
+}
+
+// reboot ends an instance and what it had in progress.
+func (w *world) reboot(i *worldInstance) {
 	*i = worldInstance{record: NewRecord(w.config), booted: w.now, skew: i.skew}
 	alive := func(all []worldSend) (kept []worldSend) {
 		for _, s := range all {
@@ -177,6 +187,11 @@
 		w.nextSend++
 		w.inFlight = append(w.inFlight, worldSend{w.nextSend, s.key, w.target()})
 	}
+	w.arrive(s)
+}
+
+// arrive hands a send to the record of its instance.
+func (w *world) arrive(s worldSend) {
 	w.apply(s, s.at.record.Step(w.now-s.at.booted, Arrive{
 		Send: s.send, Key: s.key, Wall: w.wall(s.at),
 		Held: s.at.held && w.now < s.at.expires, Since: w.since(s.at),
