Compare the scopes of key ownership by a command

The simulation moves from a test to bulrushctl keyscope; a small test keeps what the choice rests on.

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -33,6 +33,7 @@
 		demoCommand(),
 		experimentCommand(),
 		explainCommand(),
+		keyscopeCommand(),
 		loadCommand(),
 		standinCommand(),
 		statusCommand(),
--- a/coord/attempt/faults_test.go
+++ b/coord/attempt/faults_test.go
@@ -71,7 +71,7 @@
 	}
 	w.now = max(w.now, w.until)
 	for _, i := range w.instances {
-		if !i.frozen && !(i.held && w.now < i.expires+time.Second) { // the one before has had its turn
+		if !i.frozen && (!i.held || w.now >= i.expires+time.Second) { // the one before has had its turn
 			i.held, i.since, i.expires = true, w.now-i.booted, w.now+worldTerm
 			w.until = i.expires + time.Millisecond
 			return i
