Hand the record of keys over with the lease

entry/keys acts on the rights to keys: it inherits what a leaving holder hands over, and needs no settling of its own, since a lease tells when it began.

Seen to fail first without the handler: after a planned stop of its owner a served order was answered unknown by the next one (go test ./e2e -run PlannedStopHands).

--- a/cmd/e2e/keys_test.go
+++ b/cmd/e2e/keys_test.go
@@ -208,3 +208,19 @@
 	require.Equal(t, 1, s.runs(t, late))
 	require.LessOrEqual(t, s.runs(t, early), 1)
 }
+
+// TestPlannedStopHandsKeysOver stops the owner of an order that was served, and
+// sends the order again through the next owner.
+func TestPlannedStopHandsKeysOver(t *testing.T) {
+	s := startSystem(t, deployment.Silttolge(), 2)
+	key := newKey()
+	owner, next := s.owners(t, key)
+	first, err := sendOrder(s.callers[next], key, time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, attempt.Served, first.outcome, first.body)
+	s.entries[owner].signal(syscall.SIGTERM)
+	s.entries[owner].await(t, "stopped")
+	_, again := resend(t, s.callers[next], same(key))
+	require.Equal(t, first, again, "the next owner answers from the record")
+	require.Equal(t, 1, s.runs(t, key))
+}
--- a/coord/ownership/right.go
+++ b/coord/ownership/right.go
@@ -11,10 +11,13 @@
 // WorkerRight is the right to order a worker: to load, to evict and to dispatch.
 func WorkerRight(worker string) Right { return Right("worker/" + worker) }
 
+// KeyRights begins the name of every right to keys.
+const KeyRights = "key/"
+
 // KeyRight is the right to run calls whose idempotency keys fall into a shard
 // of a data centre.
 func KeyRight(dataCentre string, shard int) Right {
-	return Right("key/" + dataCentre + "/" + strconv.Itoa(shard))
+	return Right(KeyRights + dataCentre + "/" + strconv.Itoa(shard))
 }
 
 // Grant is a right that an instance holds. Both times are on the holder's own
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/coord/table/replica"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
@@ -116,6 +117,7 @@
 		return nil, err
 	}
 	front.UseKeyed(keyed)
+	keeper.Handle(ownership.KeyRights, keyed)
 	caughtUp := func(inner forward.Server) forward.Server {
 		return tables.NewCatchUp(f, inner, s.TableCatchUp.Std())
 	}
--- a/entry/keys/handover.go
+++ b/entry/keys/handover.go
@@ -5,23 +5,28 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/attempt"
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
 )
 
 // handOverBytes bounds the answers that go with the hand-over of one shard. A
 // key whose answer is left out is known to have run.
 const handOverBytes = 128 << 10
 
-// HandOver begins no further run of a shard's keys, waits until none is in
-// progress and returns what the next holder needs, or nil where this instance
-// does not hold the shard.
-func (k *Keys) HandOver(shard int) []byte {
+// HandOver implements lease.Handler: it begins no further run of a shard's keys,
+// waits until none is in progress and returns what the next holder needs, or nil
+// where this instance does not hold the shard.
+func (k *Keys) HandOver(r ownership.Right) []byte {
+	shard, own := k.shardOf[r]
+	if !own {
+		return nil
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.shards[shard].handing = true
 	for k.shards[shard].running > 0 {
 		k.idle.Wait()
 	}
-	since, held := k.rights.held(shard)
+	since, held := k.held(shard)
 	if !held {
 		return nil
 	}
@@ -44,20 +49,17 @@
 	return data
 }
 
-// TakeOver begins this instance's right to a shard. State is what the holder
-// that directly preceded it handed over, or nil: then keys that it may have run
-// are answered unknown.
-func (k *Keys) TakeOver(shard int, since time.Duration, state []byte) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.shards[shard].handing = false
+// takeOver gives the record what the holder that directly preceded this one
+// handed over, and tells whether it could be read. The lock must be held.
+func (k *Keys) takeOver(shard int, since time.Duration, state []byte) bool {
 	if len(state) == 0 {
-		return
+		return false
 	}
 	var handed attempt.HandOver
 	if err := json.Unmarshal(state, &handed); err != nil || handed.Shard != shard {
 		k.log.Error().Err(err).Str("event", "hand_over_unreadable").Int("shard", shard).Send()
-		return
+		return false
 	}
 	k.record.Step(k.fleet.Now(), attempt.Inherited{Since: since, HandOver: handed})
+	return true
 }
--- a/entry/keys/handover_test.go
+++ b/entry/keys/handover_test.go
@@ -84,6 +84,8 @@
 	return attempt.Served
 }
 
+func rightTo(shard int) ownership.Right { return ownership.KeyRight("a", shard) }
+
 func shardOf(t testing.TB, key string) int {
 	parsed, err := attempt.ParseKey(key)
 	require.NoError(t, err)
@@ -100,7 +102,7 @@
 	go func() { answered <- first.outcome(key) }()
 	require.Eventually(t, func() bool { return first.runs.Load() == 1 }, time.Minute, time.Millisecond)
 	state := make(chan []byte, 1)
-	go func() { state <- first.HandOver(shard) }()
+	go func() { state <- first.HandOver(rightTo(shard)) }()
 	require.Eventually(t, func() bool {
 		first.mu.Lock()
 		defer first.mu.Unlock()
@@ -117,14 +119,14 @@
 	since := second.fleet.Now()
 	second.lease.since.Store(int64(since))
 	second.lease.held.Store(true)
-	second.TakeOver(shard, since, <-state)
+	second.Acquired(ownership.Acquired{Right: rightTo(shard), Grant: ownership.Grant{Since: since}, Handed: true, State: <-state})
 	require.Equal(t, attempt.Served, second.outcome(key), "answered from the record")
 	require.Zero(t, second.runs.Load())
 	require.Equal(t, attempt.Served, second.outcome(fresh), "a key that has not run is not unknown")
 
 	third := newHolder(t, true)
 	third.lease.since.Store(int64(third.fleet.Now()))
-	third.TakeOver(shard, third.fleet.Now(), []byte("{"))
+	third.Acquired(ownership.Acquired{Right: rightTo(shard), Grant: ownership.Grant{Since: third.fleet.Now()}, Handed: true, State: []byte("{")})
 	require.Equal(t, attempt.Unknown, third.outcome(key), "without a readable state the key may have run")
 	require.Zero(t, third.runs.Load())
 }
@@ -133,17 +135,17 @@
 	require.Equal(t, attempt.Unknown, outcomeOf(errors.New("boom")))
 }
 
-func FuzzTakeOver(f *testing.F) {
+func FuzzAcquired(f *testing.F) {
 	key := newKey()
 	first := newHolder(f, true)
 	first.outcome(key)
 	shard := shardOf(f, key)
-	f.Add(first.HandOver(shard))
+	f.Add(first.HandOver(rightTo(shard)))
 	f.Add([]byte(`{"Shard":0,"Keys":[{"Key":"x"}]}`))
 	f.Fuzz(func(t *testing.T, state []byte) {
 		h := newHolder(t, true)
 		h.lease.since.Store(int64(h.fleet.Now()))
-		h.TakeOver(shard, h.fleet.Now(), state)
+		h.Acquired(ownership.Acquired{Right: rightTo(shard), Grant: ownership.Grant{Since: h.fleet.Now()}, Handed: true, State: state})
 		require.LessOrEqual(t, h.record.Len(), attempt.DefaultRecordConfig().MaxKeys)
 	})
 }
--- a/entry/keys/keys.go
+++ b/entry/keys/keys.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/attempt"
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 )
@@ -42,12 +43,14 @@
 type Keys struct {
 	config Config
 	fleet  *fleet.Fleet
-	rights settled
+	rights Rights
 	remote Remote
 	run    Runner
 	log    zerolog.Logger
 	pool   *ants.Pool
 	sends  atomic.Uint64
+	// shardOf is the rights to the shards of the own data centre.
+	shardOf map[ownership.Right]int
 
 	mu      sync.Mutex
 	record  *attempt.Record
@@ -61,6 +64,8 @@
 	running int
 	// handing says that the shard is being handed over: nothing more runs.
 	handing bool
+	// inherited says that the record goes on where the last holder's ended.
+	inherited bool
 }
 
 // decision is what a send waits for: an answer or an error.
@@ -78,7 +83,8 @@
 	k := &Keys{
 		config:  config,
 		fleet:   f,
-		rights:  settled{rights: rights, now: f.Now, dataCentre: f.DataCentre()},
+		rights:  rights,
+		shardOf: shardsOf(f.DataCentre()),
 		remote:  remote,
 		run:     run,
 		log:     log,
@@ -93,15 +99,8 @@
 // Close releases the pool.
 func (k *Keys) Close() { k.pool.Release() }
 
-// Ready tells whether keys minted now would be run by this instance wherever it
-// is their owner.
-func (k *Keys) Ready() bool {
-	return !k.rights.pending(k.config.Record.FutureLimit + k.config.Record.ClockSkew)
-}
-
 // Tick lets time pass.
 func (k *Keys) Tick() {
-	k.rights.observe()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.record.Step(k.fleet.Now(), attempt.Elapsed{Wall: wall()})
@@ -142,7 +141,7 @@
 	id, decided = k.sends.Add(1), make(chan decision, 1)
 	k.mu.Lock()
 	k.waiting[id] = decided
-	since, held := k.rights.held(key.Shard())
+	since, held := k.held(key.Shard())
 	actions := k.stepLocked(attempt.Arrive{
 		Send:   id,
 		Key:    key,
@@ -176,7 +175,7 @@
 // once runs a call and reads its answer whole. The right is checked again
 // immediately before.
 func (k *Keys) once(key attempt.Key, since time.Duration, r *call.Request) (attempt.Answer, error) {
-	if again, held := k.rights.held(key.Shard()); !held || again != since {
+	if again, held := k.held(key.Shard()); !held || again != since {
 		return attempt.Answer{}, refused(fasthttp.StatusServiceUnavailable, string(attempt.NotHolder), fmt.Errorf("the right to the key has ended"))
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
--- a/entry/keys/rights.go
+++ b/entry/keys/rights.go
@@ -1,7 +1,6 @@
 package keys
 
 import (
-	"sync"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/attempt"
@@ -13,71 +12,52 @@
 	Held(r ownership.Right) (ownership.Grant, bool)
 }
 
-// settleTerm is how long an instance must have been the owner, without a
-// pause, before it takes its right to have begun.
-const settleTerm = 3 * time.Second
-
-// pauseLimit is the longest time between two observations that is not taken
-// for a pause of the process.
-const pauseLimit = time.Second
-
-// settled delays rights whose grants carry no fencing number, since they don't
-// tell when they began: such a right begins a settleTerm after the instance was
-// first seen to hold it, and begins anew after a pause.
-type settled struct {
-	rights     Rights
-	now        func() time.Duration
-	dataCentre string
+// shardsOf returns the rights to a data centre's shards.
+func shardsOf(dataCentre string) map[ownership.Right]int {
+	shards := make(map[ownership.Right]int, attempt.Shards)
+	for shard := range attempt.Shards {
+		shards[ownership.KeyRight(dataCentre, shard)] = shard
+	}
+	return shards
+}
 
-	mu       sync.Mutex
-	observed time.Duration
-	first    [attempt.Shards]time.Duration
-	holding  [attempt.Shards]bool
+// held returns since when the right to a shard is held.
+func (k *Keys) held(shard int) (since time.Duration, held bool) {
+	grant, held := k.rights.Held(ownership.KeyRight(k.fleet.DataCentre(), shard))
+	return grant.Since, held
 }
 
-// observe looks at every right; it must be called more often than pauseLimit.
-func (s *settled) observe() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	paused := now-s.observed > pauseLimit
-	s.observed = now
+// Ready tells whether keys minted now would be run by this instance wherever it
+// is their owner.
+func (k *Keys) Ready() bool {
+	margin := k.config.Record.FutureLimit + k.config.Record.ClockSkew
 	for shard := range attempt.Shards {
-		_, held := s.rights.Held(ownership.KeyRight(s.dataCentre, shard))
-		if held && (paused || !s.holding[shard]) {
-			s.first[shard] = now
+		since, held := k.held(shard)
+		if held && k.fleet.Now() < since+margin && !k.inherited(shard) {
+			return false
 		}
-		s.holding[shard] = held
 	}
+	return true
 }
 
-// held returns since when the right to a shard is held.
-func (s *settled) held(shard int) (since time.Duration, held bool) {
-	grant, granted := s.rights.Held(ownership.KeyRight(s.dataCentre, shard))
-	if granted && grant.Fence > 0 {
-		return grant.Since, true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if !granted || !s.holding[shard] || now-s.observed > pauseLimit {
-		return 0, false
-	}
-	since = max(grant.Since, s.first[shard]+settleTerm)
-	return since, now >= since
+func (k *Keys) inherited(shard int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.shards[shard].inherited
 }
 
-// pending tells whether a right that is granted has not settled yet, or settled
-// less than margin ago.
-func (s *settled) pending(margin time.Duration) bool {
-	now := s.now()
-	for shard := range attempt.Shards {
-		if _, granted := s.rights.Held(ownership.KeyRight(s.dataCentre, shard)); !granted {
-			continue
-		}
-		if since, held := s.held(shard); !held || now < since+margin {
-			return true
-		}
+// Acquired implements lease.Handler. Without the state of the holder that
+// directly preceded this one, keys that it may have run are answered unknown.
+func (k *Keys) Acquired(a ownership.Acquired) {
+	shard, own := k.shardOf[a.Right]
+	if !own {
+		return
 	}
-	return false
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.shards[shard].handing = false
+	k.shards[shard].inherited = a.Handed && k.takeOver(shard, a.Grant.Since, a.State)
 }
+
+// Lost implements lease.Handler.
+func (k *Keys) Lost(ownership.Right) {}
