--- a/coord/table/replica/replica_test.go
+++ b/coord/table/replica/replica_test.go
@@ -221,6 +221,30 @@
 	}
 }
 
+// TestBurstIsInForceWithinTheBound publishes ten revisions a second and looks
+// after each bound whether it, or a later one, is in force everywhere.
+func TestBurstIsInForceWithinTheBound(t *testing.T) {
+	w := newWorld(seed, 12, 7, sound)
+	w.drop = 0.01
+	late, calls := 0, 0
+	for revision := uint64(1); revision <= 300; revision++ {
+		w.publish(revision, fmt.Sprintf("r%d", revision), false, w.dataCentres()...)
+		w.after(inForceWithin, func() {
+			for _, in := range w.instances {
+				if in.inForce == nil || in.inForce.Revision < revision {
+					late++
+				}
+			}
+		})
+		w.run(tickEvery)
+	}
+	calls = w.platformCalls()
+	w.run(inForceWithin)
+	t.Logf("%.1f platform calls/s in the burst", float64(calls)/30)
+	require.Zero(t, late)
+	require.Empty(t, w.broken)
+}
+
 // peerCalls returns the questions and fetches of the mean instance so far.
 func (w *world) peerCalls() (asked, fetched float64) {
 	for _, in := range w.instances {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -56,6 +56,7 @@
 	exchange *peer.Exchange
 	keeper   *lease.Keeper
 	reader   *platform.Reader
+	platform *platform.Client
 	follower *tables.Follower
 	callers  *fasthttp.Server
 	peers    *fasthttp.Server
@@ -130,6 +131,7 @@
 		exchange:  exchange,
 		follower:  follower,
 		keeper:    keeper,
+		platform:  reads,
 		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
 		callers:   newServer(front.Handle, s.BodyLimit),
 		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
--- a/entry/daemon/observe.go
+++ b/entry/daemon/observe.go
@@ -67,7 +67,11 @@
 
 func (d *Daemon) state() telemetry.State {
 	view := d.fleet.View()
-	s := telemetry.State{Revision: view.Revision}
+	s := telemetry.State{
+		Revision:       view.Revision,
+		RejectedTables: d.follower.Rejected(),
+		PlatformCalls:  d.platform.Calls(),
+	}
 	for _, instance := range view.Instances {
 		switch {
 		case instance.Silent:
--- a/entry/tables/follower.go
+++ b/entry/tables/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/ants/v2"
@@ -54,6 +55,7 @@
 	log      zerolog.Logger
 	pool     *ants.Pool
 	events   chan replica.Event
+	refusals atomic.Uint64
 
 	// What follows belongs to Run.
 	replica *replica.Replica
@@ -234,7 +236,11 @@
 // findingsLimit bounds the findings of one rejected table that are logged.
 const findingsLimit = 100
 
+// Rejected returns how many tables with findings were passed over so far.
+func (f *Follower) Rejected() uint64 { return f.refusals.Load() }
+
 func (f *Follower) rejected(a replica.Reject) {
+	f.refusals.Add(1)
 	for _, finding := range a.Findings[:min(findingsLimit, len(a.Findings))] {
 		f.log.Error().Str("event", "tables_finding").Uint64("revision", a.Stamp.Revision).
 			Str("chunk", finding.Chunk).Int("line", finding.Line).Int("column", finding.Column).
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -27,7 +27,7 @@
 
 // stateGauges are set from a State.
 type stateGauges struct {
-	revision, owned, running, capacity, usable, silent tally.Gauge
+	revision, rejected, platformCalls, owned, running, capacity, usable, silent tally.Gauge
 }
 
 // Bounds of the histograms.
@@ -45,12 +45,14 @@
 		loads:    make(map[bool]tally.Histogram),
 		evicted:  scope.Counter("evictions"),
 		state: stateGauges{
-			revision: scope.Gauge("revision"),
-			owned:    scope.Gauge("workers_owned"),
-			running:  scope.Gauge("batch_running"),
-			capacity: scope.Gauge("batch_capacity"),
-			usable:   scope.Gauge("instances_usable"),
-			silent:   scope.Gauge("instances_silent"),
+			revision:      scope.Gauge("revision"),
+			rejected:      scope.Gauge("tables_rejected"),
+			platformCalls: scope.Gauge("platform_calls"),
+			owned:         scope.Gauge("workers_owned"),
+			running:       scope.Gauge("batch_running"),
+			capacity:      scope.Gauge("batch_capacity"),
+			usable:        scope.Gauge("instances_usable"),
+			silent:        scope.Gauge("instances_silent"),
 		},
 	}
 	for _, rank := range table.Ranks {
@@ -81,6 +83,10 @@
 type State struct {
 	// Revision is the revision in force.
 	Revision uint64
+	// RejectedTables counts the tables with findings since the start.
+	RejectedTables uint64
+	// PlatformCalls counts the reads of the platform since the start.
+	PlatformCalls uint64
 	// Owned is the number of workers that this instance orders.
 	Owned int
 	// Running and Capacity are the requests that run on the owned workers with
@@ -99,6 +105,8 @@
 	}
 	g := t.metrics.state
 	g.revision.Update(float64(s.Revision))
+	g.rejected.Update(float64(s.RejectedTables))
+	g.platformCalls.Update(float64(s.PlatformCalls))
 	g.owned.Update(float64(s.Owned))
 	g.running.Update(float64(s.Running))
 	g.capacity.Update(float64(s.Capacity))
