--- a/coord/table/replica/replica_test.go
+++ b/coord/table/replica/replica_test.go
@@ -73,6 +73,10 @@
 			p.silent = !p.silent
 		case "cut":
 			w.parts[dataCentre] = 1 - w.parts[dataCentre]
+		case "mute":
+			w.mute[dataCentre] = !w.mute[dataCentre]
+		case "freeze":
+			in.frozenUntil = w.now + 5*time.Second
 		}
 		w.run(s.wait)
 	}
@@ -83,7 +87,9 @@
 // more where one data centre can see it, and names who is behind 8 s later.
 func (w *world) healed(revision uint64) []string {
 	clear(w.parts)
+	clear(w.mute)
 	for _, in := range w.instances {
+		in.frozenUntil = min(in.frozenUntil, w.now)
 		if !in.alive {
 			w.start(in)
 		}
@@ -106,7 +112,7 @@
 	wait  time.Duration
 }
 
-var kinds = []string{"publish", "publish", "bad", "twin", "restart", "kill", "stale", "down", "silent", "cut"}
+var kinds = []string{"publish", "publish", "bad", "twin", "restart", "kill", "stale", "down", "silent", "cut", "mute", "freeze"}
 
 func drawSteps(t *rapid.T) []step {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
--- a/coord/table/replica/world_test.go
+++ b/coord/table/replica/world_test.go
@@ -39,6 +39,8 @@
 	// incarnation grows with each restart without memory.
 	incarnation int
 	inForce     *table.Table
+	// frozenUntil is when a paused process wakes; what came meanwhile waits.
+	frozenUntil time.Duration
 	platform    int // calls of the platform
 	asked       int // questions to peers
 	fetches     int // calls for chunks
@@ -76,6 +78,8 @@
 	platforms map[string]*platform
 	// parts numbers the side of a partition that a data centre is on.
 	parts map[string]int
+	// mute names the data centres whose messages reach no other one.
+	mute map[string]bool
 	// drop and double are the shares of messages lost and delivered twice.
 	drop, double float64
 	published    map[uint64][]map[string]string
@@ -94,6 +98,7 @@
 		make:      factory,
 		platforms: make(map[string]*platform),
 		parts:     make(map[string]int),
+		mute:      make(map[string]bool),
 		published: make(map[uint64][]map[string]string),
 	}
 	for d := range dataCentres {
@@ -172,6 +177,10 @@
 	if !in.alive || in.incarnation != incarnation {
 		return
 	}
+	if w.now < in.frozenUntil {
+		w.after(in.frozenUntil-w.now, func() { w.step(in, incarnation, e) })
+		return
+	}
 	for _, action := range in.node.Step(w.now, e) {
 		w.act(in, action)
 	}
@@ -272,7 +281,8 @@
 			continue
 		}
 		w.after(w.delay(), func() {
-			if w.parts[from.dataCentre] == w.parts[to.dataCentre] {
+			near := from.dataCentre == to.dataCentre
+			if near || w.parts[from.dataCentre] == w.parts[to.dataCentre] && !w.mute[from.dataCentre] {
 				run()
 			}
 		})
