--- a/cmd/internal/capacity/measure.go
+++ b/cmd/internal/capacity/measure.go
@@ -148,33 +148,37 @@
 	return lines
 }
 
-// tableLines measures the acceptance of a whole configuration.
+// tableLines measures the table in force and a change of one adapter.
 func (s Sizes) tableLines() ([]Line, error) {
-	type cost struct{ build, bytes, memory float64 }
+	type cost struct{ accept, bytes, join, memory float64 }
 	costs := make(map[int]cost)
 	for _, size := range s.adapters {
-		memory, snapshot, err := held(func() (table.Snapshot, error) {
-			return snapshotOf(tableSpec{adapters: size, workers: s.largestPool(), dataCentres: targetDataCentres})
-		})
+		spec := tableSpec{adapters: size, workers: s.largestPool(), dataCentres: targetDataCentres}
+		memory, base, err := held(func() (*table.Table, error) { return buildTable(spec) })
 		if err != nil {
 			return nil, err
 		}
-		indexed, t, err := held(func() (*table.Table, error) { return table.Build(snapshot) })
+		next, err := revisionOf(spec, 2)
 		if err != nil {
 			return nil, err
 		}
-		published := 0
-		for _, data := range snapshot.Chunks {
-			published += len(data)
+		c := changeTo(base, next)
+		if _, err := c.accept(base); err != nil {
+			return nil, err
+		}
+		costs[size] = cost{
+			accept: timed(s.timed, func() { _, _ = c.accept(base) }),
+			join:   timed(s.timed, func() { _, _ = table.Build(next) }),
+			bytes:  2 * float64(c.bytes), // taken once and, on average, given once
+			memory: memory,
 		}
-		build := timed(s.timed, func() { _, _ = table.Build(snapshot) })
-		costs[size] = cost{build: build, bytes: float64(published), memory: memory + indexed}
-		runtime.KeepAlive(t)
 	}
 	base := Line{Role: "configuration reader", Driver: "adapters", Target: targetAdapters, Control: true}
+	first := base.of("accept a first table", Processor, joins)
 	return fitAll(s.adapters,
-		fitting{base.of("accept a revision", Processor, tableChanges), func(n int) float64 { return costs[n].build }},
-		fitting{base.of("fetch a whole revision", Bytes, tableChanges), func(n int) float64 { return costs[n].bytes }},
+		fitting{base.of("accept a change of one adapter", Processor, tableChanges), func(n int) float64 { return costs[n].accept }},
+		fitting{first, func(n int) float64 { return costs[n].join }},
+		fitting{base.of("take and give a change of one adapter", Bytes, tableChanges), func(n int) float64 { return costs[n].bytes }},
 		fitting{base.of("table in force", Memory, 1), func(n int) float64 { return costs[n].memory }},
 	), nil
 }
--- a/cmd/internal/capacity/tables.go
+++ b/cmd/internal/capacity/tables.go
@@ -1,9 +1,9 @@
 package capacity
 
 import (
+	"encoding/json"
 	"fmt"
 
-	"github.com/bulrushwick/bulrushwick/cmd/internal/deployment"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
@@ -23,16 +23,63 @@
 
 func dataCentreName(i int) string { return fmt.Sprintf("dc-%02d", i) }
 
-// adaptersPerChunk keeps a chunk well below the platform's megabyte.
-const adaptersPerChunk = 4000
+// A change of one adapter moves its chunk, the index chunk that names it and the
+// manifest. These sizes keep the three alike at 43,000 adapters.
+const (
+	adaptersPerChunk = 40
+	chunksPerIndex   = 33
+)
 
 // snapshotOf returns a published configuration of that size.
-func snapshotOf(spec tableSpec) (table.Snapshot, error) {
+func snapshotOf(spec tableSpec) (table.Snapshot, error) { return revisionOf(spec, 1) }
+
+// revisionOf returns a revision of a configuration; each differs from the others
+// in the version of one adapter.
+func revisionOf(spec tableSpec, revision uint64) (table.Snapshot, error) {
+	s := table.Snapshot{Manifest: table.Manifest{Revision: revision}, Chunks: make(map[string][]byte)}
+	head, err := put(&s, headOf(spec))
+	if err != nil {
+		return table.Snapshot{}, err
+	}
+	s.Manifest.Chunks = append(s.Manifest.Chunks, head)
+	var index table.Chunk
+	flush := func() error {
+		ref, err := put(&s, index)
+		s.Manifest.Chunks = append(s.Manifest.Chunks, ref)
+		index = table.Chunk{}
+		return err
+	}
+	for first := 0; first < spec.adapters; first += adaptersPerChunk {
+		var chunk table.Chunk
+		for i := first; i < min(first+adaptersPerChunk, spec.adapters); i++ {
+			chunk.Adapters = append(chunk.Adapters, table.Adapter{Name: adapterName(i), Pool: poolName, Versions: []string{"v1", "v2"}})
+		}
+		if first == 0 {
+			chunk.Adapters[0].Versions = []string{"v1", fmt.Sprintf("v%d", revision+1)}
+		}
+		ref, err := put(&s, chunk)
+		if err != nil {
+			return table.Snapshot{}, err
+		}
+		if index.Chunks = append(index.Chunks, ref); len(index.Chunks) == chunksPerIndex {
+			if err := flush(); err != nil {
+				return table.Snapshot{}, err
+			}
+		}
+	}
+	if len(index.Chunks) == 0 {
+		return s, nil
+	}
+	return s, flush()
+}
+
+// headOf returns the chunk of everything but the adapters.
+func headOf(spec tableSpec) table.Chunk {
 	region := table.Region{Name: "region"}
 	for i := range spec.dataCentres {
 		region.DataCentres = append(region.DataCentres, dataCentreName(i))
 	}
-	pool := table.Pool{Name: poolName, Kind: table.Engine, Slots: 8, Batch: 16}
+	pool := table.Pool{Name: poolName, Kind: table.Engine, Slots: slotsPerWorker, Batch: batchPerWorker}
 	for i := range spec.workers {
 		pool.Endpoints = append(pool.Endpoints, table.Endpoint{
 			Name:       fmt.Sprintf("worker-%05d", i),
@@ -40,19 +87,49 @@
 			DataCentre: dataCentreName(i % spec.dataCentres),
 		})
 	}
-	chunks := []table.Chunk{{
+	return table.Chunk{
 		Regions: []table.Region{region},
 		Pools:   []table.Pool{pool},
 		Routes:  []table.Route{{Name: "completions", Pool: poolName, Idempotent: true}},
-	}}
-	for first := 0; first < spec.adapters; first += adaptersPerChunk {
-		var chunk table.Chunk
-		for i := first; i < min(first+adaptersPerChunk, spec.adapters); i++ {
-			chunk.Adapters = append(chunk.Adapters, table.Adapter{Name: adapterName(i), Pool: poolName, Versions: []string{"v1", "v2"}})
-		}
-		chunks = append(chunks, chunk)
 	}
-	return deployment.Snapshot(1, chunks...)
+}
+
+// put adds a chunk under a key by its content.
+func put(s *table.Snapshot, chunk table.Chunk) (table.ChunkRef, error) {
+	data, err := json.Marshal(chunk)
+	digest := table.Digest(data)
+	ref := table.ChunkRef{Key: "bulrushwick/chunks/" + digest, Digest: digest}
+	s.Chunks[ref.Key] = data
+	return ref, err
+}
+
+// change is what an instance that has one revision needs for the next.
+type change struct {
+	manifest table.Manifest
+	chunks   [][]byte
+	bytes    int
+}
+
+// changeTo returns what is missing for the snapshot beside base.
+func changeTo(base *table.Table, s table.Snapshot) change {
+	c := change{manifest: s.Manifest, bytes: len(s.Manifest.Encode())}
+	a := table.NewAssembly(s.Manifest, base, nil)
+	for missing := a.Missing(); len(missing) > 0; missing = a.Missing() {
+		data := s.Chunks[missing[0].Key]
+		a.Add(data)
+		c.chunks = append(c.chunks, data)
+		c.bytes += len(data)
+	}
+	return c
+}
+
+// accept builds the next table from base.
+func (c change) accept(base *table.Table) (*table.Table, error) {
+	a := table.NewAssembly(c.manifest, base, nil)
+	for _, data := range c.chunks {
+		a.Add(data)
+	}
+	return a.Build()
 }
 
 func buildTable(spec tableSpec) (*table.Table, error) {
--- a/cmd/internal/capacity/target.go
+++ b/cmd/internal/capacity/target.go
@@ -19,6 +19,8 @@
 	// memberChanges counts two changes of the list, gone and back, for each of
 	// 140 failures and 550 replacements a day.
 	memberChanges = 2 * (140.0 + 550.0) / secondsPerDay
+	// joins is how often an instance starts, a second.
+	joins = (140.0 + 550.0) / targetNodes / secondsPerDay
 	// wakeShare is the part of the adapters that wake up or fall idle in an hour.
 	wakeShare = 0.078
 	// recordChanges is the number of workers of a region that change what they
