--- a/cmd/bulrushctl/capacity.go
+++ b/cmd/bulrushctl/capacity.go
@@ -55,17 +55,21 @@
 			percent(l.Fit.Residual), fmt.Sprintf("%.4g", l.Target), amountAtTarget(l), share)
 	}
 	totals := capacity.Totals(lines)
-	for _, kind := range []capacity.Kind{capacity.Processor, capacity.Bytes, capacity.Memory} {
+	for _, kind := range []capacity.Kind{capacity.Processor, capacity.Bytes, capacity.Memory, capacity.Reads} {
 		row(w, "all control", string(kind), "", "", "", "", "", "", "", percent(totals[kind]))
 	}
 }
 
 // amount writes a cost in a unit that reads well.
 func amount(kind capacity.Kind, value float64) string {
-	if kind == capacity.Processor {
+	switch kind {
+	case capacity.Processor:
 		return fmt.Sprintf("%.4g µs", value*1e6)
+	case capacity.Reads:
+		return fmt.Sprintf("%.4g", value)
+	default:
+		return fmt.Sprintf("%.4g B", value)
 	}
-	return fmt.Sprintf("%.4g B", value)
 }
 
 // amountAtTarget writes the cost at full size, a second unless it is memory.
@@ -75,6 +79,8 @@
 		return fmt.Sprintf("%.3f%% of a core", 100*l.AtTarget())
 	case capacity.Bytes:
 		return fmt.Sprintf("%.0f B/s", l.AtTarget())
+	case capacity.Reads:
+		return fmt.Sprintf("%.0f reads/s", l.AtTarget())
 	default:
 		return fmt.Sprintf("%.2f MB", l.AtTarget()/(1<<20))
 	}
--- a/cmd/internal/capacity/line.go
+++ b/cmd/internal/capacity/line.go
@@ -13,6 +13,8 @@
 	Bytes Kind = "bytes"
 	// Memory is bytes of heap.
 	Memory Kind = "memory"
+	// Reads is calls to the platform by the whole fleet.
+	Reads Kind = "platform reads"
 )
 
 // Line is one cost of one role over growing sizes.
@@ -42,6 +44,8 @@
 		return l.AtTarget() / boundProcessor
 	case Bytes:
 		return l.AtTarget() / boundBytes
+	case Reads:
+		return l.AtTarget() / boundReads
 	default:
 		return l.AtTarget() / boundMemory
 	}
--- a/cmd/internal/capacity/measure.go
+++ b/cmd/internal/capacity/measure.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"encoding/json"
 	"runtime"
 	"time"
 
@@ -21,6 +22,7 @@
 	changes   []int // workers that change within a heartbeat interval
 	owned     []int // workers of one owner
 	waiting   []int // requests that wait at one worker
+	readers   []int // instances that read the platform
 	timed     time.Duration
 }
 
@@ -34,6 +36,7 @@
 		changes:   []int{0, 1, 2, 4},
 		owned:     []int{4, 8, 16, 32},
 		waiting:   []int{50, 100, 200, 400},
+		readers:   []int{4, 8, 16, 32},
 		timed:     40 * time.Millisecond,
 	}
 }
@@ -48,6 +51,7 @@
 		changes:   []int{0, 1, 2, 4},
 		owned:     []int{4, 8, 16, 32},
 		waiting:   []int{5, 10, 20, 40},
+		readers:   []int{1, 2, 3, 4},
 		timed:     time.Millisecond,
 	}
 }
@@ -76,6 +80,7 @@
 		{"records", sizes.recordLines},
 		{"tables", sizes.tableLines},
 		{"membership", sizes.memberLines},
+		{"platform reads", sizes.readLines},
 		{"owner", sizes.ownerLines},
 		{"ingress", sizes.ingressLines},
 	}
@@ -189,7 +194,7 @@
 	if err != nil {
 		return nil, err
 	}
-	type cost struct{ publish, refresh, memory float64 }
+	type cost struct{ publish, refresh, memory, bytes float64 }
 	costs := make(map[int]cost)
 	for _, size := range s.instances {
 		f := fleet.New("entry-0000", dataCentreName(0))
@@ -205,12 +210,17 @@
 			turn++ // leave one out, then have it back
 			f.PublishInstances(instances[:size-turn%2])
 		})
-		costs[size] = cost{publish: publish, refresh: timed(s.timed, f.Refresh), memory: memory}
+		list, err := json.Marshal(instances)
+		if err != nil {
+			return nil, err
+		}
+		costs[size] = cost{publish: publish, refresh: timed(s.timed, f.Refresh), memory: memory, bytes: float64(len(list))}
 		runtime.KeepAlive(f)
 	}
 	base := Line{Role: "membership", Driver: "instances", Target: targetNodes, Control: true}
 	return fitAll(s.instances,
 		fitting{base.of("take a published list", Processor, memberChanges), func(n int) float64 { return costs[n].publish }},
+		fitting{base.of("read a published list", Bytes, memberChanges), func(n int) float64 { return costs[n].bytes }},
 		fitting{base.of("let silence take effect", Processor, heartbeats), func(n int) float64 { return costs[n].refresh }},
 		fitting{base.of("list and owners", Memory, 1), func(n int) float64 { return costs[n].memory }},
 	), nil
--- a/cmd/internal/capacity/target.go
+++ b/cmd/internal/capacity/target.go
@@ -39,4 +39,5 @@
 	boundProcessor = 0.039    // of a core
 	boundBytes     = 8 << 10  // a second
 	boundMemory    = 64 << 20 // bytes
+	boundReads     = 2000     // of the platform a second, by all nodes together
 )
