--- a/cmd/internal/capacity/measure.go
+++ b/cmd/internal/capacity/measure.go
@@ -78,6 +78,7 @@
 	steps := []step{
 		{"peer exchange", sizes.peerLines},
 		{"records", sizes.recordLines},
+		{"leases", sizes.leaseLines},
 		{"tables", sizes.tableLines},
 		{"membership", sizes.memberLines},
 		{"platform reads", sizes.readLines},
--- a/cmd/internal/capacity/peers.go
+++ b/cmd/internal/capacity/peers.go
@@ -12,8 +12,10 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bulrushwick/bulrushwick/coord/member"
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/lease"
 	"github.com/bulrushwick/bulrushwick/entry/owner"
 	"github.com/bulrushwick/bulrushwick/entry/peer"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
@@ -27,6 +29,9 @@
 // process.
 const callTimeout = 30 * time.Second
 
+// callConcurrency bounds the control calls of one instance that run at once.
+const callConcurrency = 64
+
 // peerFleet is many instances of one data centre in this process.
 type peerFleet struct {
 	nodes []*peerNode
@@ -38,6 +43,7 @@
 	fleet    *fleet.Fleet
 	exchange *peer.Exchange
 	server   *http.Server
+	keeper   *lease.Keeper // set before the first lease message, where leases are kept
 	workers  []owner.Summary
 }
 
@@ -89,17 +95,20 @@
 func startPeer(name string, listener net.Listener) (*peerNode, error) {
 	n := &peerNode{fleet: fleet.New(name, dataCentreName(0))}
 	records := peer.NewRecords(n.fleet, func() []owner.Summary { return n.workers })
-	config := peer.Config{HeartbeatEvery: callTimeout / 2, Concurrency: 1024}
+	config := peer.Config{HeartbeatEvery: callTimeout / 2, Concurrency: callConcurrency}
 	exchange, err := peer.NewExchange(config, n.fleet, records, zerolog.Nop())
 	if err != nil {
 		return nil, err
 	}
 	n.exchange = exchange
-	n.server = peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(n.fleet, records, nil)), callTimeout)
+	n.server = peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(n.fleet, records, n)), callTimeout)
 	go func() { _ = n.server.Serve(listener) }()
 	return n, nil
 }
 
+// Receive implements peer.Voter.
+func (n *peerNode) Receive(m ownership.Message) ownership.Reply { return n.keeper.Receive(m) }
+
 // own gives every worker to the instance that owns it, with full slots.
 func (f *peerFleet) own(t *table.Table, spec peerSpec) {
 	byName := make(map[string]*peerNode, len(f.nodes))
