--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -133,7 +133,7 @@
 		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
 		callers:   newServer(front.Handle, s.BodyLimit),
 		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
-		control:   peer.NewControlServer(peer.CompressTables(peerpb.NewPeerServer(peer.NewServer(f, records, keeper))), headerReadTimeout),
+		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records, keeper)), headerReadTimeout),
 	}, nil
 }
 
--- a/entry/peer/tables_test.go
+++ b/entry/peer/tables_test.go
@@ -58,7 +58,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	listener := &counting{Listener: inner}
-	server := peer.NewControlServer(peer.CompressTables(peerpb.NewPeerServer(peer.NewServer(f, records, nil))), time.Second)
+	server := peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records, nil)), time.Second)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	exchange, err := peer.NewExchange(peer.Config{HeartbeatEvery: time.Second, Concurrency: 1}, f, records, zerolog.Nop())
--- a/entry/peer/transport.go
+++ b/entry/peer/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/klauspost/compress/gzhttp"
@@ -56,16 +55,3 @@
 func newTablesClient(timeout time.Duration) *http.Client {
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 }
-
-// CompressTables compresses the answers to calls about tables, which are JSON
-// that repeats itself, where the caller takes gzip.
-func CompressTables(next http.Handler) http.Handler {
-	compressed := gzhttp.GzipHandler(next)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasSuffix(r.URL.Path, "Tables") || strings.HasSuffix(r.URL.Path, "Chunks") {
-			compressed.ServeHTTP(w, r)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
