--- a/cmd/internal/capacity/leases.go
+++ b/cmd/internal/capacity/leases.go
@@ -24,7 +24,7 @@
 func (s Sizes) leaseLines() ([]Line, error) {
 	costs := make(map[int]peerCost)
 	for _, size := range s.local {
-		cost, err := measureLeases(peerSpec{instances: size, workers: 8, slots: slotsPerWorker})
+		cost, err := measureLeases(peerSpec{instances: size, workers: 8, slots: slotsPerWorker}, s.hurry)
 		if err != nil {
 			return nil, err
 		}
@@ -37,8 +37,9 @@
 	), nil
 }
 
-// measureLeases returns what an instance spends on leases in a second.
-func measureLeases(spec peerSpec) (peerCost, error) {
+// measureLeases returns what an instance spends on leases in a second. All times
+// are divided by hurry, and the cost with them.
+func measureLeases(spec peerSpec, hurry time.Duration) (peerCost, error) {
 	f, err := startPeers(spec)
 	if err != nil {
 		return peerCost{}, err
@@ -46,19 +47,19 @@
 	defer f.stop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	keepers, err := f.keep(ctx)
+	keepers, err := f.keep(ctx, hurry)
 	if err != nil {
 		return peerCost{}, err
 	}
 	for _, keeper := range keepers {
 		for !keeper.Settled() {
-			time.Sleep(settlePoll)
+			time.Sleep(settlePoll / hurry)
 		}
 	}
 	f.bytes.Store(0)
 	cpu, started := processorTime(), time.Now()
-	time.Sleep(leaseTime)
-	perNode := time.Since(started).Seconds() * float64(spec.instances)
+	time.Sleep(leaseTime / hurry)
+	perNode := time.Since(started).Seconds() * float64(hurry) * float64(spec.instances)
 	return peerCost{
 		bytes: 2 * float64(f.bytes.Load()) / perNode,
 		cpu:   time.Duration(float64(processorTime()-cpu) / perNode),
@@ -66,11 +67,13 @@
 }
 
 // keep starts a keeper of leases at every instance.
-func (f *peerFleet) keep(ctx context.Context) ([]*lease.Keeper, error) {
+func (f *peerFleet) keep(ctx context.Context, hurry time.Duration) ([]*lease.Keeper, error) {
 	keepers := make([]*lease.Keeper, len(f.nodes))
 	for i, node := range f.nodes {
 		self := lease.Self(node.fleet.Self())
 		timing := ownership.DefaultConfig(lease.Ordinal(self))
+		timing.Term, timing.Margin = timing.Term/hurry, timing.Margin/hurry
+		timing.ListLag, timing.AloneTerm = timing.ListLag/hurry, timing.AloneTerm/hurry
 		config := lease.Config{Lease: timing, RenewEvery: timing.Term / renewalsPerTerm, Concurrency: callConcurrency}
 		keeper, err := lease.NewKeeper(config, self, node.fleet, node.exchange, zerolog.Nop())
 		if err != nil {
--- a/cmd/internal/capacity/measure.go
+++ b/cmd/internal/capacity/measure.go
@@ -24,6 +24,7 @@
 	waiting   []int // requests that wait at one worker
 	readers   []int // instances that read the platform
 	timed     time.Duration
+	hurry     time.Duration // by which the leases' real time is divided
 }
 
 // Full returns sizes whose largest are the target's.
@@ -38,6 +39,7 @@
 		waiting:   []int{50, 100, 200, 400},
 		readers:   []int{4, 8, 16, 32},
 		timed:     40 * time.Millisecond,
+		hurry:     1,
 	}
 }
 
@@ -53,6 +55,7 @@
 		waiting:   []int{5, 10, 20, 40},
 		readers:   []int{1, 2, 3, 4},
 		timed:     time.Millisecond,
+		hurry:     10,
 	}
 }
 
