--- a/cmd/internal/capacity/measure.go
+++ b/cmd/internal/capacity/measure.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"encoding/json"
 	"runtime"
 	"time"
 
@@ -21,7 +22,9 @@
 	changes   []int // workers that change within a heartbeat interval
 	owned     []int // workers of one owner
 	waiting   []int // requests that wait at one worker
+	readers   []int // instances that read the platform
 	timed     time.Duration
+	hurry     time.Duration // by which the leases' real time is divided
 }
 
 // Full returns sizes whose largest are the target's.
@@ -34,7 +37,9 @@
 		changes:   []int{0, 1, 2, 4},
 		owned:     []int{4, 8, 16, 32},
 		waiting:   []int{50, 100, 200, 400},
+		readers:   []int{4, 8, 16, 32},
 		timed:     40 * time.Millisecond,
+		hurry:     1,
 	}
 }
 
@@ -48,7 +53,9 @@
 		changes:   []int{0, 1, 2, 4},
 		owned:     []int{4, 8, 16, 32},
 		waiting:   []int{5, 10, 20, 40},
+		readers:   []int{1, 2, 3, 4},
 		timed:     time.Millisecond,
+		hurry:     10,
 	}
 }
 
@@ -74,8 +81,10 @@
 	steps := []step{
 		{"peer exchange", sizes.peerLines},
 		{"records", sizes.recordLines},
+		{"leases", sizes.leaseLines},
 		{"tables", sizes.tableLines},
 		{"membership", sizes.memberLines},
+		{"platform reads", sizes.readLines},
 		{"owner", sizes.ownerLines},
 		{"ingress", sizes.ingressLines},
 	}
@@ -148,33 +157,37 @@
 	return lines
 }
 
-// tableLines measures the acceptance of a whole configuration.
+// tableLines measures the table in force and a change of one adapter.
 func (s Sizes) tableLines() ([]Line, error) {
-	type cost struct{ build, bytes, memory float64 }
+	type cost struct{ accept, bytes, join, memory float64 }
 	costs := make(map[int]cost)
 	for _, size := range s.adapters {
-		memory, snapshot, err := held(func() (table.Snapshot, error) {
-			return snapshotOf(tableSpec{adapters: size, workers: s.largestPool(), dataCentres: targetDataCentres})
-		})
+		spec := tableSpec{adapters: size, workers: s.largestPool(), dataCentres: targetDataCentres}
+		memory, base, err := held(func() (*table.Table, error) { return buildTable(spec) })
 		if err != nil {
 			return nil, err
 		}
-		indexed, t, err := held(func() (*table.Table, error) { return table.Build(snapshot) })
+		next, err := revisionOf(spec, 2)
 		if err != nil {
 			return nil, err
 		}
-		published := 0
-		for _, data := range snapshot.Chunks {
-			published += len(data)
+		c := changeTo(base, next)
+		if _, err := c.accept(base); err != nil {
+			return nil, err
+		}
+		costs[size] = cost{
+			accept: timed(s.timed, func() { _, _ = c.accept(base) }),
+			join:   timed(s.timed, func() { _, _ = table.Build(next) }),
+			bytes:  2 * float64(c.bytes), // taken once and, on average, given once
+			memory: memory,
 		}
-		build := timed(s.timed, func() { _, _ = table.Build(snapshot) })
-		costs[size] = cost{build: build, bytes: float64(published), memory: memory + indexed}
-		runtime.KeepAlive(t)
 	}
 	base := Line{Role: "configuration reader", Driver: "adapters", Target: targetAdapters, Control: true}
+	first := base.of("accept a first table", Processor, joins)
 	return fitAll(s.adapters,
-		fitting{base.of("accept a revision", Processor, tableChanges), func(n int) float64 { return costs[n].build }},
-		fitting{base.of("fetch a whole revision", Bytes, tableChanges), func(n int) float64 { return costs[n].bytes }},
+		fitting{base.of("accept a change of one adapter", Processor, tableChanges), func(n int) float64 { return costs[n].accept }},
+		fitting{first, func(n int) float64 { return costs[n].join }},
+		fitting{base.of("take and give a change of one adapter", Bytes, tableChanges), func(n int) float64 { return costs[n].bytes }},
 		fitting{base.of("table in force", Memory, 1), func(n int) float64 { return costs[n].memory }},
 	), nil
 }
@@ -185,7 +198,7 @@
 	if err != nil {
 		return nil, err
 	}
-	type cost struct{ publish, refresh, memory float64 }
+	type cost struct{ publish, refresh, memory, bytes float64 }
 	costs := make(map[int]cost)
 	for _, size := range s.instances {
 		f := fleet.New("entry-0000", dataCentreName(0))
@@ -201,12 +214,17 @@
 			turn++ // leave one out, then have it back
 			f.PublishInstances(instances[:size-turn%2])
 		})
-		costs[size] = cost{publish: publish, refresh: timed(s.timed, f.Refresh), memory: memory}
+		list, err := json.Marshal(instances)
+		if err != nil {
+			return nil, err
+		}
+		costs[size] = cost{publish: publish, refresh: timed(s.timed, f.Refresh), memory: memory, bytes: float64(len(list))}
 		runtime.KeepAlive(f)
 	}
 	base := Line{Role: "membership", Driver: "instances", Target: targetNodes, Control: true}
 	return fitAll(s.instances,
 		fitting{base.of("take a published list", Processor, memberChanges), func(n int) float64 { return costs[n].publish }},
+		fitting{base.of("read a published list", Bytes, memberChanges), func(n int) float64 { return costs[n].bytes }},
 		fitting{base.of("let silence take effect", Processor, heartbeats), func(n int) float64 { return costs[n].refresh }},
 		fitting{base.of("list and owners", Memory, 1), func(n int) float64 { return costs[n].memory }},
 	), nil
@@ -286,7 +304,7 @@
 
 // ingressLines measures the choice of a worker for one request.
 func (s Sizes) ingressLines() ([]Line, error) {
-	line := Line{Role: "entry ingress", Cost: "choose a worker", Kind: Processor, Driver: "workers of the pool", Target: targetWorkers, PerSecond: requestsPerSecond / targetNodes}
+	line := Line{Role: "entry ingress", Cost: "choose a worker", Kind: Processor, Driver: "workers of the pool", Target: targetWorkers / targetBaseModels, PerSecond: requestsPerSecond / targetNodes}
 	line, err := line.measure(s.workers, func(n int) (float64, error) {
 		t, err := buildTable(tableSpec{adapters: 1, workers: n, dataCentres: targetDataCentres})
 		if err != nil {
--- a/cmd/internal/capacity/target.go
+++ b/cmd/internal/capacity/target.go
@@ -5,6 +5,7 @@
 	targetNodes       = 970
 	targetWorkers     = 7500
 	targetAdapters    = 43000
+	targetBaseModels  = 4 // with a pool each
 	targetRegions     = 6
 	targetDataCentres = 12
 	targetLocal       = 81 // instances of the largest data centre
@@ -19,6 +20,8 @@
 	// memberChanges counts two changes of the list, gone and back, for each of
 	// 140 failures and 550 replacements a day.
 	memberChanges = 2 * (140.0 + 550.0) / secondsPerDay
+	// joins is how often an instance starts, a second.
+	joins = (140.0 + 550.0) / targetNodes / secondsPerDay
 	// wakeShare is the part of the adapters that wake up or fall idle in an hour.
 	wakeShare = 0.078
 	// recordChanges is the number of workers of a region that change what they
@@ -37,4 +40,5 @@
 	boundProcessor = 0.039    // of a core
 	boundBytes     = 8 << 10  // a second
 	boundMemory    = 64 << 20 // bytes
+	boundReads     = 2000     // of the platform a second, by all nodes together
 )
