Hold the store's limits in the daemon, with loans over twirp

The owner ordered loads without bound. It now takes its share of two new settings, storeLoadsPerSecond and storeTransit, by the engines it owns over those published, and asks peers for loans by LendLoad and ReturnLoad.

--- a/cmd/internal/demo/cluster.go
+++ b/cmd/internal/demo/cluster.go
@@ -174,6 +174,7 @@
 // startEntry builds one instance and returns it as the platform publishes it.
 func (c *Cluster) startEntry(log zerolog.Logger, name, dataCentre, platform string) (member.Instance, error) {
 	s := settings.Default()
+	s.StoreLoadsPerSecond = standin.DefaultStoreConfig().LoadsPerSecond
 	s.Instance = name
 	s.DataCentre = dataCentre
 	s.CallerAddress, s.PeerAddress, s.ControlAddress = anyPort, anyPort, anyPort
--- a/coord/residency/budget.go
+++ b/coord/residency/budget.go
@@ -70,7 +70,7 @@
 
 // NewBudget returns a budget without a share.
 func NewBudget(config BudgetConfig) *Budget {
-	return &Budget{config: config, claims: make(map[string]claim), lent: make(map[Loan]time.Duration)}
+	return &Budget{config: config, asks: config.FirstLoan, claims: make(map[string]claim), lent: make(map[Loan]time.Duration)}
 }
 
 // SetShare changes the instance's share.
--- a/coord/residency/budget_config.go
+++ b/coord/residency/budget_config.go
@@ -75,6 +75,10 @@
 	// suits slow links and holds the lender's right longer when the answer is lost.
 	// Default: 2 s.
 	LoanTerm time.Duration
+	// FirstLoan numbers the loans from here on. A process passes a number above all
+	// that former processes of its name have used, such as the time of its start.
+	// Default: 0.
+	FirstLoan uint64
 	// LoadTimeout is the longest time that a load may take. Default: 30 s.
 	LoadTimeout time.Duration
 	// Margin is added by the lender before it takes an unreturned loan back; it
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -137,10 +137,17 @@
 		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
 		callers:   newServer(front.Handle, s.BodyLimit),
 		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
-		control:   peer.NewControlServer(peerpb.NewPeerServer(peer.NewServer(f, records, keeper)), headerReadTimeout),
+		control:   newControl(f, records, keeper, own),
 	}, nil
 }
 
+// newControl returns the server of the peers' control calls.
+func newControl(f *fleet.Fleet, records *peer.Records, voter peer.Voter, lender peer.Lender) *http.Server {
+	control := peer.NewServer(f, records, voter)
+	control.UseLender(lender)
+	return peer.NewControlServer(peerpb.NewPeerServer(control), headerReadTimeout)
+}
+
 // followerConfig seeds the choice of peers, which need not repeat.
 func followerConfig(s settings.Settings) tables.Config {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -203,6 +210,7 @@
 	go d.follower.Run(background)
 	go d.exchange.Run(background)
 	go d.keeper.Run(background)
+	go d.exchange.RunLoans(background, d.owner)
 	go d.tick(background)
 	go d.observe(background)
 	select {
--- a/entry/daemon/leases.go
+++ b/entry/daemon/leases.go
@@ -6,6 +6,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/bulrushwick/bulrushwick/coord/ownership"
+	"github.com/bulrushwick/bulrushwick/coord/residency"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/endpoint"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
@@ -22,6 +23,7 @@
 func newOwner(s settings.Settings, f *fleet.Fleet, clients httpx.ClientConfig, log zerolog.Logger) (*owner.Owner, error) {
 	return owner.New(owner.Config{
 		QueueLimit:          s.QueueLimit,
+		Store:               residency.StoreLimits{LoadsPerSecond: s.StoreLoadsPerSecond, Transit: s.StoreTransit},
 		DispatchConcurrency: s.DispatchConcurrency,
 		ServeGrace:          s.ServeGrace.Std(),
 		MaxDeadline:         call.MaxDeadline,
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -34,6 +34,8 @@
 type Config struct {
 	// QueueLimit bounds the requests that wait for one worker.
 	QueueLimit int
+	// Store is what the weight store allows the whole fleet.
+	Store residency.StoreLimits
 	// DispatchConcurrency bounds the endpoint calls that wait for their head.
 	DispatchConcurrency int
 	// ServeGrace is for how long resident adapters are used after a lease has
@@ -65,6 +67,7 @@
 
 	mu      sync.Mutex
 	workers map[string]*worker
+	budget  budget
 }
 
 type worker struct {
@@ -99,6 +102,7 @@
 		dispatch: dispatch,
 		loads:    loads,
 		workers:  make(map[string]*worker),
+		budget:   newBudget(),
 	}, nil
 }
 
@@ -233,6 +237,7 @@
 func (o *Owner) policy(pool *table.Pool) residency.Config {
 	policy := residency.DefaultConfig(pool.Slots, pool.Batch)
 	policy.Queue.Limit = o.config.QueueLimit
+	policy.Loads = o.budget.Budget
 	return policy
 }
 
--- a/entry/owner/step.go
+++ b/entry/owner/step.go
@@ -137,6 +137,7 @@
 
 // Tick lets time pass on every worker.
 func (o *Owner) Tick() {
+	o.shareStore()
 	o.mu.Lock()
 	workers := make([]*worker, 0, len(o.workers))
 	for _, w := range o.workers {
--- a/entry/peer/server.go
+++ b/entry/peer/server.go
@@ -14,6 +14,7 @@
 	fleet   *fleet.Fleet
 	records *Records
 	voter   Voter
+	lender  Lender
 }
 
 // NewServer returns a server over f that answers lease messages with voter.
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -16,6 +16,9 @@
 	if s.TraceShare < 0 || s.TraceShare > 1 {
 		find("traceShare", "must be from 0 to 1")
 	}
+	if s.StoreLoadsPerSecond <= 0 {
+		find("storeLoadsPerSecond", "must be above zero")
+	}
 	s.checkAddresses(find)
 	s.checkDurations(find)
 	s.checkCounts(find)
@@ -71,6 +74,7 @@
 		value int
 	}{
 		{"tableReaders", s.TableReaders},
+		{"storeTransit", s.StoreTransit},
 		{"queueLimit", s.QueueLimit},
 		{"bodyLimit", s.BodyLimit},
 		{"dispatchConcurrency", s.DispatchConcurrency},
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -87,6 +87,12 @@
 	// ProgressTimeout is how long a peer or an endpoint may send nothing in the
 	// middle of an answer. Default: 10s.
 	ProgressTimeout Duration `json:"progressTimeout"`
+	// StoreLoadsPerSecond is the rate that the weight store allows all instances
+	// together, in loads a second. It must be the same on all of them. Default: 2.
+	StoreLoadsPerSecond float64 `json:"storeLoadsPerSecond"`
+	// StoreTransit is the number of loads that may be in transit at once from all
+	// instances together. It must be the same on all of them. Default: 8.
+	StoreTransit int `json:"storeTransit"`
 	// QueueLimit bounds the requests that wait for one worker. Default: 1,000.
 	QueueLimit int `json:"queueLimit"`
 	// BodyLimit bounds a caller's request body, in bytes. Default: 1 MiB.
@@ -132,6 +138,8 @@
 		TableCatchUp:        Duration(time.Second),
 		ConnectTimeout:      Duration(time.Second),
 		ProgressTimeout:     Duration(10 * time.Second),
+		StoreLoadsPerSecond: 2,
+		StoreTransit:        8,
 		QueueLimit:          1000,
 		BodyLimit:           1 << 20,
 		DispatchConcurrency: 1024,
