--- a/cmd/bulrushctl/experiment.go
+++ b/cmd/bulrushctl/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -15,6 +16,7 @@
 // experimentOptions are the flags of the experiment command.
 type experimentOptions struct {
 	json     string
+	plots    string
 	policies []string
 	seeds    []uint
 }
@@ -32,6 +34,7 @@
 		},
 	}
 	c.Flags().StringVar(&options.json, "json", "", "write the results to this file")
+	c.Flags().StringVar(&options.plots, "plots", "", "draw each scenario's tokens over time into this directory, as SVG")
 	c.Flags().StringSliceVar(&options.policies, "policy", nil, "run only these policies")
 	c.Flags().UintSliceVar(&options.seeds, "seeds", nil, "run these seeds in place of the scenario's")
 	return c
@@ -61,6 +64,11 @@
 		if err != nil {
 			return err
 		}
+		if options.plots != "" {
+			if err := experiment.Plot(results, filepath.Join(options.plots, scenario.Name+".svg")); err != nil {
+				return err
+			}
+		}
 		all = append(all, results...)
 	}
 	if options.json != "" {
--- a/cmd/internal/experiment/experiment_test.go
+++ b/cmd/internal/experiment/experiment_test.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -56,3 +58,15 @@
 	assert.Contains(t, err.Error(), "service.stepMs")
 	assert.Contains(t, err.Error(), "traffic.ranks")
 }
+
+func TestPlotDrawsEveryPolicy(t *testing.T) {
+	results, err := Run(short(t, "suzgec-steady"), Policies())
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	require.NoError(t, Plot(results, file))
+	drawn, err := os.ReadFile(file)
+	require.NoError(t, err)
+	for _, p := range Policies() {
+		assert.Contains(t, string(drawn), p.Name)
+	}
+}
--- a/cmd/internal/experiment/result.go
+++ b/cmd/internal/experiment/result.go
@@ -15,8 +15,14 @@
 	Seeds    []uint64      `json:"seeds"`
 	Phases   []PhaseResult `json:"phases"`
 	Run      RunResult     `json:"run"`
+	// Made is the tokens a second that the engines made, mean over the seeds, in
+	// steps of SeriesStep from the start.
+	Made []float64 `json:"made"`
 }
 
+// SeriesStep is the time between two values of a series.
+const SeriesStep = 5 * time.Second
+
 // Spread is a mean with the lowest and the highest over the seeds.
 type Spread struct {
 	Mean float64 `json:"mean"`
@@ -117,6 +123,7 @@
 	res.Run.Undecided.add(n, float64(undecided))
 	res.Run.Recovery.add(n, s.recovery())
 	res.Run.RetryShare.add(n, ratio(float64(s.retries), float64(len(s.all))))
+	res.collectMade(n, s)
 	for i, phase := range s.scenario.Phases {
 		if n == 0 {
 			res.Phases = append(res.Phases, PhaseResult{Name: phase.Name, Ranks: make(map[string]RankResult)})
@@ -125,6 +132,22 @@
 	}
 }
 
+// collectMade folds the tokens made over time into the series.
+func (res *Result) collectMade(n int, s *simulation) {
+	made := make([]float64, int(seconds(s.scenario.Seconds)/SeriesStep))
+	for _, step := range s.steps {
+		if at := int(step.at / SeriesStep); at < len(made) {
+			made[at] += float64(step.occupancy) / SeriesStep.Seconds()
+		}
+	}
+	if n == 0 {
+		res.Made = make([]float64, len(made))
+	}
+	for i := range made {
+		res.Made[i] += (made[i] - res.Made[i]) / float64(n+1)
+	}
+}
+
 func (p *PhaseResult) collect(n int, s *simulation, phase Phase) {
 	from, to := seconds(phase.From), seconds(phase.To)
 	steps, tokens := 0, 0
