--- a/cmd/bulrushctl/experiment.go
+++ b/cmd/bulrushctl/experiment.go
@@ -50,25 +50,10 @@
 	}
 	var all []experiment.Result
 	for _, name := range names {
-		scenario, err := experiment.Load(name)
+		results, err := runScenario(name, policies, options)
 		if err != nil {
 			return err
 		}
-		if len(options.seeds) > 0 {
-			scenario.Seeds = nil
-			for _, seed := range options.seeds {
-				scenario.Seeds = append(scenario.Seeds, uint64(seed))
-			}
-		}
-		results, err := experiment.Run(scenario, policies)
-		if err != nil {
-			return err
-		}
-		if options.plots != "" {
-			if err := experiment.Plot(results, filepath.Join(options.plots, scenario.Name+".svg")); err != nil {
-				return err
-			}
-		}
 		all = append(all, results...)
 	}
 	if options.json != "" {
@@ -79,6 +64,25 @@
 	return experiment.WriteTable(cmd.OutOrStdout(), all)
 }
 
+// runScenario runs one scenario and draws its plot where one is asked for.
+func runScenario(name string, policies []experiment.Policy, options experimentOptions) ([]experiment.Result, error) {
+	scenario, err := experiment.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	if len(options.seeds) > 0 {
+		scenario.Seeds = nil
+		for _, seed := range options.seeds {
+			scenario.Seeds = append(scenario.Seeds, uint64(seed))
+		}
+	}
+	results, err := experiment.Run(scenario, policies)
+	if err != nil || options.plots == "" {
+		return results, err
+	}
+	return results, experiment.Plot(results, filepath.Join(options.plots, scenario.Name+".svg"))
+}
+
 func choosePolicies(names []string) ([]experiment.Policy, error) {
 	policies := experiment.Policies()
 	if len(names) == 0 {
