--- a/entry/owner/budget.go
+++ b/entry/owner/budget.go
@@ -4,15 +4,23 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/coord/residency"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
-// budget is the instance's right to load, with what its share was computed from.
+// budget is the instance's right to load. What its share is computed from is
+// used by Tick alone.
 type budget struct {
 	*residency.Budget
-	revision uint64
-	owned    []string
+	// revision and version are of the table and of the rights from which the lists
+	// are.
+	revision, version uint64
+	// published lists the engines of every pool, and near those whose right may
+	// fall to this instance.
+	published, near []string
+	// held lists the engines whose right the instance held.
+	held []string
 }
 
 func newBudget() budget {
@@ -23,40 +31,51 @@
 }
 
 // shareStore brings the instance's share of the store's limits up to the tables
-// in force and the workers that it owns.
+// in force and the workers whose right it holds. A right has one holder at a
+// time, so no two instances count a worker.
 func (o *Owner) shareStore() {
 	t := o.fleet.Table()
 	if t == nil {
 		return
 	}
-	published, owned := o.engines(t)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if t.Revision == o.budget.revision && slices.Equal(owned, o.budget.owned) {
+	rights, version, _ := o.fleet.Rights()
+	fresh := t.Revision != o.budget.revision || version != o.budget.version
+	if fresh {
+		o.budget.revision, o.budget.version = t.Revision, version
+		o.budget.list(t, rights)
+	}
+	var held []string
+	for _, worker := range o.budget.near {
+		if _, holds := o.fleet.Held(ownership.WorkerRight(worker)); holds {
+			held = append(held, worker)
+		}
+	}
+	if !fresh && slices.Equal(held, o.budget.held) {
 		return
 	}
-	o.budget.revision, o.budget.owned = t.Revision, owned
-	share := o.config.Store.Of(published, func(worker string) bool { return slices.Contains(owned, worker) })
+	o.budget.held = held
+	share := o.config.Store.Of(o.budget.published, func(worker string) bool { return slices.Contains(held, worker) })
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.budget.SetShare(o.fleet.Now(), share)
 }
 
-// engines lists the model engines of every pool and those that this instance
-// owns, in order of their names.
-func (o *Owner) engines(t *table.Table) (published, owned []string) {
+// list takes the engines from the tables, in order of their names.
+func (b *budget) list(t *table.Table, rights map[ownership.Right]ownership.Spec) {
+	b.published, b.near = nil, nil
 	for _, pool := range t.Pools {
 		if pool.Kind != table.Engine {
 			continue
 		}
 		for _, endpoint := range pool.Endpoints {
-			published = append(published, endpoint.Name)
-			if by, found := o.fleet.Owner(endpoint.Name); found && by.Name == o.fleet.Self() {
-				owned = append(owned, endpoint.Name)
+			b.published = append(b.published, endpoint.Name)
+			if _, concerned := rights[ownership.WorkerRight(endpoint.Name)]; concerned {
+				b.near = append(b.near, endpoint.Name)
 			}
 		}
 	}
-	slices.Sort(published)
-	slices.Sort(owned)
-	return published, owned
+	slices.Sort(b.published)
+	slices.Sort(b.near)
 }
 
 // AskLoan returns the loan to ask a peer for, if one is of use now.
