--- a/coord/admission/queue.go
+++ b/coord/admission/queue.go
@@ -1,9 +1,9 @@
 package admission
 
 import (
-	"container/heap"
 	"time"
 
+	"github.com/bulrushwick/bulrushwick/coord/internal/indexed"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
@@ -38,20 +38,22 @@
 	lines     map[table.AdapterVersion]*line
 	ranks     [table.RankCount]*rankQueue
 	floors    Floors
-	deadlines deadlineHeap
-	latest    [table.RankCount]latestHeap
+	deadlines *indexed.Heap[*item]                  // earliest first
+	latest    [table.RankCount]*indexed.Heap[*item] // latest deadline first
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(config Config) *Queue {
 	q := &Queue{
-		config: config,
-		floors: NewFloors(config.Floors),
-		items:  make(map[uint64]*item),
-		lines:  make(map[table.AdapterVersion]*line),
+		config:    config,
+		floors:    NewFloors(config.Floors),
+		items:     make(map[uint64]*item),
+		lines:     make(map[table.AdapterVersion]*line),
+		deadlines: indexed.New((*item).sooner, func(i *item, place int) { i.deadline = place }),
 	}
 	for rank := range q.ranks {
 		q.ranks[rank] = newRankQueue()
+		q.latest[rank] = indexed.New(later, func(i *item, place int) { i.latest = place })
 	}
 	return q
 }
@@ -100,8 +102,8 @@
 	q.items[r.ID] = i
 	q.bytes += r.Bytes
 	q.rankBytes[r.Rank] += r.Bytes
-	heap.Push(&q.deadlines, i)
-	heap.Push(&q.latest[r.Rank], i)
+	q.deadlines.Push(i)
+	q.latest[r.Rank].Push(i)
 	l := q.line(r.Adapter)
 	l.add(i)
 	if l.ready {
@@ -119,7 +121,7 @@
 func (q *Queue) fits(r Request) bool {
 	items, bytes := len(q.items), q.bytes
 	for rank := r.Rank + 1; int(rank) < len(q.latest); rank++ {
-		items -= len(q.latest[rank])
+		items -= q.latest[rank].Len()
 		bytes -= q.rankBytes[rank]
 	}
 	return items < q.config.Limit && bytes+r.Bytes <= q.config.LimitBytes
@@ -129,10 +131,10 @@
 // must be one that is less urgent than rank.
 func (q *Queue) displace(rank table.Rank) Request {
 	last := table.Rank(len(q.latest) - 1)
-	for last > rank+1 && len(q.latest[last]) == 0 {
+	for last > rank+1 && q.latest[last].Len() == 0 {
 		last--
 	}
-	r, _ := q.Remove(q.latest[last][0].ID)
+	r, _ := q.Remove(q.latest[last].First().ID)
 	return r
 }
 
@@ -191,8 +193,8 @@
 // Expired takes out and returns the requests whose deadline is at or before now.
 func (q *Queue) Expired(now time.Duration) []Request {
 	var expired []Request
-	for len(q.deadlines) > 0 && q.deadlines[0].Deadline <= now {
-		r, _ := q.Remove(q.deadlines[0].ID)
+	for q.deadlines.Len() > 0 && q.deadlines.First().Deadline <= now {
+		r, _ := q.Remove(q.deadlines.First().ID)
 		expired = append(expired, r)
 	}
 	return expired
@@ -228,8 +230,8 @@
 	delete(q.items, i.ID)
 	q.bytes -= i.Bytes
 	q.rankBytes[i.Rank] -= i.Bytes
-	heap.Remove(&q.deadlines, i.deadline)
-	heap.Remove(&q.latest[i.Rank], i.latest)
+	q.deadlines.Remove(i.deadline)
+	q.latest[i.Rank].Remove(i.latest)
 	i.line.remove(i)
 	q.prune(i.Adapter, i.line)
 }
--- a/coord/admission/request.go
+++ b/coord/admission/request.go
@@ -46,6 +46,9 @@
 	return i.ID < other.ID
 }
 
+// later orders items by deadline, the latest first.
+func later(a, b *item) bool { return b.sooner(a) }
+
 // line holds the waiting requests of one adapter, in no order.
 type line struct {
 	items []*item
--- a/coord/residency/loads.go
+++ b/coord/residency/loads.go
@@ -24,7 +24,7 @@
 			w.endDrain(work)
 			return nil
 		}
-		best := w.wants.asking[rank][0]
+		best := w.wants.asking[rank].First()
 		evict, possible := w.room(now, rank)
 		if !possible {
 			w.drain(now, rank, owed)
--- a/coord/residency/wants.go
+++ b/coord/residency/wants.go
@@ -1,10 +1,10 @@
 package residency
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/admission"
+	"github.com/bulrushwick/bulrushwick/coord/internal/indexed"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
 
@@ -36,17 +36,22 @@
 type wants struct {
 	config    Config
 	byName    map[table.AdapterVersion]*want
-	gathering dueHeap
-	asking    [table.RankCount]askHeap
+	gathering *indexed.Heap[*want]                  // by the time at which they are due
+	asking    [table.RankCount]*indexed.Heap[*want] // by age
 	floors    admission.Floors
 }
 
 func newWants(c Config) *wants {
-	return &wants{
-		config: c,
-		byName: make(map[table.AdapterVersion]*want),
-		floors: admission.NewFloors(c.Queue.Floors),
+	s := &wants{
+		config:    c,
+		byName:    make(map[table.AdapterVersion]*want),
+		gathering: indexed.New(dueBefore, moved),
+		floors:    admission.NewFloors(c.Queue.Floors),
 	}
+	for rank := range s.asking {
+		s.asking[rank] = indexed.New(earlier, moved)
+	}
+	return s
 }
 
 // add counts a waiting request.
@@ -56,7 +61,7 @@
 	if !found {
 		w = &want{adapter: r.Adapter, due: due, since: now}
 		s.byName[r.Adapter] = w
-		heap.Push(&s.gathering, w)
+		s.gathering.Push(w)
 	}
 	w.ranks[r.Rank]++
 	w.waiting++
@@ -86,14 +91,14 @@
 
 // settle lets the wants that are due ask, and tells which ranks ask.
 func (s *wants) settle(now time.Duration) admission.Work {
-	for len(s.gathering) > 0 && s.gathering[0].due <= now {
-		w := heap.Pop(&s.gathering).(*want)
+	for s.gathering.Len() > 0 && s.gathering.First().due <= now {
+		w := s.gathering.Pop()
 		w.asking = true
 		s.ask(w)
 	}
 	var work admission.Work
 	for rank := range s.asking {
-		work[rank] = len(s.asking[rank]) > 0
+		work[rank] = s.asking[rank].Len() > 0
 	}
 	return work
 }
@@ -101,7 +106,7 @@
 // ask puts a want among those of its rank.
 func (s *wants) ask(w *want) {
 	w.rank = w.mostUrgent()
-	heap.Push(&s.asking[w.rank], w)
+	s.asking[w.rank].Push(w)
 }
 
 // postpone makes a want gather again until due.
@@ -109,7 +114,7 @@
 	s.lift(w)
 	w.asking = false
 	w.due = due
-	heap.Push(&s.gathering, w)
+	s.gathering.Push(w)
 }
 
 // remove forgets a want.
@@ -121,9 +126,9 @@
 // lift takes a want out of its heap.
 func (s *wants) lift(w *want) {
 	if w.asking {
-		heap.Remove(&s.asking[w.rank], w.place)
+		s.asking[w.rank].Remove(w.place)
 	} else {
-		heap.Remove(&s.gathering, w.place)
+		s.gathering.Remove(w.place)
 	}
 }
 
@@ -131,67 +136,25 @@
 func (s *wants) fix(w *want) {
 	switch {
 	case !w.asking:
-		heap.Fix(&s.gathering, w.place)
+		s.gathering.Fix(w.place)
 	case w.rank != w.mostUrgent():
 		s.lift(w)
 		s.ask(w)
 	default:
-		heap.Fix(&s.asking[w.rank], w.place)
+		s.asking[w.rank].Fix(w.place)
 	}
 }
 
-// dueHeap orders wants by the time at which they ask.
-type dueHeap []*want
-
-func (h dueHeap) Len() int { return len(h) }
-func (h dueHeap) Less(i, j int) bool {
-	if h[i].due != h[j].due {
-		return h[i].due < h[j].due
+// dueBefore orders wants by the time at which they ask.
+func dueBefore(a, b *want) bool {
+	if a.due != b.due {
+		return a.due < b.due
 	}
-	return earlier(h[i], h[j])
-}
-func (h dueHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-
-// Push implements heap.Interface.
-func (h *dueHeap) Push(x any) {
-	w := x.(*want)
-	w.place = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *dueHeap) Pop() any { return pop((*[]*want)(h)) }
-
-// askHeap orders the wants of a rank by age.
-type askHeap []*want
-
-func (h askHeap) Len() int           { return len(h) }
-func (h askHeap) Less(i, j int) bool { return earlier(h[i], h[j]) }
-func (h askHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
+	return earlier(a, b)
 }
 
-// Push implements heap.Interface.
-func (h *askHeap) Push(x any) {
-	w := x.(*want)
-	w.place = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *askHeap) Pop() any { return pop((*[]*want)(h)) }
-
-func pop(h *[]*want) *want {
-	last := len(*h) - 1
-	w := (*h)[last]
-	(*h)[last] = nil
-	*h = (*h)[:last]
-	return w
-}
+// moved notes a want's place in the heap that it is in.
+func moved(w *want, place int) { w.place = place }
 
 // earlier orders wants by age, then by name.
 func earlier(a, b *want) bool {
