Try another worker when an adapter can't be loaded

The refusal named a time to wait, which ended the attempts, so the next home was never tried. A refusal for being late now names the time by which it would be.

--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -268,10 +268,13 @@
 		return notRun(fasthttp.StatusMisdirectedRequest, "not_owner", errors.New(string(reject.Reason)))
 	}
 	failed := notRun(fasthttp.StatusServiceUnavailable, "rejected", errors.New(string(reject.Reason)))
-	if reject.Reason == residency.QueueFull {
+	switch reject.Reason {
+	case residency.LoadError: // without a time to wait, so that another worker is tried
+		return failed
+	case residency.QueueFull:
 		failed.Status = fasthttp.StatusTooManyRequests
 	}
-	failed.RetryAfter = time.Second
+	failed.RetryAfter = max(reject.RetryAfter, time.Second)
 	return failed
 }
 
