Keep the whole of a rank's floor

A rank earned its share of the others' turns only, so that a floor of 0.2 gave 0.167: found by a test against the target, which failed first. It now earns on every turn.

The floors cost the urgent rank what they give; they are settings.

--- a/coord/admission/floors.go
+++ b/coord/admission/floors.go
@@ -35,11 +35,9 @@
 // Took records that a rank had a turn; work is from before it.
 func (f *Floors) Took(rank table.Rank, owed bool, work Work) {
 	for i, has := range work {
-		switch {
-		case !has:
+		f.earned[i] = min(f.earned[i]+f.shares[i], 2)
+		if !has {
 			f.earned[i] = 0
-		case table.Rank(i) != rank:
-			f.earned[i] = min(f.earned[i]+f.shares[i], 2)
 		}
 	}
 	if owed {
