--- a/cmd/bulrushctl/experiment.go
+++ b/cmd/bulrushctl/experiment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -15,6 +16,7 @@
 // experimentOptions are the flags of the experiment command.
 type experimentOptions struct {
 	json     string
+	plots    string
 	policies []string
 	seeds    []uint
 }
@@ -32,6 +34,7 @@
 		},
 	}
 	c.Flags().StringVar(&options.json, "json", "", "write the results to this file")
+	c.Flags().StringVar(&options.plots, "plots", "", "draw each scenario's tokens over time into this directory, as SVG")
 	c.Flags().StringSliceVar(&options.policies, "policy", nil, "run only these policies")
 	c.Flags().UintSliceVar(&options.seeds, "seeds", nil, "run these seeds in place of the scenario's")
 	return c
@@ -47,17 +50,7 @@
 	}
 	var all []experiment.Result
 	for _, name := range names {
-		scenario, err := experiment.Load(name)
-		if err != nil {
-			return err
-		}
-		if len(options.seeds) > 0 {
-			scenario.Seeds = nil
-			for _, seed := range options.seeds {
-				scenario.Seeds = append(scenario.Seeds, uint64(seed))
-			}
-		}
-		results, err := experiment.Run(scenario, policies)
+		results, err := runScenario(name, policies, options)
 		if err != nil {
 			return err
 		}
@@ -71,6 +64,25 @@
 	return experiment.WriteTable(cmd.OutOrStdout(), all)
 }
 
+// runScenario runs one scenario and draws its plot where one is asked for.
+func runScenario(name string, policies []experiment.Policy, options experimentOptions) ([]experiment.Result, error) {
+	scenario, err := experiment.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	if len(options.seeds) > 0 {
+		scenario.Seeds = nil
+		for _, seed := range options.seeds {
+			scenario.Seeds = append(scenario.Seeds, uint64(seed))
+		}
+	}
+	results, err := experiment.Run(scenario, policies)
+	if err != nil || options.plots == "" {
+		return results, err
+	}
+	return results, experiment.Plot(results, filepath.Join(options.plots, scenario.Name+".svg"))
+}
+
 func choosePolicies(names []string) ([]experiment.Policy, error) {
 	policies := experiment.Policies()
 	if len(names) == 0 {
--- a/cmd/internal/experiment/result.go
+++ b/cmd/internal/experiment/result.go
@@ -15,8 +15,14 @@
 	Seeds    []uint64      `json:"seeds"`
 	Phases   []PhaseResult `json:"phases"`
 	Run      RunResult     `json:"run"`
+	// Made is the tokens a second that the engines made, mean over the seeds, in
+	// steps of SeriesStep from the start.
+	Made []float64 `json:"made"`
 }
 
+// SeriesStep is the time between two values of a series.
+const SeriesStep = 5 * time.Second
+
 // Spread is a mean with the lowest and the highest over the seeds.
 type Spread struct {
 	Mean float64 `json:"mean"`
@@ -39,6 +45,10 @@
 	Violations Spread `json:"violations"`
 	// Undecided counts requests that were neither served nor refused.
 	Undecided Spread `json:"undecided"`
+	// Recovery is the seconds from the first restart or loss to the first five
+	// seconds that make at least nine tenths of the tokens asked for in them, as
+	// far as the 30 s before did; 0 where there is no such event.
+	Recovery Spread `json:"recovery"`
 	// RetryShare is the number of retries over the number of requests.
 	RetryShare Spread `json:"retryShare"`
 }
@@ -111,7 +121,9 @@
 	res.Run.OverRate.add(n, float64(s.store.overRate))
 	res.Run.Violations.add(n, float64(violations))
 	res.Run.Undecided.add(n, float64(undecided))
+	res.Run.Recovery.add(n, s.recovery())
 	res.Run.RetryShare.add(n, ratio(float64(s.retries), float64(len(s.all))))
+	res.collectMade(n, s)
 	for i, phase := range s.scenario.Phases {
 		if n == 0 {
 			res.Phases = append(res.Phases, PhaseResult{Name: phase.Name, Ranks: make(map[string]RankResult)})
@@ -120,6 +132,22 @@
 	}
 }
 
+// collectMade folds the tokens made over time into the series.
+func (res *Result) collectMade(n int, s *simulation) {
+	made := make([]float64, int(seconds(s.scenario.Seconds)/SeriesStep))
+	for _, step := range s.steps {
+		if at := int(step.at / SeriesStep); at < len(made) {
+			made[at] += float64(step.occupancy) / SeriesStep.Seconds()
+		}
+	}
+	if n == 0 {
+		res.Made = make([]float64, len(made))
+	}
+	for i := range made {
+		res.Made[i] += (made[i] - res.Made[i]) / float64(n+1)
+	}
+}
+
 func (p *PhaseResult) collect(n int, s *simulation, phase Phase) {
 	from, to := seconds(phase.From), seconds(phase.To)
 	steps, tokens := 0, 0
@@ -220,3 +248,47 @@
 	}
 	return a / b
 }
+
+// Spans of the recovery figure.
+const (
+	recoveryBefore = 30 * time.Second
+	recoveryWindow = 5 * time.Second
+	recoveryStep   = time.Second
+	recoveryShare  = 0.9
+)
+
+// recovery returns the seconds until the tokens made are back to nine tenths.
+func (s *simulation) recovery() float64 {
+	for _, e := range s.scenario.Events {
+		if e.Kind != Restart && e.Kind != DataCentreLost {
+			continue
+		}
+		from := seconds(e.From)
+		wanted := recoveryShare * min(s.madeShare(from-recoveryBefore, from), 1)
+		at := from
+		for ; at < seconds(s.scenario.Seconds); at += recoveryStep {
+			if s.madeShare(at, at+recoveryWindow) >= wanted {
+				break
+			}
+		}
+		return (at - from).Seconds()
+	}
+	return 0
+}
+
+// madeShare returns the tokens made in a span over those that its arrivals ask
+// for.
+func (s *simulation) madeShare(from, to time.Duration) float64 {
+	made, asked := 0, 0
+	for _, step := range s.steps {
+		if step.at >= from && step.at < to {
+			made += step.occupancy
+		}
+	}
+	for _, r := range s.all {
+		if r.at >= from && r.at < to {
+			asked += r.tokens
+		}
+	}
+	return ratio(float64(made), float64(asked))
+}
