Send waiting requests back where the right does not come back

Seen first: with an owner frozen past its lease and then stopped, a request that waited there ended after its 30 s deadline as unknown, and the process waited for it. It is sent back as not run at once where the instance leaves, else after the serve grace. The processes test freezes, wakes, stops and kills owners while engines load and evict.

--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -64,6 +64,7 @@
 	Control  string `json:"control"`
 	Operator string `json:"operator"`
 	Revision uint64 `json:"revision"`
+	Right    string `json:"right"`
 }
 
 // start runs a program until the test ends.
--- a/cmd/internal/demo/cluster.go
+++ b/cmd/internal/demo/cluster.go
@@ -21,6 +21,9 @@
 // anyPort takes a free port on loopback.
 const anyPort = "127.0.0.1:0"
 
+// leaseTerm is short, so that the demo begins soon.
+const leaseTerm = time.Second
+
 // tokenTime is the demo engines' time between tokens.
 const tokenTime = 2 * time.Millisecond
 
--- a/entry/owner/authority.go
+++ b/entry/owner/authority.go
@@ -96,6 +96,15 @@
 	o.mu.Lock()
 	w.auth.closed = true
 	state := encodeHandOver(o.fleet.Now(), w.auth)
+	o.mu.Unlock()
+	o.sendBack(w)
+	return state
+}
+
+// sendBack ends the requests that wait, proved not run; whoever sent them asks
+// another.
+func (o *Owner) sendBack(w *worker) {
+	o.mu.Lock()
 	waiting := w.tickets
 	w.tickets = make(map[uint64]*ticket)
 	o.mu.Unlock()
@@ -103,7 +112,21 @@
 		t.decided <- residency.Reject{ID: id, Reason: movedAway}
 		o.step(w, residency.Cancel{ID: id})
 	}
-	return state
+}
+
+// giveUp sends the requests back that wait for a right which this instance does
+// not hold: at once where it leaves, else after the serve grace.
+func (o *Owner) giveUp(w *worker) {
+	if _, held := o.fleet.Held(ownership.WorkerRight(w.name)); held {
+		return
+	}
+	o.mu.Lock()
+	patient := !o.fleet.Leaving() && o.fleet.Now() < w.auth.until+o.config.ServeGrace
+	waiting := len(w.tickets)
+	o.mu.Unlock()
+	if !patient && waiting > 0 {
+		o.sendBack(w)
+	}
 }
 
 // idle begins no further order and returns a channel that is closed when none is
--- a/entry/owner/step.go
+++ b/entry/owner/step.go
@@ -145,6 +145,7 @@
 	o.mu.Unlock()
 	for _, w := range workers {
 		o.startAdopt(w)
+		o.giveUp(w)
 		o.step(w, residency.Tick{})
 	}
 }
