--- a/cmd/internal/demo/cluster.go
+++ b/cmd/internal/demo/cluster.go
@@ -181,6 +181,9 @@
 	s.DataCentre = dataCentre
 	s.CallerAddress, s.PeerAddress, s.ControlAddress = anyPort, anyPort, anyPort
 	s.PlatformAddress = platform
+	s.LeaseTerm = settings.Duration(leaseTerm)
+	s.LeaseListLag = settings.Duration(leaseTerm / 4)
+	s.LeaseAloneTerm = settings.Duration(leaseTerm / 2)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return member.Instance{}, err
