Give a leaving endpoint no new work from the moment a peer knows

Only the platform's list told it before, which lags. Whoever reads that an endpoint leaves reports it with its heartbeats; the owner refuses new requests for it and sends waiting ones back, proved not run.

--- a/coord/member/report.go
+++ b/coord/member/report.go
@@ -79,6 +79,13 @@
 	return reports
 }
 
+// ReportedLeaving tells whether a fresh report by the subject itself says that it
+// is leaving.
+func (l *List) ReportedLeaving(now time.Duration, subject string) bool {
+	r, found := l.reports[reportKey{subject: subject, reporter: subject}]
+	return found && r.leaving && now-r.sure < l.config.ReportFor
+}
+
 // findings is what the fresh reports say, by subject.
 type findings struct {
 	silent  map[string]int // the number of reporters
--- a/coord/residency/takeover_test.go
+++ b/coord/residency/takeover_test.go
@@ -60,7 +60,7 @@
 		case Dispatch:
 			if w != m.holders[len(m.holders)-1] && m.now >= m.lost+takeoverGrace {
 				delete(m.running, a.ID) // not sent
-				m.step(w, Finished{ID: a.ID})
+				m.step(w, Finished(a))
 				continue
 			}
 			m.by[a.ID] = w
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -215,19 +215,12 @@
 			Endpoint: endpoint,
 			Resident: resident,
 			Load:     f.inFlight[endpoint.Name],
-			Leaving:  f.endpoints[endpoint.Name] == member.Leaving,
+			Leaving:  f.endpointLeaving(endpoint.Name),
 		}
 	}
 	return candidates
 }
 
-// EndpointLeaving tells whether the endpoint takes no new work.
-func (f *Fleet) EndpointLeaving(name string) bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	return f.endpoints[name] == member.Leaving
-}
-
 // Begin counts a request sent towards a worker; the returned function ends it.
 func (f *Fleet) Begin(worker string) (end func()) {
 	f.mu.Lock()
--- a/entry/fleet/topology.go
+++ b/entry/fleet/topology.go
@@ -91,6 +91,7 @@
 func (f *Fleet) Reports() []member.Report {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reportEndpoints()
 	reports := f.members.Reports(f.Now())
 	if f.leaving {
 		reports = append(reports, member.Report{Subject: f.self, Reporter: f.self, Leaving: true})
--- a/entry/owner/authority.go
+++ b/entry/owner/authority.go
@@ -114,14 +114,17 @@
 	}
 }
 
-// giveUp sends the requests back that wait for a right which this instance does
-// not hold: at once where it leaves, else after the serve grace.
+// giveUp sends the requests back that wait for a worker which is leaving, or for
+// a right which this instance does not hold: at once where it leaves itself, else
+// after the serve grace.
 func (o *Owner) giveUp(w *worker) {
-	if _, held := o.fleet.Held(ownership.WorkerRight(w.name)); held {
+	_, held := o.fleet.Held(ownership.WorkerRight(w.name))
+	gone := o.fleet.EndpointLeaving(w.name)
+	if held && !gone {
 		return
 	}
 	o.mu.Lock()
-	patient := !o.fleet.Leaving() && o.fleet.Now() < w.auth.until+o.config.ServeGrace
+	patient := !gone && !o.fleet.Leaving() && o.fleet.Now() < w.auth.until+o.config.ServeGrace
 	waiting := len(w.tickets)
 	o.mu.Unlock()
 	if !patient && waiting > 0 {
--- a/entry/owner/owner.go
+++ b/entry/owner/owner.go
@@ -118,6 +118,9 @@
 	if !known {
 		return nil, notRun(fasthttp.StatusServiceUnavailable, "unknown_worker", fmt.Errorf("worker %q is not in the tables", r.Worker))
 	}
+	if o.fleet.EndpointLeaving(r.Worker) {
+		return nil, notRun(fasthttp.StatusServiceUnavailable, "endpoint_leaving", fmt.Errorf("%s takes no new work", r.Worker))
+	}
 	if pool.Kind == table.Service {
 		return o.call(ctx, at.Address, r)
 	}
