--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -58,6 +58,13 @@
 // Now returns the monotonic time since the instance started.
 func (f *Fleet) Now() time.Duration { return time.Since(f.started) }
 
+// Clocks returns the monotonic time since the instance started and the wall
+// clock, read together.
+func (f *Fleet) Clocks() (time.Duration, time.Time) {
+	now := time.Now()
+	return now.Sub(f.started), now.Round(0)
+}
+
 // Self returns the instance's own name.
 func (f *Fleet) Self() string { return f.self }
 
--- a/entry/lease/keeper.go
+++ b/entry/lease/keeper.go
@@ -86,13 +86,14 @@
 	if err != nil {
 		return nil, oops.Wrap(err)
 	}
+	now, wall := f.Clocks()
 	k := &Keeper{
 		config:    config,
 		fleet:     f,
 		sender:    sender,
 		log:       log,
 		pool:      pool,
-		wallStart: time.Now().Round(0).Add(-f.Now()),
+		wallStart: wall.Add(-now),
 		pending:   make(chan struct{}, 1),
 		machine:   ownership.NewMachine(self, config.Lease),
 		handlers:  make(map[string]Handler),
@@ -174,8 +175,8 @@
 // now returns the monotonic time. Where the wall clock has moved against it the
 // machine may have been suspended, and nothing granted before counts.
 func (k *Keeper) now() time.Duration {
-	now := k.fleet.Now()
-	drift := time.Now().Round(0).Sub(k.wallStart) - now
+	now, wall := k.fleet.Clocks()
+	drift := wall.Sub(k.wallStart) - now
 	if (drift - k.drift).Abs() > clockStep {
 		k.drift = drift
 		k.log.Warn().Str("event", "clock_stepped").Dur("drift", drift).Send()
