--- a/entry/keys/doc.go
+++ b/entry/keys/doc.go
@@ -3,5 +3,5 @@
 // most once.
 //
 // The rules are those of coord/attempt; this slice adds the wall clock, the
-// locks, the way to the owner and the one run.
+// locks, the way to the owner, the one run, and the hand-over with the lease.
 package keys
