Answer unknown for a key whose hashed home has just moved

Cause: the home of a key that names none is hashed over the published data centres; when these change, the former home may still run a key for as long as it takes the tables to be in force everywhere, and the new home would run it again.

Seen to fail first with the record's part taken out: the moved key was served (go test ./keys -run MovedHome).

--- a/coord/attempt/record_arrive.go
+++ b/coord/attempt/record_arrive.go
@@ -13,7 +13,7 @@
 	floor := r.raiseFloor(now, e.Key.Shard(), e.Wall, e.Since)
 	minted := e.Key.Minted()
 	switch {
-	case minted <= floor:
+	case minted <= max(floor, e.Floor):
 		return refuse(e.Send, Unknown, BelowFloor)
 	case minted > e.Wall+r.config.FutureLimit:
 		return refuse(e.Send, NotRun, FromFuture)
--- a/coord/attempt/record_events.go
+++ b/coord/attempt/record_events.go
@@ -35,6 +35,9 @@
 	Held bool
 	// Since is when that right began, by the clock that is passed to Step.
 	Since time.Duration
+	// Floor raises the floor for this key alone, since the Unix epoch; 0 is none.
+	// A key whose home has moved may have run elsewhere.
+	Floor time.Duration
 }
 
 // Finished ends the run that a Run action started.
--- a/entry/keys/handover_test.go
+++ b/entry/keys/handover_test.go
@@ -41,19 +41,26 @@
 	hold chan struct{}
 }
 
-func newHolder(t testing.TB, held bool) *holder {
+// publish offers tables with those data centres.
+func publish(t testing.TB, f *fleet.Fleet, revision uint64, dataCentres ...string) {
 	t.Helper()
-	h := &holder{fleet: fleet.New("entry", "a"), lease: &lease{}}
-	chunk, err := json.Marshal(table.Chunk{Regions: []table.Region{{Name: "north", DataCentres: []string{"a"}}}})
+	chunk, err := json.Marshal(table.Chunk{Regions: []table.Region{{Name: "north", DataCentres: dataCentres}}})
 	require.NoError(t, err)
 	built, err := table.Build(table.Snapshot{
-		Manifest: table.Manifest{Revision: 1, Chunks: []table.ChunkRef{{Key: "c", Digest: table.Digest(chunk)}}},
+		Manifest: table.Manifest{Revision: revision, Chunks: []table.ChunkRef{{Key: "c", Digest: table.Digest(chunk)}}},
 		Chunks:   map[string][]byte{"c": chunk},
 	})
 	require.NoError(t, err)
-	h.fleet.Offer(built)
+	f.Offer(built)
+}
+
+func newHolder(t testing.TB, held bool) *holder {
+	t.Helper()
+	h := &holder{fleet: fleet.New("entry", "a"), lease: &lease{}}
+	publish(t, h.fleet, 1, "a")
 	h.lease.held.Store(held)
 	h.lease.since.Store(int64(-time.Minute)) // so that keys minted now are above the floor
+	var err error
 	h.Keys, err = New(Config{Record: attempt.DefaultRecordConfig(), Concurrency: 8}, h.fleet, h.lease, nil, h.run, zerolog.Nop())
 	require.NoError(t, err)
 	t.Cleanup(h.Close)
@@ -131,6 +138,33 @@
 	require.Zero(t, third.runs.Load())
 }
 
+// TestMovedHomeRunsNothingThatTheFormerMayHaveRun changes the data centres over
+// which homes are hashed.
+func TestMovedHomeRunsNothingThatTheFormerMayHaveRun(t *testing.T) {
+	h := newHolder(t, true)
+	publish(t, h.fleet, 2, "a", "b")
+	h.Tick()
+	moved, stayed := "", ""
+	for moved == "" || stayed == "" {
+		text := newKey()
+		key, err := attempt.ParseKey(text)
+		require.NoError(t, err)
+		if attempt.Home(key, []string{"a", "b"}) == "b" {
+			moved = text
+		} else {
+			stayed = text
+		}
+	}
+	publish(t, h.fleet, 3, "a")
+	require.Equal(t, attempt.Unknown, h.outcome(moved))
+	require.Zero(t, h.runs.Load())
+	require.Equal(t, attempt.Served, h.outcome(stayed))
+	named := order(moved)
+	named.Home = "a"
+	_, err := h.Serve(context.Background(), named)
+	require.NoError(t, err, "a home that the caller names does not move")
+}
+
 func TestOutcomeOfForeignErrorIsUnknown(t *testing.T) {
 	require.Equal(t, attempt.Unknown, outcomeOf(errors.New("boom")))
 }
--- a/entry/keys/keys.go
+++ b/entry/keys/keys.go
@@ -57,6 +57,7 @@
 	waiting map[uint64]chan decision
 	shards  [attempt.Shards]shardRuns
 	idle    *sync.Cond // a run has ended
+	homes   homes
 }
 
 // shardRuns counts the runs in progress of a shard.
@@ -103,6 +104,7 @@
 func (k *Keys) Tick() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.observeHomes()
 	k.record.Step(k.fleet.Now(), attempt.Elapsed{Wall: wall()})
 }
 
@@ -149,6 +151,7 @@
 		Wall:   wall(),
 		Held:   held && !k.shards[key.Shard()].handing,
 		Since:  since,
+		Floor:  k.homeFloor(key, r.Home),
 	})
 	run := slices.Contains(actions, attempt.RecordAction(attempt.Run{Send: id}))
 	if run {
