Keep control within its bytes, and answer unreadable requests in their form

Cause: leases took 3,415 of 8,652 B/s at full size, above the bound of 8,192. Packet headers are not in it and would break the bound. Ruled out: two renewals a term, since the third voter is asked when half a term has passed. The settings take their defaults from the lease's own, and the measurement and the daemon share the number of renewals.

A request that is too large, too slow or malformed was answered in the library's plain text, 400 where 413 is promised; it now gets the problem body, not-run, and the right status, and the listener's log is JSON.

--- a/cmd/internal/capacity/leases.go
+++ b/cmd/internal/capacity/leases.go
@@ -11,14 +11,11 @@
 )
 
 // leaseTime is how long renewals are counted, a few terms.
-const leaseTime = 6 * time.Second
+const leaseTime = 8 * time.Second
 
 // settlePoll is the interval between looks at whether all leases are held.
 const settlePoll = 50 * time.Millisecond
 
-// renewalsPerTerm is the number of renewals in a lease's term.
-const renewalsPerTerm = 3
-
 // leaseLines measures the renewal of leases in one data centre. Leases keep real
 // time, so this waits until all are held and then for a few terms.
 func (s Sizes) leaseLines() ([]Line, error) {
@@ -74,7 +71,7 @@
 		timing := ownership.DefaultConfig(lease.Ordinal(self))
 		timing.Term, timing.Margin = timing.Term/hurry, timing.Margin/hurry
 		timing.ListLag, timing.AloneTerm = timing.ListLag/hurry, timing.AloneTerm/hurry
-		config := lease.Config{Lease: timing, RenewEvery: timing.Term / renewalsPerTerm, Concurrency: callConcurrency}
+		config := lease.Config{Lease: timing, RenewEvery: timing.Term / lease.RenewalsPerTerm, Concurrency: callConcurrency}
 		keeper, err := lease.NewKeeper(config, self, node.fleet, node.exchange, zerolog.Nop())
 		if err != nil {
 			return nil, err
--- a/coord/ownership/config.go
+++ b/coord/ownership/config.go
@@ -6,7 +6,7 @@
 type Config struct {
 	// Term is how long a vote may be relied upon, from when it was asked for.
 	// Shorter takes over sooner from a lost owner; longer rides out more lost
-	// heartbeats. Default: 3 s.
+	// calls and needs fewer of them. Default: 4 s.
 	Term time.Duration
 	// Margin is how much longer than Term a voter keeps its promise. It covers
 	// the difference of two clocks' rates over a term. Default: 200 ms.
@@ -29,7 +29,7 @@
 // DefaultConfig returns the defaults for the instance with that ordinal.
 func DefaultConfig(ordinal uint16) Config {
 	return Config{
-		Term:      3 * time.Second,
+		Term:      4 * time.Second,
 		Margin:    200 * time.Millisecond,
 		ListLag:   2 * time.Second,
 		AloneTerm: 4 * time.Second,
--- a/coord/strictjson/finding.go
+++ b/coord/strictjson/finding.go
@@ -35,9 +35,12 @@
 type Findings []Finding
 
 // Error returns every finding, one a line.
-func (f Findings) Error() string {
-	lines := make([]string, len(f))
-	for i, finding := range f {
+func (f Findings) Error() string { return Lines(f) }
+
+// Lines returns every finding of a list, one a line.
+func Lines[F fmt.Stringer](findings []F) string {
+	lines := make([]string, len(findings))
+	for i, finding := range findings {
 		lines[i] = finding.String()
 	}
 	return strings.Join(lines, "\n")
--- a/coord/table/finding.go
+++ b/coord/table/finding.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 )
@@ -28,13 +27,7 @@
 type Findings []Finding
 
 // Error returns every finding, one a line.
-func (f Findings) Error() string {
-	lines := make([]string, len(f))
-	for i, finding := range f {
-		lines[i] = finding.String()
-	}
-	return strings.Join(lines, "\n")
-}
+func (f Findings) Error() string { return strictjson.Lines(f) }
 
 // Err returns the findings as an error, or nil when there are none.
 func (f Findings) Err() error {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -135,8 +135,8 @@
 		keeper:    keeper,
 		platform:  reads,
 		reader:    platform.NewReader(reads, f, s.WatchWait.Std(), log),
-		callers:   newServer(front.Handle, s.BodyLimit),
-		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit),
+		callers:   newServer(front.Handle, s.BodyLimit, log),
+		peers:     newServer(forward.Handler(caughtUp(own), caughtUp(keyed)), s.BodyLimit, log),
 		control:   newControl(f, records, keeper, own),
 	}, nil
 }
@@ -158,9 +158,11 @@
 	return tables.Config{Replica: config, Concurrency: s.ControlConcurrency}
 }
 
-func newServer(handler fasthttp.RequestHandler, bodyLimit int) *fasthttp.Server {
+func newServer(handler fasthttp.RequestHandler, bodyLimit int, log zerolog.Logger) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      handler,
+		ErrorHandler:                 ingress.Unreadable,
+		Logger:                       serverLog{log: flooded(log)},
 		NoDefaultServerHeader:        true,
 		MaxRequestBodySize:           bodyLimit,
 		ReadTimeout:                  headerReadTimeout,
--- a/entry/daemon/leases.go
+++ b/entry/daemon/leases.go
@@ -16,9 +16,6 @@
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
 
-// renewals is the number of renewals in a lease's term.
-const renewals = 3
-
 // newOwner returns the owner of this instance's workers.
 func newOwner(s settings.Settings, f *fleet.Fleet, clients httpx.ClientConfig, log zerolog.Logger) (*owner.Owner, error) {
 	return owner.New(owner.Config{
@@ -40,7 +37,7 @@
 	timing.AloneTerm = s.LeaseAloneTerm.Std()
 	keeper, err := lease.NewKeeper(lease.Config{
 		Lease:       timing,
-		RenewEvery:  s.LeaseTerm.Std() / renewals,
+		RenewEvery:  s.LeaseTerm.Std() / lease.RenewalsPerTerm,
 		Concurrency: s.ControlConcurrency,
 	}, self, f, sender, log)
 	if err != nil {
--- /dev/null
+++ b/entry/ingress/unreadable.go
@@ -0,0 +1,34 @@
+package ingress
+
+import (
+	"errors"
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/attempt"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+)
+
+// Unreadable answers a request that could not be read: too large, too slow or
+// malformed. It is the error handler of the callers' listener.
+func Unreadable(ctx *fasthttp.RequestCtx, err error) {
+	problem := httpx.Problem{
+		Status:  fasthttp.StatusBadRequest,
+		Code:    "malformed_request",
+		Message: err.Error(),
+		Outcome: attempt.NotRun,
+	}
+	var headers *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		problem.Status, problem.Code = fasthttp.StatusRequestEntityTooLarge, "body_too_large"
+	case errors.As(err, &headers):
+		problem.Status, problem.Code = fasthttp.StatusRequestHeaderFieldsTooLarge, "headers_too_large"
+	case errors.As(err, &network) && network.Timeout():
+		problem.Status, problem.Code = fasthttp.StatusRequestTimeout, "request_too_slow"
+	}
+	ctx.SetConnectionClose()
+	problem.Write(ctx)
+}
--- a/entry/lease/keeper.go
+++ b/entry/lease/keeper.go
@@ -39,11 +39,15 @@
 	Lease(ctx context.Context, to member.Instance, message ownership.Message) (ownership.Reply, error)
 }
 
+// RenewalsPerTerm is the number of renewals in a lease's term. More ride out more
+// lost calls; fewer send fewer bytes.
+const RenewalsPerTerm = 3
+
 // Config times a Keeper.
 type Config struct {
 	// Lease times the leases.
 	Lease ownership.Config
-	// RenewEvery is the interval between renewals.
+	// RenewEvery is the interval between renewals, RenewalsPerTerm in a term.
 	RenewEvery time.Duration
 	// Concurrency bounds the calls and hand-overs that run at once.
 	Concurrency int
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 )
 
@@ -49,8 +50,8 @@
 	// finds a failure sooner and costs more control traffic. Default: 500ms.
 	HeartbeatEvery Duration `json:"heartbeatEvery"`
 	// LeaseTerm is how long a lease counts. All instances use the same. Shorter
-	// takes over sooner from a lost instance; longer rides out more lost calls.
-	// Default: 3s.
+	// takes over sooner from a lost instance; longer rides out more lost calls
+	// and needs fewer of them. Default: 4s.
 	LeaseTerm Duration `json:"leaseTerm"`
 	// LeaseListLag is how much later than another instance one may read a change
 	// of the platform's list. All instances use the same. Default: 2s.
@@ -125,11 +126,12 @@
 
 // Default returns the settings with every default filled in and no addresses.
 func Default() Settings {
+	leases := ownership.DefaultConfig(0)
 	return Settings{
 		HeartbeatEvery:      Duration(500 * time.Millisecond),
-		LeaseTerm:           Duration(3 * time.Second),
-		LeaseListLag:        Duration(2 * time.Second),
-		LeaseAloneTerm:      Duration(4 * time.Second),
+		LeaseTerm:           Duration(leases.Term),
+		LeaseListLag:        Duration(leases.ListLag),
+		LeaseAloneTerm:      Duration(leases.AloneTerm),
 		ServeGrace:          Duration(10 * time.Second),
 		WatchWait:           Duration(4 * time.Second),
 		TableReaders:        3,
