Say on the faults' page exactly what its check looks at

The page claimed that every request after a fault is served. The check looks at that only where the request may be repeated and not for leaving, where no worker may be left. The check is as it was; the words follow it.

--- a/coord/matrix_test.go
+++ b/coord/matrix_test.go
@@ -292,9 +292,9 @@
 	"parts in `coord/attempt` and `coord/residency` with a small fake network, for a\n" +
 	"request that may be repeated and for one that may not. **yes**: exactly one end\n" +
 	"is told; what is served is the whole answer; not-run means that it did not run;\n" +
-	"what may not be repeated ran at most once; nothing in use was evicted; a request\n" +
-	"after the fault is served, and a single fault is ridden out where the request\n" +
-	"may be repeated; and a variant without one of the mechanisms fails there.\n" +
+	"what may not be repeated ran at most once; nothing in use was evicted; where the\n" +
+	"request may be repeated, a single fault is ridden out, and a request after the\n" +
+	"fault is served (not looked at for leaving, where no worker may be left); and a variant without one of the mechanisms fails there.\n" +
 	"holds: the same, but no broken variant fails there, so the cell shows little.\n" +
 	"**no**: not proved. –: can't happen: before `forwarded` no\n" +
 	"attempt has begun, and no step reads the platform.\n\n" +
