--- a/cmd/bulrushwick/main.go
+++ b/cmd/bulrushwick/main.go
@@ -44,7 +44,7 @@
 	}
 	serve.Flags().StringVar(&file, "settings", "", "settings file in JSON")
 	_ = serve.MarkFlagRequired("settings")
-	root.AddCommand(serve)
+	root.AddCommand(serve, directCommand(log))
 	return root
 }
 
--- /dev/null
+++ b/coord/quorum/config.go
@@ -0,0 +1,56 @@
+// Package quorum grants rights to instances by leases of a majority. The
+// voters are the members of a gossiped roster: there is no list of instances to
+// read, nothing is stored, and instances come, go and restart without memory.
+//
+// Invariants, for any right:
+//   - A voter promises its vote to one instance at a time, for longer than that
+//     instance counts on it.
+//   - A holder counts only votes of members that take the same set as voters.
+//   - An instance that has started votes for nobody until every promise that it
+//     may have forgotten has run out.
+package quorum
+
+import "time"
+
+// Config sets the times of a Machine. All instances must use the same.
+type Config struct {
+	// Term is how long a vote counts, from when it was asked for. Shorter takes
+	// over sooner from a lost holder; longer rides out more lost beats.
+	Term time.Duration
+	// Margin is how much longer a voter keeps its promise. It must exceed what
+	// two clocks may drift apart within Term.
+	Margin time.Duration
+	// TurnGap is the least time between the last act of a holder and the first
+	// of the next.
+	TurnGap time.Duration
+	// LiveFor is how long a member counts as live after it was last heard.
+	LiveFor time.Duration
+	// RemoveAfter is the silence after which a majority removes a member. Longer
+	// keeps a partitioned member from finding itself removed; shorter lets the
+	// rest go on sooner after a loss of many.
+	RemoveAfter time.Duration
+	// RemoveEvery is the least time between two removals, so that any two
+	// majorities before and after share a voter.
+	RemoveEvery time.Duration
+	// SeedWait is how long an instance that has heard no settled one waits for
+	// seeds that don't answer, before it settles without them. It should exceed
+	// the usual length of a partition.
+	SeedWait time.Duration
+}
+
+// DefaultConfig returns times for a gap between holders' turns and beats every
+// 250 ms.
+func DefaultConfig(turnGap time.Duration) Config {
+	return Config{
+		Term:        1200 * time.Millisecond, // four beats may be lost
+		Margin:      200 * time.Millisecond,
+		TurnGap:     turnGap,
+		LiveFor:     900 * time.Millisecond, // three beats may be lost
+		RemoveAfter: 20 * time.Second,
+		RemoveEvery: 5 * time.Second,
+		SeedWait:    20 * time.Second,
+	}
+}
+
+// promise is how long a voter is bound by one vote.
+func (c Config) promise() time.Duration { return c.Term + c.Margin }
--- /dev/null
+++ b/coord/quorum/exchange.go
@@ -0,0 +1,147 @@
+package quorum
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Beat returns the next beat and the addresses to send it to.
+func (m *Machine) Beat(now time.Duration) (Beat, []string) {
+	m.sequence++
+	b := Beat{
+		From: m.roster.self, Sequence: m.sequence, Settled: m.settled,
+		Members: m.roster.members(), Held: m.HeldRights(now),
+		Released: slices.Sorted(maps.Keys(m.released)),
+		Silent:   m.roster.silentFor(now, m.config.RemoveAfter),
+	}
+	for _, right := range m.rights {
+		if c := m.claims[right]; c.held || m.wants(now, right, c) {
+			b.Asks = append(b.Asks, Ask{Right: right, Fence: c.highest})
+		}
+	}
+	m.sent[m.sequence] = sentBeat{at: now, voters: digestOf(m.roster.voters())}
+	return b, m.targets()
+}
+
+// targets lists the members that have not left, and seeds, which may be back
+// under another incarnation.
+func (m *Machine) targets() []string {
+	names := make(map[string]bool)
+	for address, p := range m.roster.peers {
+		if !p.member.Left {
+			names[address] = true
+		}
+	}
+	for _, s := range m.seeds {
+		names[s] = true
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// Receive answers a beat.
+func (m *Machine) Receive(now time.Duration, b Beat) (Reply, []Action) {
+	p, actions := m.roster.heardFrom(now, b.From)
+	for _, member := range b.Members {
+		if member.Address != b.From.Address {
+			actions = append(actions, m.roster.add(now, member)...)
+		}
+	}
+	reply := Reply{From: m.roster.self, Sequence: b.Sequence, Settled: m.settled}
+	if p != nil {
+		p.settled, p.held, p.silent = b.Settled, setOf(b.Held), setOf(b.Silent)
+		for _, right := range b.Released {
+			m.releasedBy(now, right, b.From.Address)
+		}
+		reply.Votes = m.votes(now, b)
+	}
+	reply.Voters = digestOf(m.roster.voters())
+	reply.Members = m.roster.members()
+	return reply, actions
+}
+
+func (m *Machine) votes(now time.Duration, b Beat) []Vote {
+	votes := make([]Vote, 0, len(b.Asks))
+	for _, ask := range b.Asks {
+		vote := Vote{}
+		if c := m.claims[ask.Right]; c != nil {
+			c.highest = max(c.highest, ask.Fence)
+			vote = m.cast(now, c, b.From.Address)
+		}
+		vote.Right = ask.Right
+		votes = append(votes, vote)
+	}
+	return votes
+}
+
+// releasedBy frees the vote for a member that gave a right up.
+func (m *Machine) releasedBy(now time.Duration, right, from string) {
+	if c := m.claims[right]; c != nil && c.vote.to == from && now < c.vote.until {
+		c.vote.until = now
+	}
+}
+
+// Replied counts the votes of a reply from when they were asked for.
+func (m *Machine) Replied(now time.Duration, r Reply) []Action {
+	p, actions := m.roster.heardFrom(now, r.From)
+	if p != nil {
+		p.settled = r.Settled
+	}
+	for _, member := range r.Members {
+		if member.Address != r.From.Address {
+			actions = append(actions, m.roster.add(now, member)...)
+		}
+	}
+	sent, known := m.sent[r.Sequence]
+	voters := digestOf(m.roster.voters())
+	if p == nil || !known || r.Voters != voters || sent.voters != voters {
+		return actions
+	}
+	for _, v := range r.Votes {
+		c := m.claims[v.Right]
+		if c == nil || m.leaving {
+			continue
+		}
+		c.highest = max(c.highest, v.Fence)
+		if v.Granted {
+			c.granted[r.From.Address] = max(c.granted[r.From.Address], sent.at+m.config.Term)
+			if !c.held {
+				c.clearAt = max(c.clearAt, now+v.ClearAfter)
+			}
+		}
+		actions = append(actions, m.advance(now, v.Right)...)
+	}
+	return actions
+}
+
+// preferred is the live, settled member that should hold a right: one of the
+// right's data centre first, then by rendezvous hashing.
+func (m *Machine) preferred(now time.Duration, right string) string {
+	dataCentre, _, _ := strings.Cut(right, "/")
+	best, bestLocal, bestScore := "", false, uint64(0)
+	consider := func(member Member) {
+		local := member.DataCentre == dataCentre
+		score := xxhash.Sum64String(right + "\x00" + member.Address)
+		if best == "" || local && !bestLocal || local == bestLocal && score > bestScore {
+			best, bestLocal, bestScore = member.Address, local, score
+		}
+	}
+	consider(m.roster.self)
+	for address, p := range m.roster.peers {
+		if p.settled && m.roster.live(now, m.config.LiveFor, address) {
+			consider(p.member)
+		}
+	}
+	return best
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
+}
--- /dev/null
+++ b/coord/quorum/messages.go
@@ -0,0 +1,86 @@
+package quorum
+
+import "time"
+
+// Member is one instance of the roster. Its address is its identity over
+// restarts.
+type Member struct {
+	Address    string
+	DataCentre string
+	// Incarnation grows with every start of the instance, and when it refutes
+	// that it has left. News of a higher incarnation replaces all of a lower one.
+	Incarnation uint64
+	// Left members said that they leave, or were removed after a long silence.
+	Left bool
+}
+
+// Ask asks for a vote, or to renew one.
+type Ask struct {
+	Right string
+	// Fence is the highest fencing number that the sender has seen.
+	Fence uint64
+}
+
+// Beat is what an instance tells every other one at each interval.
+type Beat struct {
+	From Member
+	// Sequence grows with every beat of an incarnation.
+	Sequence uint64
+	// Settled senders remember everything that they ever promised.
+	Settled bool
+	Members []Member
+	Asks    []Ask
+	// Held lists the rights that the sender holds.
+	Held []string
+	// Released lists rights that the sender gave up and orders under no longer.
+	Released []string
+	// Silent lists the members that the sender has not heard for a long time.
+	Silent []string
+}
+
+// Vote answers an Ask.
+type Vote struct {
+	Right   string
+	Granted bool
+	// ClearAfter is how long the right's new holder must wait before it acts, so
+	// that its turn is far enough from that of a former holder.
+	ClearAfter time.Duration
+	// Fence is the highest fencing number that the voter has seen.
+	Fence uint64
+}
+
+// Reply answers a Beat.
+type Reply struct {
+	From     Member
+	Sequence uint64
+	Settled  bool
+	// Voters is the digest of the set that the replier takes as voters.
+	Voters  uint64
+	Members []Member
+	Votes   []Vote
+}
+
+// Action is what the caller of Machine must do or record.
+type Action interface{ isAction() }
+
+// Acquired reports that a right is held since now. No order may be given under
+// it before ClearAt.
+type Acquired struct {
+	Right   string
+	Fence   uint64
+	ClearAt time.Duration
+}
+
+// Lost reports that a right is held no longer.
+type Lost struct{ Right string }
+
+// MemberChanged reports a change of the roster.
+type MemberChanged struct {
+	Member Member
+	// Reason is joined, restarted, left or removed.
+	Reason string
+}
+
+func (Acquired) isAction()      {}
+func (Lost) isAction()          {}
+func (MemberChanged) isAction() {}
--- /dev/null
+++ b/coord/routing/config.go
@@ -0,0 +1,126 @@
+// Package routing decides where a request goes by its host and path, under
+// the newest configuration that is known.
+package routing
+
+import "time"
+
+// Kind says what may be done with a request more than once.
+type Kind uint8
+
+// The kinds of requests.
+const (
+	// NonIdempotent requests run at most once.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run again after any failure.
+	Idempotent
+	// Stream requests are answered by a series of events. They run at most once
+	// unless their route is Resumable.
+	Stream
+)
+
+// String returns the kind's name in logs.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	}
+	return "non-idempotent"
+}
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	Service string
+	// Weight is the share relative to the route's other targets.
+	Weight int
+}
+
+// Route sends the requests for a host and a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time until the final answer.
+	Timeout time.Duration
+	// Goal is the time to the first byte within which an answer counts fully.
+	Goal time.Duration
+	// PauseGoal is the longest pause between two events of a stream that is on time.
+	PauseGoal time.Duration
+	// Rank is the priority class; 0 is the most urgent.
+	Rank    int
+	Targets []Target
+	// MaxWorkers is the number of workers that one request may be sent to.
+	MaxWorkers int
+	// Resumable streams may be continued at another worker.
+	Resumable bool
+}
+
+// Repeatable tells whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Model is a base model that a service's engines may load.
+type Model struct {
+	Name string
+	// SizeMB is the size of the weights, in megabytes.
+	SizeMB float64
+	// AdapterSizeMB is the size of one of its adapters, in megabytes.
+	AdapterSizeMB float64
+	// StoreLoad, DiskLoad and MemoryLoad are the times to load the weights from
+	// the weight store, the worker's disk and the worker's host memory.
+	StoreLoad, DiskLoad, MemoryLoad time.Duration
+}
+
+// Engine describes the workers of a service that run models.
+type Engine struct {
+	// BatchSize is the number of requests that run at once.
+	BatchSize int
+	// CacheTokens is the KV cache's capacity, in tokens.
+	CacheTokens int
+	Models      []Model
+	// WeightsMB is the room for weights and adapters together, in megabytes.
+	WeightsMB float64
+	// AdapterSlots is the number of adapters that a worker holds.
+	AdapterSlots int
+	// StoreLoadsPerSecond is what the weight store allows all workers together.
+	StoreLoadsPerSecond float64
+}
+
+// Model returns the named model.
+func (e *Engine) Model(name string) (Model, bool) {
+	for _, m := range e.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service is a group of workers that answer the same requests.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one worker accepts from all instances together.
+	MaxConnections int
+	// Engine is nil for plain services.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Config is one version of all routes and services.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+}
--- /dev/null
+++ b/coord/routing/table.go
@@ -0,0 +1,93 @@
+package routing
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table finds the route of a request under one configuration.
+type Table struct {
+	Config *Config
+	// byHost holds each host's routes, the longest prefix first.
+	byHost map[string][]*Route
+}
+
+// NewTable indexes a configuration, which must not be changed afterwards.
+func NewTable(config *Config) *Table {
+	t := &Table{Config: config, byHost: make(map[string][]*Route)}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix that begins path,
+// or nil.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, found := strings.Cut(host, ":"); found {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service picks the service of a request by the targets' weights. The same
+// request picks the same service at every instance.
+func (r *Route) Service(requestID string) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		if len(r.Targets) == 0 {
+			return ""
+		}
+		return r.Targets[0].Service
+	}
+	point := int(xxhash.Sum64String(requestID) % uint64(total))
+	for _, t := range r.Targets {
+		point -= max(t.Weight, 0)
+		if point < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Register holds the table with the highest version that was offered. It is
+// not safe for concurrent use.
+type Register struct {
+	current *Table
+}
+
+// Current returns the table in force, or nil before the first offer.
+func (g *Register) Current() *Table { return g.current }
+
+// Version returns the version in force, or 0 before the first offer.
+func (g *Register) Version() uint64 {
+	if g.current == nil {
+		return 0
+	}
+	return g.current.Config.Version
+}
+
+// Offer installs config where its version is above the one in force, and tells
+// whether it did.
+func (g *Register) Offer(config *Config) bool {
+	if g.current != nil && config.Version <= g.current.Config.Version {
+		return false
+	}
+	g.current = NewTable(config)
+	return true
+}
--- /dev/null
+++ b/entry/cluster/codec.go
@@ -0,0 +1,79 @@
+package cluster
+
+import (
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/quorum"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+)
+
+func encodeMember(m quorum.Member) *clusterpb.Member {
+	return &clusterpb.Member{Address: m.Address, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Left: m.Left}
+}
+
+func decodeMember(m *clusterpb.Member) quorum.Member {
+	return quorum.Member{Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Incarnation: m.GetIncarnation(), Left: m.GetLeft()}
+}
+
+func encodeMembers(members []quorum.Member) []*clusterpb.Member {
+	encoded := make([]*clusterpb.Member, len(members))
+	for i, m := range members {
+		encoded[i] = encodeMember(m)
+	}
+	return encoded
+}
+
+func decodeMembers(members []*clusterpb.Member) []quorum.Member {
+	decoded := make([]quorum.Member, len(members))
+	for i, m := range members {
+		decoded[i] = decodeMember(m)
+	}
+	return decoded
+}
+
+func encodeBeat(b quorum.Beat) *clusterpb.BeatRequest {
+	request := &clusterpb.BeatRequest{
+		From: encodeMember(b.From), Sequence: b.Sequence, Settled: b.Settled, Members: encodeMembers(b.Members),
+		Held: b.Held, Released: b.Released, Silent: b.Silent,
+	}
+	for _, ask := range b.Asks {
+		request.Asks = append(request.Asks, &clusterpb.Ask{Right: ask.Right, Fence: ask.Fence})
+	}
+	return request
+}
+
+func decodeBeat(b *clusterpb.BeatRequest) quorum.Beat {
+	beat := quorum.Beat{
+		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Settled: b.GetSettled(), Members: decodeMembers(b.GetMembers()),
+		Held: b.GetHeld(), Released: b.GetReleased(), Silent: b.GetSilent(),
+	}
+	for _, ask := range b.GetAsks() {
+		beat.Asks = append(beat.Asks, quorum.Ask{Right: ask.GetRight(), Fence: ask.GetFence()})
+	}
+	return beat
+}
+
+func encodeReply(r quorum.Reply) *clusterpb.BeatResponse {
+	response := &clusterpb.BeatResponse{
+		From: encodeMember(r.From), Sequence: r.Sequence, Settled: r.Settled, Voters: r.Voters, Members: encodeMembers(r.Members),
+	}
+	for _, v := range r.Votes {
+		response.Votes = append(response.Votes, &clusterpb.Vote{
+			Right: v.Right, Granted: v.Granted, ClearAfterNs: int64(v.ClearAfter), Fence: v.Fence,
+		})
+	}
+	return response
+}
+
+func decodeReply(r *clusterpb.BeatResponse) quorum.Reply {
+	reply := quorum.Reply{
+		From: decodeMember(r.GetFrom()), Sequence: r.GetSequence(), Settled: r.GetSettled(), Voters: r.GetVoters(),
+		Members: decodeMembers(r.GetMembers()),
+	}
+	for _, v := range r.GetVotes() {
+		reply.Votes = append(reply.Votes, quorum.Vote{
+			Right: v.GetRight(), Granted: v.GetGranted(), ClearAfter: time.Duration(v.GetClearAfterNs()), Fence: v.GetFence(),
+		})
+	}
+	return reply
+}
--- /dev/null
+++ b/entry/decision/log.go
@@ -0,0 +1,141 @@
+// Package decision writes one line for each decision on a request or a belief.
+// Lines are bounded by kind and never wait for the output.
+package decision
+
+import (
+	"io"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"golang.org/x/time/rate"
+)
+
+// Event names a kind of line.
+type Event string
+
+// The events. docs/OPERATIONS.md explains each one's fields.
+const (
+	Started        Event = "started"
+	Stopping       Event = "stopping"
+	Stopped        Event = "stopped"
+	Reloaded       Event = "reloaded"
+	Placed         Event = "placed"
+	Refused        Event = "refused"
+	LoadWaited     Event = "load_waited"
+	AttemptFailed  Event = "attempt_failed"
+	Repeated       Event = "repeated"
+	Resumed        Event = "resumed"
+	Ended          Event = "ended"
+	OrderSent      Event = "order_sent"
+	RightAcquired  Event = "right_acquired"
+	RightLost      Event = "right_lost"
+	MemberChanged  Event = "member_changed"
+	WorkerChanged  Event = "worker_changed"
+	ConfigAccepted Event = "config_accepted"
+	ConfigRejected Event = "config_rejected"
+	EntryRejected  Event = "entry_rejected"
+	StoreLost      Event = "store_lost"
+	StoreReturned  Event = "store_returned"
+	ReportFailed   Event = "report_failed"
+	LinesDropped   Event = "lines_dropped"
+)
+
+// Config bounds the log's volume.
+type Config struct {
+	// LinesPerSecond is the mean rate for each event, Burst what may come at once.
+	// More explains more of a bad second and costs processor time.
+	LinesPerSecond float64
+	Burst          int
+	// Buffer is the number of lines that wait for the output; later ones replace
+	// the oldest.
+	Buffer int
+}
+
+// DefaultConfig returns bounds for a machine with a part of a core.
+func DefaultConfig() Config {
+	return Config{LinesPerSecond: 60, Burst: 120, Buffer: 2048}
+}
+
+// Log writes decisions. It is safe for concurrent use.
+type Log struct {
+	config   Config
+	out      zerolog.Logger
+	writer   io.Closer
+	mu       sync.Mutex
+	limits   map[Event]*rate.Limiter
+	left     map[Event]int
+	replaced int
+}
+
+// New returns a log to output with the instance's name on every line.
+func New(config Config, output io.Writer, instance string) *Log {
+	l := &Log{config: config, limits: make(map[Event]*rate.Limiter), left: make(map[Event]int)}
+	writer := diode.NewWriter(output, config.Buffer, 0, func(missed int) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.replaced += missed
+	})
+	l.writer = writer
+	l.out = zerolog.New(writer).With().Timestamp().Str("instance", instance).Logger()
+	return l
+}
+
+// Line begins a line, or returns nil, which takes fields and writes nothing,
+// where the event's rate is used up.
+func (l *Log) Line(event Event) *zerolog.Event {
+	if !l.allow(event) {
+		return nil
+	}
+	return l.out.Info().Str("event", string(event))
+}
+
+// Warn begins a line about an error that is not passed on.
+func (l *Log) Warn(event Event, err error) *zerolog.Event {
+	if !l.allow(event) {
+		return nil
+	}
+	return l.out.Warn().Str("event", string(event)).Err(err)
+}
+
+func (l *Log) allow(event Event) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.limits[event]
+	if limit == nil {
+		limit = rate.NewLimiter(rate.Limit(l.config.LinesPerSecond), l.config.Burst)
+		l.limits[event] = limit
+	}
+	if limit.Allow() {
+		return true
+	}
+	l.left[event]++
+	return false
+}
+
+// Summarize writes how many lines were left out since the last call.
+func (l *Log) Summarize() {
+	l.mu.Lock()
+	left, replaced := l.left, l.replaced
+	l.left, l.replaced = make(map[Event]int), 0
+	l.mu.Unlock()
+	if len(left) == 0 && replaced == 0 {
+		return
+	}
+	line := l.out.Warn().Str("event", string(LinesDropped)).Int("replaced", replaced)
+	for event := range maps.Keys(left) {
+		line = line.Int("limited_"+string(event), left[event])
+	}
+	line.Send()
+}
+
+// closeWait gives the output a moment for the last lines.
+const closeWait = 20 * time.Millisecond
+
+// Close writes the lines that wait, as far as the output takes them.
+func (l *Log) Close() error {
+	time.Sleep(closeWait)
+	return l.writer.Close()
+}
--- /dev/null
+++ b/entry/direct/candidates.go
@@ -0,0 +1,150 @@
+package direct
+
+import (
+	"strings"
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/routing"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
+	"github.com/bulrushwick/bulrushwick/coord/worker"
+)
+
+// candidates lists the workers of a service as the balancer takes them.
+func (f *fleet) candidates(at time.Duration, service routing.Service, r *Request, tried map[string]int) []balance.Candidate {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []balance.Candidate
+	for i := range f.workers {
+		w := &f.workers[i]
+		if w.Service != service.Name {
+			continue
+		}
+		c := f.candidate(at, w, service.Engine, r)
+		c.Avoid = tried[w.ID] > 0
+		all = append(all, c)
+	}
+	return all
+}
+
+func (f *fleet) candidate(at time.Duration, w *worker.Worker, engine *routing.Engine, r *Request) balance.Candidate {
+	c := balance.Candidate{ID: w.ID, Usable: !w.Draining, BatchSize: w.Slots, Distance: f.distance(w.DataCentre)}
+	f.addUse(&c, f.own[w.ID])
+	for _, p := range f.peers {
+		if at-p.at <= peerNewsFor {
+			u := p.uses[w.ID]
+			f.addUse(&c, &u)
+		}
+	}
+	if h := f.health[w.ID]; h != nil {
+		c.Suspect = h.Suspect(at)
+	}
+	if engine != nil {
+		c.CacheCapacity = engine.CacheTokens
+		f.addSlots(at, &c, w, engine, r)
+	}
+	return c
+}
+
+func (f *fleet) addUse(c *balance.Candidate, u *use) {
+	if u == nil {
+		return
+	}
+	c.Running += u.running
+	c.WaitingTokens += u.waitingTokens
+	c.CacheTokens += u.cacheTokens
+}
+
+// addSlots fills in what the worker holds: from the instance that orders it, or
+// else from the worker's own entry in the store.
+func (f *fleet) addSlots(at time.Duration, c *balance.Candidate, w *worker.Worker, engine *routing.Engine, r *Request) {
+	news, ordered := f.slotNews(at, w)
+	c.Orderable = ordered
+	if !ordered {
+		news = slotNews{usable: r.Model == "" || w.HasModel(r.Model), slots: entrySlots(w, r.Model)}
+	}
+	c.Usable = c.Usable && news.usable
+	inUse := f.inUse(at, w.ID)
+	c.FreeSlots = max(0, engine.AdapterSlots-len(news.slots))
+	for _, s := range news.slots {
+		if !inUse[s.Adapter] && s.Ready {
+			c.IdleSlots++
+		}
+		if s.Adapter == r.Adapter {
+			c.Residency = balance.Loading
+			if s.Ready {
+				c.Residency = balance.Resident
+			}
+		}
+	}
+	if n, found := f.notes[adapterAt{w.ID, r.Adapter}]; found && at < n.until {
+		c.Residency = balance.Absent
+		if n.present {
+			c.Residency = balance.Resident
+		}
+	}
+}
+
+// slotNews returns the newest word of an instance that orders the worker.
+func (f *fleet) slotNews(at time.Duration, w *worker.Worker) (slotNews, bool) {
+	if s, mine := f.mine[w.ID]; mine && s.born == w.Born {
+		return s, true
+	}
+	newest, found, newestAt := slotNews{}, false, time.Duration(0)
+	for _, p := range f.peers {
+		s, told := p.slots[w.ID]
+		if told && s.born == w.Born && at-p.at <= peerNewsFor && (!found || p.at > newestAt) {
+			newest, found, newestAt = s, true, p.at
+		}
+	}
+	return newest, found
+}
+
+func (f *fleet) inUse(at time.Duration, id string) map[string]bool {
+	used := make(map[string]bool)
+	if u := f.own[id]; u != nil {
+		for adapter := range u.adapters {
+			used[adapter] = true
+		}
+	}
+	for _, p := range f.peers {
+		if at-p.at > peerNewsFor {
+			continue
+		}
+		for adapter := range p.uses[id].adapters {
+			used[adapter] = true
+		}
+	}
+	return used
+}
+
+// entrySlots reads the adapters of a model from a worker's own entry.
+func entrySlots(w *worker.Worker, model string) []slots.Slot {
+	var held []slots.Slot
+	for _, m := range w.Models {
+		if m.Name != model {
+			continue
+		}
+		for _, adapter := range m.Adapters {
+			held = append(held, slots.Slot{Adapter: adapterName(adapter), Ready: true})
+		}
+	}
+	return held
+}
+
+// adapterName strips the version of NAME@VERSION.
+func adapterName(listed string) string {
+	name, _, _ := strings.Cut(listed, "@")
+	return name
+}
+
+// distance is the time to a worker of a data centre and back.
+func (f *fleet) distance(dataCentre string) time.Duration {
+	switch {
+	case dataCentre == f.settings.DataCentre:
+		return 0
+	case f.settings.DataCentres[dataCentre] == f.settings.Region:
+		return neighbourRTT
+	}
+	return remoteRTT
+}
--- /dev/null
+++ b/entry/direct/fleet.go
@@ -0,0 +1,377 @@
+package direct
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/retry"
+	"github.com/bulrushwick/bulrushwick/coord/routing"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
+	"github.com/bulrushwick/bulrushwick/coord/worker"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+)
+
+// Round-trip times by distance. Source: the operators' sheets, twice one way.
+const (
+	neighbourRTT = 3 * time.Millisecond
+	remoteRTT    = 40 * time.Millisecond
+)
+
+// peerNewsFor is how long a peer's news counts without another beat.
+const peerNewsFor = 1500 * time.Millisecond
+
+// notedFor is how long this instance's own finding about an adapter at a worker
+// goes before the news of the instance that orders the worker; two beats.
+const notedFor = 500 * time.Millisecond
+
+// use is what is in progress at a worker.
+type use struct {
+	running, waitingTokens, cacheTokens int
+	adapters                            map[string]int
+}
+
+// peerNews is the latest beat of a peer.
+type peerNews struct {
+	at    time.Duration
+	uses  map[string]use
+	slots map[string]slotNews
+}
+
+// slotNews is what the instance that orders a worker says of it.
+type slotNews struct {
+	born   int64
+	usable bool
+	slots  []slots.Slot
+}
+
+// noted is this instance's own finding about an adapter at a worker.
+type noted struct {
+	until   time.Duration
+	present bool
+}
+
+type adapterAt struct{ worker, adapter string }
+
+// fleet is everything that an instance believes of configuration, workers and
+// what the other instances do. It is safe for concurrent use.
+type fleet struct {
+	settings Settings
+	balance  balance.Config
+
+	mu       sync.Mutex
+	register routing.Register
+	document []byte
+	registry *worker.Registry
+	workers  []worker.Worker
+	byID     map[string]worker.Worker
+	own      map[string]*use
+	peers    map[string]peerNews
+	mine     map[string]slotNews
+	notes    map[adapterAt]noted
+	health   map[string]*balance.Health
+	versions map[string]int64
+	budgets  map[string]*retry.Budget
+}
+
+func newFleet(s Settings) *fleet {
+	return &fleet{
+		settings: s, balance: balance.DefaultConfig(), registry: worker.NewRegistry(),
+		byID: make(map[string]worker.Worker), own: make(map[string]*use), peers: make(map[string]peerNews),
+		mine: make(map[string]slotNews), notes: make(map[adapterAt]noted), health: make(map[string]*balance.Health),
+		versions: make(map[string]int64), budgets: make(map[string]*retry.Budget),
+	}
+}
+
+// table returns the configuration in force, or nil.
+func (f *fleet) table() *routing.Table {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.register.Current()
+}
+
+// offer installs a configuration and tells whether it was newer.
+func (f *fleet) offer(config *routing.Config, document []byte) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.register.Offer(config) {
+		return false
+	}
+	f.document = document
+	return true
+}
+
+// published returns the configuration in force as it was published.
+func (f *fleet) published() (uint64, []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.register.Version(), f.document
+}
+
+// changeWorkers applies f to the registry.
+func (f *fleet) changeWorkers(change func(*worker.Registry) []worker.News) []worker.News {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news := change(f.registry)
+	if len(news) == 0 {
+		return nil
+	}
+	f.workers = f.registry.Workers()
+	clear(f.byID)
+	for _, w := range f.workers {
+		f.byID[w.ID] = w
+	}
+	for _, n := range news {
+		if n.Change == worker.Gone || n.Change == worker.Restarted {
+			delete(f.health, n.Worker.ID)
+			delete(f.mine, n.Worker.ID)
+		}
+	}
+	return news
+}
+
+// worker returns what is known of one worker.
+func (f *fleet) worker(id string) (worker.Worker, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, known := f.byID[id]
+	return w, known
+}
+
+// allWorkers returns every worker that is not gone.
+func (f *fleet) allWorkers() []worker.Worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers
+}
+
+// service returns a service of the configuration in force.
+func (f *fleet) service(name string) (routing.Service, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.register.Current() == nil {
+		return routing.Service{}, false
+	}
+	s, known := f.register.Current().Config.Services[name]
+	return s, known
+}
+
+// heard takes a peer's beat.
+func (f *fleet) heard(at time.Duration, from string, beat *clusterpb.BeatRequest) {
+	news := peerNews{at: at, uses: make(map[string]use), slots: make(map[string]slotNews)}
+	for _, u := range beat.GetUses() {
+		decoded := use{
+			running: int(u.GetRunning()), waitingTokens: int(u.GetWaitingTokens()), cacheTokens: int(u.GetCacheTokens()),
+			adapters: make(map[string]int, len(u.GetAdapters())),
+		}
+		for _, a := range u.GetAdapters() {
+			decoded.adapters[a.GetAdapter()] = int(a.GetRunning())
+		}
+		news.uses[u.GetWorker()] = decoded
+	}
+	for _, s := range beat.GetSlots() {
+		decoded := slotNews{born: s.GetBorn(), usable: s.GetUsable()}
+		for _, one := range s.GetSlots() {
+			decoded.slots = append(decoded.slots, slots.Slot{Adapter: one.GetAdapter(), Ready: one.GetReady()})
+		}
+		news.slots[s.GetWorker()] = decoded
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[from] = news
+}
+
+// outgoing fills in what this instance has in progress and holds.
+func (f *fleet) outgoing(beat *clusterpb.BeatRequest) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	beat.ConfigVersion = f.register.Version()
+	for id, u := range f.own {
+		if u.running == 0 {
+			continue
+		}
+		encoded := &clusterpb.WorkerUse{
+			Worker: id, Running: uint32(u.running), WaitingTokens: uint32(max(u.waitingTokens, 0)), CacheTokens: uint32(max(u.cacheTokens, 0)),
+		}
+		for adapter, running := range u.adapters {
+			encoded.Adapters = append(encoded.Adapters, &clusterpb.AdapterUse{Adapter: adapter, Running: uint32(running)})
+		}
+		beat.Uses = append(beat.Uses, encoded)
+	}
+	for id, s := range f.mine {
+		encoded := &clusterpb.WorkerSlots{Worker: id, Born: s.born, Usable: s.usable}
+		for _, one := range s.slots {
+			encoded.Slots = append(encoded.Slots, &clusterpb.Slot{Adapter: one.Adapter, Ready: one.Ready})
+		}
+		beat.Slots = append(beat.Slots, encoded)
+	}
+}
+
+// setMine records the slots of a worker that this instance orders.
+func (f *fleet) setMine(id string, news slotNews) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mine[id] = news
+}
+
+// dropMine forgets a worker that this instance no longer orders.
+func (f *fleet) dropMine(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.mine, id)
+}
+
+// usage sums the requests in progress for each adapter of a worker, over all
+// instances.
+func (f *fleet) usage(at time.Duration, id string) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := make(map[string]int)
+	if u := f.own[id]; u != nil {
+		for adapter, n := range u.adapters {
+			total[adapter] += n
+		}
+	}
+	for _, p := range f.peers {
+		if at-p.at > peerNewsFor {
+			continue
+		}
+		for adapter, n := range p.uses[id].adapters {
+			total[adapter] += n
+		}
+	}
+	return total
+}
+
+// transitElsewhere counts the adapters on their way to workers that other
+// instances order.
+func (f *fleet) transitElsewhere(at time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, p := range f.peers {
+		if at-p.at > peerNewsFor {
+			continue
+		}
+		for _, s := range p.slots {
+			for _, one := range s.slots {
+				if !one.Ready {
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
+
+// note records this instance's own finding about an adapter at a worker.
+func (f *fleet) note(at time.Duration, id, adapter string, present bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notes[adapterAt{id, adapter}] = noted{until: at + notedFor, present: present}
+}
+
+// observe records the result of an attempt at a worker.
+func (f *fleet) observe(at time.Duration, id string, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.health[id]
+	if h == nil {
+		h = &balance.Health{}
+		f.health[id] = h
+	}
+	h.Observe(at, ok)
+}
+
+// countRequest counts a caller's request to a service.
+func (f *fleet) countRequest(at time.Duration, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget(service).Request(at)
+}
+
+// mayRepeat takes one repeat of the service's budget.
+func (f *fleet) mayRepeat(at time.Duration, service string, members int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget(service).Repeat(at, members)
+}
+
+// repeatSafety is the part of the operators' bound that is used: instances that
+// join or leave share it out anew only after a while.
+const repeatSafety = 0.7
+
+func (f *fleet) budget(service string) *retry.Budget {
+	b := f.budgets[service]
+	if b == nil {
+		b = retry.NewBudget(retry.Config{
+			Ratio: f.settings.RepeatRatio, Slack: f.settings.RepeatSlack,
+			Window: f.settings.RepeatWindow.Std(), Safety: repeatSafety,
+		})
+		f.budgets[service] = b
+	}
+	return b
+}
+
+// begin counts an attempt at a worker as in progress.
+func (f *fleet) begin(id, adapter string, promptTokens, allTokens int) *inProgress {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u := f.own[id]
+	if u == nil {
+		u = &use{adapters: make(map[string]int)}
+		f.own[id] = u
+	}
+	u.running++
+	u.waitingTokens += promptTokens
+	u.cacheTokens += allTokens
+	if adapter != "" {
+		u.adapters[adapter]++
+	}
+	return &inProgress{fleet: f, use: u, adapter: adapter, waiting: promptTokens, all: allTokens}
+}
+
+// inProgress is one attempt that counts as use of its worker.
+type inProgress struct {
+	fleet   *fleet
+	use     *use
+	adapter string
+	waiting int
+	all     int
+	done    bool
+}
+
+// answering notes that the worker has begun to answer.
+func (p *inProgress) answering() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.use.waitingTokens -= p.waiting
+	p.waiting = 0
+}
+
+// end notes that the attempt is over.
+func (p *inProgress) end() {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	if p.done {
+		return
+	}
+	p.done = true
+	p.use.running--
+	p.use.waitingTokens -= p.waiting
+	p.use.cacheTokens -= p.all
+	if p.adapter == "" {
+		return
+	}
+	if p.use.adapters[p.adapter]--; p.use.adapters[p.adapter] <= 0 {
+		delete(p.use.adapters, p.adapter)
+	}
+}
+
+// setVersion records the newest version of an adapter.
+func (f *fleet) setVersion(model, adapter string, version int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key := model + "/" + adapter
+	f.versions[key] = max(f.versions[key], version)
+}
--- /dev/null
+++ b/entry/direct/gateway.go
@@ -0,0 +1,336 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/routing"
+	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/upstream"
+)
+
+// loader has adapters loaded at workers.
+type loader interface {
+	load(ctx context.Context, r *Request, want loadWant) (ready bool, reason string)
+	members() int
+}
+
+// gateway serves callers.
+type gateway struct {
+	fleet    *fleet
+	codec    Codec
+	pool     *upstream.Pool
+	loads    loader
+	log      *decision.Log
+	metrics  *metrics
+	policy   admission
+	draining atomic.Bool
+	active   atomic.Int64
+}
+
+// errTimeout ends a request whose caller or route waits no longer.
+var errTimeout = errors.New("the request's time is up")
+
+// handle serves one request.
+func (g *gateway) handle(ctx *fasthttp.RequestCtx) {
+	arrived := now()
+	g.active.Add(1)
+	if g.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	table := g.fleet.table()
+	if table == nil {
+		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "no configuration is known yet")
+		return
+	}
+	request, err := g.codec.ParseRequest(ctx)
+	if err != nil {
+		g.refuseEarly(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	route := table.Match(request.Host, request.Path)
+	if route == nil {
+		g.refuseEarly(ctx, fasthttp.StatusNotFound, "no route for this host and path")
+		return
+	}
+	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
+		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
+		return
+	}
+	g.serve(ctx, g.newCall(ctx, table, route, request, arrived))
+}
+
+// refuseEarly answers a request that has no route.
+func (g *gateway) refuseEarly(ctx *fasthttp.RequestCtx, status int, reason string) {
+	defer g.active.Add(-1)
+	g.metrics.refused(strconv.Itoa(status))
+	g.log.Line(decision.Refused).Int("status", status).Str("reason", reason).Bytes("host", ctx.Host()).
+		Bytes("path", ctx.Path()).Uint64("config", g.version()).Send()
+	if status == fasthttp.StatusServiceUnavailable {
+		setRetryAfter(ctx, startRetryAfter)
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetBodyString(reason + "\n")
+}
+
+// startRetryAfter is when a caller of an instance that has just started should
+// come back: other instances have a configuration.
+const startRetryAfter = 100 * time.Millisecond
+
+func (g *gateway) version() uint64 {
+	version, _ := g.fleet.published()
+	return version
+}
+
+func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+}
+
+// call is one caller's request on its way.
+type call struct {
+	*gateway
+	request *Request
+	route   *routing.Route
+	service routing.Service
+	version uint64
+	arrived time.Duration
+	// deadline is when the final answer is due.
+	deadline time.Duration
+	// callerWait is what the caller said that it waits.
+	callerWait time.Duration
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	stopWatch  func()
+	// tried counts the attempts by worker.
+	tried map[string]int
+	// missing names the worker that denied to hold the adapter.
+	missing string
+	// uncertain is true once an attempt may have run without an answer.
+	uncertain bool
+	sends     int
+	began     time.Duration
+	progress  *inProgress
+	worker    string
+}
+
+// endSlack is how long before the caller's or route's deadline the final answer
+// is sent.
+const endSlack = 20 * time.Millisecond
+
+func (g *gateway) newCall(ctx *fasthttp.RequestCtx, table *routing.Table, route *routing.Route, request *Request, arrived time.Duration) *call {
+	limit := route.Timeout
+	if request.Wait > 0 && (limit <= 0 || request.Wait < limit) {
+		limit = request.Wait
+	}
+	c := &call{
+		gateway: g, request: request, route: route, version: table.Config.Version, arrived: arrived,
+		deadline: arrived + limit - endSlack, callerWait: request.Wait, tried: make(map[string]int),
+	}
+	c.service = table.Config.Services[route.Service(request.ID)]
+	parent, cancel := context.WithCancelCause(context.Background())
+	timer := time.AfterFunc(c.deadline-arrived, func() { cancel(errTimeout) })
+	watched, cancelWatched, stop := httpx.Watch(parent, ctx)
+	c.ctx, c.cancel = watched, cancelWatched
+	c.stopWatch = func() {
+		timer.Stop()
+		stop()
+	}
+	g.fleet.countRequest(arrived, c.service.Name)
+	return c
+}
+
+// left is the time until the deadline.
+func (c *call) left() time.Duration { return c.deadline - now() }
+
+// serve makes attempts until one ends the request.
+func (g *gateway) serve(ctx *fasthttp.RequestCtx, c *call) {
+	for {
+		next := c.attempt(ctx)
+		if next == ended {
+			return
+		}
+		if failure := c.mayGoOn(); failure != nil {
+			c.fail(ctx, *failure)
+			return
+		}
+	}
+}
+
+// step tells what follows an attempt.
+type step uint8
+
+const (
+	// ended requests have their answer.
+	ended step = iota
+	// again asks for another attempt.
+	again
+)
+
+// failure is a final answer of this instance's own.
+type failure struct {
+	reason     string
+	retryAfter time.Duration
+}
+
+// mayGoOn returns nil where the request may be sent again.
+func (c *call) mayGoOn() *failure {
+	switch {
+	case c.ctx.Err() != nil:
+		return &failure{reason: context.Cause(c.ctx).Error()}
+	case c.uncertain && !c.route.Repeatable():
+		return &failure{reason: "the worker gave no answer and the request may have run"}
+	case c.sends >= maxSends:
+		return &failure{reason: "every attempt failed", retryAfter: busyRetryAfter}
+	case !c.fleet.mayRepeat(now(), c.service.Name, c.loads.members()):
+		return &failure{reason: "the budget for repeats is used up", retryAfter: busyRetryAfter}
+	}
+	return nil
+}
+
+// maxSends bounds the attempts of one request, refusals by workers included.
+const maxSends = 4
+
+// busyRetryAfter is when a caller should come back after workers refused.
+const busyRetryAfter = 150 * time.Millisecond
+
+// attempt sends the request to one worker.
+func (c *call) attempt(ctx *fasthttp.RequestCtx) step {
+	choice, refusal := c.place()
+	if refusal != nil {
+		c.fail(ctx, *refusal)
+		return ended
+	}
+	target, known := c.fleet.worker(choice.Candidate.ID)
+	if !known {
+		return again
+	}
+	if failed := c.ensureAdapter(choice, target.Born); failed != nil {
+		c.fail(ctx, *failed)
+		return ended
+	}
+	c.worker = target.ID
+	c.progress = c.fleet.begin(target.ID, c.request.Adapter, c.request.PromptTokens, c.request.PromptTokens+c.request.OutputTokens)
+	send := Send{Worker: target, Left: c.waitLeft(), Priority: c.priority(), ResumeAfter: c.request.ResumeAfter}
+	c.sends++
+	c.tried[target.ID]++
+	c.began = now()
+	exchange, err := c.pool.Send(c.ctx, target.Address, c.codec.AppendRequest(nil, c.request, send), c.codec.Matches(c.request))
+	if err != nil {
+		c.progress.end()
+		return c.noAnswer(ctx, err)
+	}
+	return c.answered(ctx, exchange)
+}
+
+// priority is the engine's priority for the route's rank.
+func (c *call) priority() int {
+	if c.service.Engine == nil {
+		return -1
+	}
+	return min(c.route.Rank, 2)*3 + 1
+}
+
+// waitLeft is what remains of the caller's own wait, bounded by the route's.
+func (c *call) waitLeft() time.Duration { return max(c.left(), time.Millisecond) }
+
+// place picks a worker or refuses.
+func (c *call) place() (balance.Choice, *failure) {
+	at := now()
+	tried := c.tried
+	if len(c.tried) >= max(c.route.MaxWorkers, 1) {
+		tried = nil // only workers that had the request before may have it again
+	}
+	candidates := c.fleet.candidates(at, c.service, c.request, tried)
+	if tried == nil {
+		candidates = c.onlyTried(candidates)
+	}
+	demand := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank}
+	choice, found := c.fleet.balance.Pick(demand, candidates)
+	if !found && len(c.tried) > 0 {
+		choice, found = c.fleet.balance.Pick(demand, c.fleet.candidates(at, c.service, c.request, nil))
+		if found && c.tried[choice.Candidate.ID] == 0 && len(c.tried) >= max(c.route.MaxWorkers, 1) {
+			found = false
+		}
+	}
+	if !found {
+		return choice, &failure{reason: "no worker of the service can take the request", retryAfter: noWorkerRetryAfter}
+	}
+	if refusal := c.policy.refuse(c, choice); refusal != nil {
+		return choice, refusal
+	}
+	c.log.Line(decision.Placed).Str("request", c.request.ID).Str("route", c.route.Name).Str("worker", choice.Candidate.ID).
+		Str("adapter", c.request.Adapter).Uint8("residency", uint8(choice.Candidate.Residency)).
+		Int("running", choice.Candidate.Running).Int("waiting_tokens", choice.Candidate.WaitingTokens).
+		Int("candidates", len(candidates)).Dur("estimate_ms", choice.Estimate).Dur("left_ms", c.left()).
+		Uint64("config", c.version).Send()
+	return choice, nil
+}
+
+// noWorkerRetryAfter is when a caller should come back where no worker is
+// usable; bringing one back takes seconds.
+const noWorkerRetryAfter = 500 * time.Millisecond
+
+func (c *call) onlyTried(candidates []balance.Candidate) []balance.Candidate {
+	var kept []balance.Candidate
+	for _, candidate := range candidates {
+		if c.tried[candidate.ID] > 0 {
+			kept = append(kept, candidate)
+		}
+	}
+	return kept
+}
+
+// ensureAdapter has the adapter loaded where the worker does not hold it.
+func (c *call) ensureAdapter(choice balance.Choice, born int64) *failure {
+	denied := c.missing == choice.Candidate.ID
+	if c.request.Adapter == "" || choice.Candidate.Residency == balance.Resident && !denied {
+		return nil
+	}
+	began := now()
+	want := loadWant{
+		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.route.Rank,
+		until: c.deadline, missing: denied,
+	}
+	ready, reason := c.loads.load(c.ctx, c.request, want)
+	took := now() - began
+	c.metrics.loadWaited(ready, took)
+	c.log.Line(decision.LoadWaited).Str("request", c.request.ID).Str("worker", choice.Candidate.ID).
+		Str("adapter", c.request.Adapter).Bool("denied", denied).Bool("ready", ready).Str("reason", reason).Dur("took_ms", took).Send()
+	if ready {
+		c.missing = ""
+		c.fleet.note(now(), choice.Candidate.ID, c.request.Adapter, true)
+		return nil
+	}
+	if c.ctx.Err() != nil {
+		return &failure{reason: context.Cause(c.ctx).Error()}
+	}
+	return &failure{reason: reason, retryAfter: busyRetryAfter}
+}
+
+// noAnswer decides after an attempt without an answer.
+func (c *call) noAnswer(ctx *fasthttp.RequestCtx, err error) step {
+	at := now()
+	notSent := upstream.NotSent(err)
+	gone := c.ctx.Err() != nil
+	c.log.Warn(decision.AttemptFailed, err).Str("request", c.request.ID).Str("worker", c.worker).Bool("sent", !notSent).
+		Dur("took_ms", at-c.began).Bool("canceled", gone).Send()
+	if !gone {
+		c.fleet.observe(at, c.worker, false)
+	}
+	if !notSent {
+		c.uncertain = true
+	}
+	if gone {
+		c.fail(ctx, failure{reason: context.Cause(c.ctx).Error()})
+		return ended
+	}
+	c.metrics.repeated("no_answer")
+	return again
+}
--- /dev/null
+++ b/entry/direct/instance.go
@@ -0,0 +1,279 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/coord/quorum"
+	"github.com/bulrushwick/bulrushwick/entry/cluster"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/upstream"
+)
+
+// Ports are the outside systems that an instance speaks to.
+type Ports struct {
+	Codec     Codec
+	Orderer   Orderer
+	Directory Directory
+}
+
+// Instance is one process that dispatches directly.
+type Instance struct {
+	settings Settings
+	ports    Ports
+	log      *decision.Log
+	metrics  *metrics
+	fleet    *fleet
+	cluster  *cluster.Cluster
+	orders   *orders
+	gateway  *gateway
+	callers  *fasthttp.Server
+
+	fetchMu  sync.Mutex
+	fetching bool
+}
+
+// orderFlight is added to the operators' gap between two holders' orders, for
+// orders on their way when a lease ends; see orderTimeout.
+const orderFlight = 500 * time.Millisecond
+
+// New returns an instance that Run starts.
+func New(s Settings, ports Ports, log *decision.Log) (*Instance, error) {
+	i := &Instance{settings: s, ports: ports, log: log, metrics: newMetrics(), fleet: newFleet(s)}
+	incarnation := uint64(time.Now().UnixMilli())
+	self := quorum.Member{Address: s.ControlAddress, DataCentre: s.DataCentre, Incarnation: incarnation}
+	config := quorum.DefaultConfig(s.OrderTurnGap.Std() + orderFlight)
+	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.DataCentres), config, fenceFloor(s.ControlAddress))
+	c, err := cluster.New(cluster.DefaultConfig(), machine, now, i)
+	if err != nil {
+		return nil, err
+	}
+	i.cluster = c
+	i.orders = newOrders(i.fleet, c, ports.Orderer, log, i.metrics)
+	i.gateway = &gateway{
+		fleet: i.fleet, codec: ports.Codec, pool: upstream.NewPool(upstream.DefaultConfig()), loads: i,
+		log: log, metrics: i.metrics, policy: defaultAdmission(),
+	}
+	return i, nil
+}
+
+// fenceEpoch is the Unix second from which fencing numbers count, so that they
+// stay within 53 bits.
+const fenceEpoch = 1_577_836_800 // 2020-01-01
+
+// fenceFloor returns numbers that rise with the wall clock and are unique to
+// the instance's IPv4 address within a network of 24 bits.
+func fenceFloor(address string) func() uint64 {
+	ordinal := ordinalOf(address)
+	return func() uint64 {
+		return quorum.Fence(uint64(max(time.Now().Unix()-fenceEpoch, 1)), ordinal)
+	}
+}
+
+func ordinalOf(address string) uint32 {
+	parsed, err := netip.ParseAddrPort(address)
+	if err == nil && parsed.Addr().Is4() {
+		b := parsed.Addr().As4()
+		return uint32(b[1])<<16 | uint32(b[2])<<8 | uint32(b[3])
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(address)) // a hash.Hash never fails
+	return h.Sum32()
+}
+
+// Limits of the callers' server.
+const (
+	// callerHeaderBytes bounds a request's header; the operators' documents allow
+	// 16 KiB.
+	callerHeaderBytes = 16 << 10
+	// callerBodyBytes bounds a request's body before its route is known.
+	callerBodyBytes = 8 << 20
+	// callerIdle keeps callers' connections longer than the operators' documents
+	// let callers leave them idle.
+	callerIdle = 60 * time.Second
+	// callerStall is how long a caller may take nothing of its answer.
+	callerStall = 20 * time.Second
+	// headerTimeout bounds the header of a call on the control and readiness ports.
+	headerTimeout = 3 * time.Second
+)
+
+// Run serves until ctx ends, and then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 4)
+	i.serveAll(listeners, failed)
+	i.log.Line(decision.Started).Str("data_centre", i.settings.DataCentre).Str("callers", i.settings.CallerAddress).
+		Strs("seeds", i.settings.Seeds).Send()
+	go i.ports.Directory.Run(background, i)
+	go i.cluster.Run(background)
+	go i.housekeep(background)
+	select {
+	case <-ctx.Done():
+		return i.stop()
+	case err := <-failed:
+		return err
+	}
+}
+
+type listeners struct{ callers, readiness, control, metrics net.Listener }
+
+func (i *Instance) listen() (listeners, error) {
+	var l listeners
+	var errs []error
+	open := func(address string) net.Listener {
+		if address == "" {
+			return nil
+		}
+		opened, err := net.Listen("tcp", address)
+		if err != nil {
+			errs = append(errs, oops.Code("listen").With("address", address).Wrap(err))
+		}
+		return opened
+	}
+	l.callers = open(i.settings.CallerAddress)
+	l.readiness = open(i.settings.ReadinessAddress)
+	l.control = open(i.settings.ControlAddress)
+	l.metrics = open(i.settings.MetricsAddress)
+	return l, errors.Join(errs...)
+}
+
+func (i *Instance) serveAll(l listeners, failed chan<- error) {
+	i.callers = &fasthttp.Server{
+		Handler: i.gateway.handle, Name: "bulrushwick", NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		DisableHeaderNamesNormalizing: true, ReadBufferSize: callerHeaderBytes, MaxRequestBodySize: callerBodyBytes,
+		IdleTimeout: callerIdle, ReadTimeout: callerIdle, DisablePreParseMultipartForm: true, StreamRequestBody: false,
+		ReduceMemoryUsage: true, CloseOnShutdown: true,
+	}
+	go func() { failed <- i.callers.Serve(httpx.WatchListener(l.callers, callerStall)) }()
+	serve := func(listener net.Listener, handler http.Handler) {
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	ready := http.NewServeMux()
+	ready.HandleFunc(i.ports.Codec.ReadinessPath(), i.readiness)
+	serve(l.readiness, ready)
+	serve(l.control, i.cluster.Handler())
+	if l.metrics != nil {
+		serve(l.metrics, i.metrics.handler())
+	}
+}
+
+// readiness answers the load balancer.
+func (i *Instance) readiness(w http.ResponseWriter, _ *http.Request) {
+	if i.gateway.draining.Load() || i.fleet.table() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Times of a graceful stop.
+const (
+	// balancerNotices is how long the load balancer may send new connections
+	// after readiness was withdrawn: it asks once a second and wants two misses.
+	balancerNotices = 2500 * time.Millisecond
+	// stopMargin is left between the end of the stop and the kill.
+	stopMargin = 700 * time.Millisecond
+	stopPoll   = 50 * time.Millisecond
+)
+
+// stop finishes the requests in progress while new ones are still taken, since
+// the load balancer learns of the stop with a lag.
+func (i *Instance) stop() error {
+	i.gateway.draining.Store(true)
+	began := now()
+	i.log.Line(decision.Stopping).Int64("requests", i.gateway.active.Load()).Send()
+	leave, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	i.cluster.Leave(leave)
+	for {
+		passed := now() - began
+		idle := i.gateway.active.Load() == 0
+		if passed >= balancerNotices && idle || passed >= i.settings.StopGrace.Std()-stopMargin {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	i.log.Line(decision.Stopped).Int64("requests", i.gateway.active.Load()).Dur("took_ms", now()-began).Send()
+	return nil
+}
+
+// Intervals of housekeeping.
+const (
+	refreshEvery = 100 * time.Millisecond
+	summaryEvery = 5 * time.Second
+)
+
+func (i *Instance) housekeep(ctx context.Context) {
+	ticker := time.NewTicker(refreshEvery)
+	defer ticker.Stop()
+	summary := now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		i.workersChanged(i.fleet.changeWorkers(tickRegistry))
+		i.orders.refresh(ctx)
+		if at := now(); at-summary >= summaryEvery {
+			summary = at
+			i.gateway.pool.Trim(time.Now())
+			i.log.Summarize()
+			i.observeLevels()
+		}
+	}
+}
+
+func (i *Instance) observeLevels() {
+	i.metrics.level("config_version", float64(i.gateway.version()))
+	i.metrics.level("members", float64(i.cluster.Members()))
+	i.metrics.level("workers", float64(len(i.fleet.allWorkers())))
+	i.metrics.level("requests_in_progress", float64(i.gateway.active.Load()))
+	i.metrics.level("upstream_connections_opened", float64(i.gateway.pool.Opened()))
+}
+
+// members implements loader.
+func (i *Instance) members() int { return i.cluster.Members() }
+
+// load implements loader: here where this instance orders the worker, else at
+// the instance that does.
+func (i *Instance) load(ctx context.Context, r *Request, want loadWant) (bool, string) {
+	w, known := i.fleet.worker(want.worker)
+	if !known {
+		return false, "the worker is gone"
+	}
+	right := rightOf(&w)
+	if _, held := i.cluster.Held(right); held {
+		return i.orders.load(ctx, want)
+	}
+	holder := i.cluster.Holder(right)
+	if holder == "" || holder == i.settings.ControlAddress {
+		return false, "no instance orders the worker now"
+	}
+	response, err := i.cluster.LoadAdapter(ctx, holder, &clusterpb.LoadAdapterRequest{
+		RequestId: r.ID, Worker: want.worker, Born: want.born, Model: r.Model, Adapter: want.adapter,
+		Rank: uint32(want.rank), WaitNs: int64(want.until - now()), Missing: want.missing,
+	})
+	if err != nil {
+		i.log.Warn(decision.AttemptFailed, err).Str("request", r.ID).Str("holder", holder).Str("call", "load_adapter").Send()
+		return false, "the instance that orders the worker did not answer"
+	}
+	return response.GetReady(), response.GetReason()
+}
--- /dev/null
+++ b/entry/direct/metrics.go
@@ -0,0 +1,81 @@
+package direct
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/bulrushwick/bulrushwick/coord/slots"
+)
+
+// latencyBuckets cover a plain call to the longest deadline.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 13)
+
+// metricsEvery is how often tally hands its counts to the metrics page.
+const metricsEvery = time.Second
+
+// metrics counts what the instance does. Label sets are bounded: kinds, ranks,
+// outcomes and reasons come from constants.
+type metrics struct {
+	scope    tally.Scope
+	reporter prometheus.Reporter
+}
+
+func newMetrics() *metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: prom.NewRegistry()})
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix: "bulrushwick", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
+	}, metricsEvery)
+	return &metrics{scope: scope, reporter: reporter}
+}
+
+func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
+
+func (m *metrics) tagged(name, value string) tally.Scope {
+	return m.scope.Tagged(map[string]string{name: value})
+}
+
+// ended counts a request with its outcome.
+func (m *metrics) ended(kind string, rank int, outcome string, took time.Duration) {
+	s := m.scope.Tagged(map[string]string{"kind": kind, "rank": strconv.Itoa(rank), "outcome": outcome})
+	s.Counter("requests").Inc(1)
+	s.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
+}
+
+// firstByte records the time to the first byte of an answer.
+func (m *metrics) firstByte(rank int, took time.Duration) {
+	m.tagged("rank", strconv.Itoa(rank)).Histogram("first_byte_seconds", latencyBuckets).RecordDuration(took)
+}
+
+// refused counts a refusal by its reason.
+func (m *metrics) refused(reason string) { m.tagged("reason", reason).Counter("refusals").Inc(1) }
+
+// loadWaited records a request's wait for an adapter.
+func (m *metrics) loadWaited(ok bool, took time.Duration) {
+	m.tagged("ready", strconv.FormatBool(ok)).Histogram("load_wait_seconds", latencyBuckets).RecordDuration(took)
+}
+
+// repeated counts a request that was sent again.
+func (m *metrics) repeated(cause string) { m.tagged("cause", cause).Counter("repeats").Inc(1) }
+
+// ordered records an order to a worker.
+func (m *metrics) ordered(order slots.Order, result slots.Result, took time.Duration) {
+	operation := "load_adapter"
+	switch {
+	case order.Unload:
+		operation = "unload"
+	case order.Adapter == "":
+		operation = "load_model"
+	}
+	s := m.scope.Tagged(map[string]string{"operation": operation, "result": result.String()})
+	s.Counter("orders").Inc(1)
+	s.Histogram("order_seconds", latencyBuckets).RecordDuration(took)
+}
+
+// level sets a gauge.
+func (m *metrics) level(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- /dev/null
+++ b/entry/direct/stream.go
@@ -0,0 +1,211 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/upstream"
+)
+
+// stream passes an answer of events on as they come.
+func (c *call) stream(ctx *fasthttp.RequestCtx, x *upstream.Exchange, answer Answer) step {
+	s := &eventStream{call: c, exchange: x, answer: answer, lastID: c.request.ResumeAfter}
+	if err := s.fill(); err != nil {
+		c.drop(x)
+		if c.ctx.Err() != nil {
+			return c.noAnswer(ctx, &upstream.SendError{Sent: true, Cause: err})
+		}
+		return c.broken(err)
+	}
+	at := now()
+	c.progress.answering()
+	c.fleet.observe(at, c.worker, true)
+	c.metrics.firstByte(c.route.Rank, at-c.arrived)
+	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
+	ctx.SetStatusCode(answer.Status)
+	ctx.Response.ImmediateHeaderFlush = true
+	ctx.SetBodyStream(s, -1)
+	return ended
+}
+
+// eventStream reads whole events from a worker's answer and continues at
+// another worker where the route allows.
+type eventStream struct {
+	*call
+	exchange *upstream.Exchange
+	answer   Answer
+	// pending are bytes read, whole events of which ready are for the caller.
+	pending []byte
+	ready   int
+	// noted is the part of ready whose ids are in lastID.
+	noted  int
+	buffer [4096]byte
+	lastID string
+	eof    bool
+	closed bool
+}
+
+// errCutEvent marks an answer that ends in the middle of an event.
+var errCutEvent = errors.New("the answer ends in the middle of an event")
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// fill reads until a whole event or the end is there.
+func (s *eventStream) fill() error {
+	for s.ready == 0 && !s.eof {
+		n, err := s.exchange.Read(s.buffer[:])
+		s.pending = append(s.pending, s.buffer[:n]...)
+		s.ready = endOfEvents(s.pending)
+		if errors.Is(err, io.EOF) {
+			s.eof = true
+			if s.ready != len(s.pending) {
+				return errCutEvent
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if len(s.pending) > maxEventBytes {
+			return upstream.ErrWrongAnswer
+		}
+	}
+	return nil
+}
+
+// endOfEvents returns the length of the whole events at the start of data.
+func endOfEvents(data []byte) int {
+	end := bytes.LastIndex(data, []byte("\n\n"))
+	if end < 0 {
+		return 0
+	}
+	return end + 2
+}
+
+// Read implements io.Reader for the caller's side. An error other than io.EOF
+// closes the caller's connection without the end of the body.
+func (s *eventStream) Read(p []byte) (int, error) {
+	for s.ready == 0 {
+		if s.eof {
+			return 0, io.EOF
+		}
+		if err := s.fill(); err != nil && s.ready == 0 {
+			if failed := s.resume(err); failed != nil {
+				return 0, failed
+			}
+		}
+	}
+	if s.ready > s.noted {
+		s.noteID(s.pending[:s.ready])
+		s.noted = s.ready
+	}
+	n := copy(p, s.pending[:s.ready])
+	s.noted -= n
+	s.pending = s.pending[n:]
+	s.ready -= n
+	return n, nil
+}
+
+// noteID remembers the id of the last event that is passed on.
+func (s *eventStream) noteID(events []byte) {
+	for line := range bytes.Lines(events) {
+		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
+			s.lastID = string(bytes.TrimSpace(id))
+		}
+	}
+}
+
+// resume continues the answer at another worker, or returns why it can't be.
+func (s *eventStream) resume(cause error) error {
+	at := now()
+	s.drop(s.exchange)
+	s.pending, s.ready, s.noted = nil, 0, 0
+	canceled := s.ctx.Err() != nil
+	s.log.Warn(decision.AttemptFailed, cause).Str("request", s.request.ID).Str("worker", s.worker).Str("last_event", s.lastID).
+		Bool("canceled", canceled).Dur("took_ms", at-s.began).Send()
+	if canceled {
+		return context.Cause(s.ctx)
+	}
+	s.fleet.observe(at, s.worker, false)
+	if !s.route.Resumable || s.lastID == "" {
+		return cause
+	}
+	for s.sends < maxSends {
+		if !s.fleet.mayRepeat(now(), s.service.Name, s.loads.members()) {
+			return cause
+		}
+		err := s.continueElsewhere()
+		if err == nil {
+			return nil
+		}
+		if s.ctx.Err() != nil {
+			return context.Cause(s.ctx)
+		}
+	}
+	return cause
+}
+
+// continueElsewhere makes one attempt to go on after the last event.
+func (s *eventStream) continueElsewhere() error {
+	choice, refusal := s.place()
+	if refusal != nil {
+		s.sends++
+		return errors.New(refusal.reason)
+	}
+	target, known := s.fleet.worker(choice.Candidate.ID)
+	if !known {
+		s.sends++
+		return errors.New("the chosen worker is gone")
+	}
+	if failed := s.ensureAdapter(choice, target.Born); failed != nil {
+		s.sends++
+		return errors.New(failed.reason)
+	}
+	s.worker = target.ID
+	s.progress = s.fleet.begin(target.ID, s.request.Adapter, s.request.PromptTokens, s.request.PromptTokens+s.request.OutputTokens)
+	send := Send{Worker: target, Left: s.waitLeft(), Priority: s.priority(), ResumeAfter: s.lastID}
+	s.sends++
+	s.tried[target.ID]++
+	s.began = now()
+	x, err := s.pool.Send(s.ctx, target.Address, s.codec.AppendRequest(nil, s.request, send), s.codec.Matches(s.request))
+	if err != nil {
+		s.progress.end()
+		return err
+	}
+	answer := s.codec.ParseAnswer(&x.Header)
+	if answer.NotRun || !answer.Signed || answer.Encoded || answer.Status >= 300 {
+		s.drop(x)
+		if answer.Misdirected {
+			s.denied()
+		}
+		return errUnsigned
+	}
+	s.progress.answering()
+	s.exchange, s.answer, s.eof = x, answer, false
+	s.log.Line(decision.Resumed).Str("request", s.request.ID).Str("worker", s.worker).Str("last_event", s.lastID).Send()
+	return nil
+}
+
+// Close implements io.Closer; the server calls it when the answer is over.
+func (s *eventStream) Close() error {
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	s.stopWatch()
+	outcome := "answered"
+	if s.eof && s.ready == 0 {
+		s.finish(s.exchange, s.answer)
+	} else {
+		outcome = "cut"
+		s.drop(s.exchange)
+	}
+	s.end(outcome, fasthttp.StatusOK)
+	return nil
+}
