Confirm loads by ordering them again, drain slots before eviction, place by stable homes

An eviction of an adapter in transit is answered as done though the adapter still comes; a late report listed an evicted adapter, which a check then loaded a seventh time. An eviction in use blocks every other order. Ruled out: two orders in flight to one worker (orders are serial). Conclusion: only the answer to a repeated order tells the end of a load.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -60,13 +60,15 @@
 	// TokensPerMS is how many prompt tokens a worker reads in a millisecond.
 	// Source: the operators' sheets.
 	TokensPerMS float64
-	// ColdLoad is the time until an absent adapter is loaded.
-	ColdLoad time.Duration
+	// LoadingCost is the expected rest of a load that is under way.
+	LoadingCost time.Duration
+	// HomeLoad is the cost of an absent adapter at its home, the first worker in
+	// rendezvous order, which probably keeps a copy in memory; SecondLoad that at
+	// the second, and ColdLoad that anywhere else, where the weight store is asked
+	// and another adapter's place is taken.
+	HomeLoad, SecondLoad, ColdLoad time.Duration
 	// EvictionWait is how long an adapter waits where all slots are in use.
 	EvictionWait time.Duration
-	// HomeBonus is how much cheaper an absent adapter counts at its home, the
-	// first worker in rendezvous order, which probably has a copy in memory.
-	HomeBonus time.Duration
 	// StepCost is what each running request adds to the time of a full answer.
 	StepCost time.Duration
 	// FullCost is added where the batch or the cache is full.
@@ -80,9 +82,11 @@
 func DefaultConfig() Config {
 	return Config{
 		TokensPerMS:  25,
-		ColdLoad:     250 * time.Millisecond,
+		LoadingCost:  100 * time.Millisecond,
+		HomeLoad:     100 * time.Millisecond,
+		SecondLoad:   200 * time.Millisecond,
+		ColdLoad:     500 * time.Millisecond, // twice the time, for what it displaces
 		EvictionWait: 400 * time.Millisecond,
-		HomeBonus:    180 * time.Millisecond, // most of a cold load that a warm copy saves
 		StepCost:     2 * time.Millisecond,
 		FullCost:     600 * time.Millisecond,
 		SuspectCost:  2 * time.Second,
@@ -98,17 +102,14 @@
 
 // Pick returns the cheapest usable candidate, or false where there is none.
 func (c Config) Pick(r Request, candidates []Candidate) (Choice, bool) {
-	home := homeOf(r.Adapter, candidates)
+	homes := homesOf(r.Adapter, candidates)
 	var best Choice
 	for i := range candidates {
 		candidate := &candidates[i]
 		if !eligible(r, candidate) {
 			continue
 		}
-		cost := c.cost(r, candidate)
-		if candidate.Residency == Absent && candidate.ID == home {
-			cost -= min(c.HomeBonus, cost)
-		}
+		cost := c.cost(r, candidate, homes)
 		if best.Candidate == nil || cost < best.Estimate {
 			best = Choice{Candidate: candidate, Estimate: cost}
 		}
@@ -125,7 +126,7 @@
 }
 
 // cost estimates the time until the answer begins.
-func (c Config) cost(r Request, w *Candidate) time.Duration {
+func (c Config) cost(r Request, w *Candidate, homes [2]string) time.Duration {
 	total := w.Distance + time.Duration(w.Running)*c.StepCost
 	if w.CacheCapacity > 0 {
 		total += time.Duration(float64(w.WaitingTokens+r.Tokens) / c.TokensPerMS * float64(time.Millisecond))
@@ -139,35 +140,47 @@
 	if w.Suspect {
 		total += c.SuspectCost
 	}
-	return total + c.loadCost(r, w)
+	return total + c.loadCost(r, w, homes)
 }
 
-func (c Config) loadCost(r Request, w *Candidate) time.Duration {
+func (c Config) loadCost(r Request, w *Candidate, homes [2]string) time.Duration {
+	cost := c.ColdLoad
 	switch {
 	case r.Adapter == "" || w.Residency == Resident:
 		return 0
 	case w.Residency == Loading:
-		return c.ColdLoad / 2
-	case w.FreeSlots+w.IdleSlots > 0:
-		return c.ColdLoad
+		return c.LoadingCost
+	case w.ID == homes[0]:
+		cost = c.HomeLoad
+	case w.ID == homes[1]:
+		cost = c.SecondLoad
+	}
+	if w.FreeSlots+w.IdleSlots == 0 {
+		cost += c.EvictionWait
 	}
-	return c.ColdLoad + c.EvictionWait
+	return cost
 }
 
-// homeOf is the first usable worker in rendezvous order for an adapter.
-func homeOf(adapter string, candidates []Candidate) string {
+// homesOf are the first two usable workers in rendezvous order for an adapter.
+func homesOf(adapter string, candidates []Candidate) [2]string {
+	var homes [2]string
+	var scores [2]uint64
 	if adapter == "" {
-		return ""
+		return homes
 	}
-	best, bestScore := "", uint64(0)
 	for i := range candidates {
 		w := &candidates[i]
 		if !w.Usable {
 			continue
 		}
-		if score := xxhash.Sum64String(adapter + "\x00" + w.ID); best == "" || score > bestScore {
-			best, bestScore = w.ID, score
+		score := xxhash.Sum64String(adapter + "\x00" + w.ID)
+		switch {
+		case homes[0] == "" || score > scores[0]:
+			homes[1], scores[1] = homes[0], scores[0]
+			homes[0], scores[0] = w.ID, score
+		case homes[1] == "" || score > scores[1]:
+			homes[1], scores[1] = w.ID, score
 		}
 	}
-	return best
+	return homes
 }
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -27,6 +27,8 @@
 	FullSpeedTransit int
 	// WarmLoad is the time to load an adapter that the worker held lately.
 	WarmLoad time.Duration
+	// CheckEvery is the interval between questions whether a load has ended.
+	CheckEvery time.Duration
 	// WarmCopies is how many adapters a worker keeps in host memory.
 	WarmCopies int
 	// IdleGrace is how long an adapter must be unused before it may be evicted,
@@ -34,7 +36,7 @@
 	IdleGrace time.Duration
 	// ReportLag is how much older than its arrival a worker's report may be.
 	ReportLag time.Duration
-	// MaxDraining bounds the adapters that are evicted while in use.
+	// MaxDraining bounds the adapters in use that get no new requests.
 	MaxDraining int
 }
 
@@ -46,6 +48,7 @@
 		ColdLoad:         250 * time.Millisecond,
 		FullSpeedTransit: 8,
 		WarmLoad:         25 * time.Millisecond, // the sheets: a tenth of a cold load
+		CheckEvery:       30 * time.Millisecond, // about a warm load
 		WarmCopies:       30,
 		IdleGrace:        300 * time.Millisecond, // one beat between instances
 		ReportLag:        time.Second,            // the sheets say some hundred ms
@@ -58,6 +61,9 @@
 const (
 	loading phase = iota
 	ready
+	// draining slots take no new requests and are evicted when idle: an engine
+	// that evicts an adapter in use takes no other order until its runs end.
+	draining
 	unloading
 )
 
@@ -69,9 +75,9 @@
 	since    time.Duration
 	lastUsed time.Duration
 	running  int
-	uses     int
-	// verify asks for the load order once more.
-	verify bool
+	// checking is set while the load order is out once more; its answer tells
+	// whether the adapter is held.
+	checking bool
 }
 
 type want struct {
@@ -98,6 +104,8 @@
 	Done
 	// Rejected orders were not accepted.
 	Rejected
+	// Unreachable orders did not reach the worker.
+	Unreachable
 	// Unknown orders got no answer and may have been accepted.
 	Unknown
 )
@@ -112,10 +120,12 @@
 	modelUntil time.Duration
 	modelTime  time.Duration
 	slots      map[string]*slot
-	wants      map[string]*want
-	warm       []string
-	synced     bool
-	current    *Order
+	// evicted is when adapters were evicted; an older report still lists them.
+	evicted map[string]time.Duration
+	wants   map[string]*want
+	warm    []string
+	synced  bool
+	current *Order
 	// retryAt holds orders back after a rejection.
 	retryAt time.Duration
 	transit int
@@ -124,7 +134,7 @@
 // NewPlanner returns the planner of a worker of which nothing is known. Loading
 // the model takes modelTime.
 func NewPlanner(config Config, model string, modelTime time.Duration) *Planner {
-	return &Planner{config: config, model: model, modelTime: modelTime, slots: make(map[string]*slot), wants: make(map[string]*want)}
+	return &Planner{config: config, model: model, modelTime: modelTime, slots: make(map[string]*slot), evicted: make(map[string]time.Duration), wants: make(map[string]*want)}
 }
 
 // Held is what a worker reports.
@@ -153,7 +163,7 @@
 	listed := make(map[string]bool)
 	for _, a := range append(slices.Clone(held.Adapters), held.Pending...) {
 		listed[a] = true
-		if p.slots[a] == nil {
+		if p.slots[a] == nil && now-p.evicted[a] > p.config.ReportLag {
 			p.slots[a] = &slot{phase: ready, since: now, readyAt: now, lastUsed: now}
 		}
 	}
@@ -187,6 +197,7 @@
 // Want asks for an adapter until a time. The more urgent rank and the earlier
 // request count.
 func (p *Planner) Want(now time.Duration, adapter string, rank int, until time.Duration) {
+	p.keep(now, adapter)
 	w := p.wants[adapter]
 	if w == nil {
 		p.wants[adapter] = &want{rank: rank, since: now, until: until}
@@ -195,18 +206,19 @@
 	w.rank, w.until = min(w.rank, rank), max(w.until, until)
 }
 
+// keep takes a wanted adapter out of draining.
+func (p *Planner) keep(now time.Duration, adapter string) {
+	if s := p.slots[adapter]; s != nil && s.phase == draining {
+		s.phase, s.since = ready, now
+	}
+}
+
 // Missing notes that the worker denied to hold an adapter that was thought
 // ready. The load is ordered again, which changes nothing where it is held.
 func (p *Planner) Missing(now time.Duration, adapter string) {
-	s := p.slots[adapter]
-	if s == nil || s.phase != ready {
-		return
-	}
-	if now-s.readyAt < 4*p.config.WarmLoad {
-		s.phase, s.readyAt = loading, now+p.config.WarmLoad
-		return
+	if s := p.slots[adapter]; s != nil && s.phase == ready {
+		s.phase, s.since, s.readyAt = loading, now, now
 	}
-	s.verify = true
 }
 
 // Use sets the number of requests in progress for each adapter.
@@ -233,9 +245,9 @@
 func (p *Planner) Synced() bool { return p.synced }
 
 // Ready tells whether an adapter is loaded.
-func (p *Planner) Ready(now time.Duration, adapter string) bool {
+func (p *Planner) Ready(adapter string) bool {
 	s := p.slots[adapter]
-	return s != nil && s.phase != unloading && now >= s.readyAt && !s.verify
+	return s != nil && s.phase == ready
 }
 
 // Slot is the public state of one slot.
@@ -245,11 +257,11 @@
 }
 
 // Slots lists the adapters that are held or on their way, by name.
-func (p *Planner) Slots(now time.Duration) []Slot {
+func (p *Planner) Slots() []Slot {
 	var all []Slot
 	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
-		if s := p.slots[adapter]; s.phase != unloading {
-			all = append(all, Slot{Adapter: adapter, Ready: p.Ready(now, adapter)})
+		if s := p.slots[adapter]; s.phase == loading || s.phase == ready {
+			all = append(all, Slot{Adapter: adapter, Ready: p.Ready(adapter)})
 		}
 	}
 	return all
@@ -267,7 +279,7 @@
 		}
 	}
 	for _, s := range p.slots {
-		if s.phase == loading {
+		if s.phase == loading || s.phase == unloading {
 			earlier(s.readyAt)
 		}
 	}
@@ -304,14 +316,10 @@
 	return order, ok
 }
 
-// advance ends loads and drops wants that are met or expired.
+// advance drops wants that are met or expired.
 func (p *Planner) advance(now time.Duration) {
-	for adapter, s := range p.slots {
-		if s.phase == loading && now >= s.readyAt && (p.current == nil || p.current.Adapter != adapter) {
-			s.phase, s.since = ready, now
-		}
-	}
-	maps.DeleteFunc(p.wants, func(adapter string, w *want) bool { return now >= w.until || p.Ready(now, adapter) })
+	maps.DeleteFunc(p.evicted, func(_ string, at time.Duration) bool { return now-at > p.config.ReportLag })
+	maps.DeleteFunc(p.wants, func(adapter string, w *want) bool { return now >= w.until || p.Ready(adapter) })
 }
 
 func (p *Planner) choose(now time.Duration) (Order, bool) {
@@ -321,10 +329,11 @@
 		}
 		return Order{Model: p.model}, true
 	}
-	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
-		if p.slots[adapter].verify {
-			return Order{Model: p.model, Adapter: adapter}, true
-		}
+	if p.evicting() {
+		return p.checkEviction(now)
+	}
+	if adapter := p.due(now); adapter != "" {
+		return Order{Model: p.model, Adapter: adapter}, true
 	}
 	for _, adapter := range p.waiting() {
 		if p.slots[adapter] != nil {
@@ -335,6 +344,38 @@
 	return Order{}, false
 }
 
+// evicting tells whether an eviction waits for its runs, during which the
+// worker takes no other order.
+func (p *Planner) evicting() bool { return p.count(unloading) > 0 }
+
+// checkEviction repeats the order of an eviction, whose answer tells its end.
+func (p *Planner) checkEviction(now time.Duration) (Order, bool) {
+	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
+		if s := p.slots[adapter]; s.phase == unloading && now >= s.readyAt {
+			return Order{Unload: true, Model: p.model, Adapter: adapter}, true
+		}
+	}
+	return Order{}, false
+}
+
+// due returns an adapter whose load should have ended. Its order is given once
+// more, since only the answer to that tells that the adapter is held: reports
+// lag, and an eviction of an adapter in transit is answered as done though the
+// adapter still comes.
+func (p *Planner) due(now time.Duration) string {
+	first := ""
+	if len(p.slots) > p.config.Capacity {
+		return first
+	}
+	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
+		s := p.slots[adapter]
+		if s.phase == loading && now >= s.readyAt && (first == "" || s.readyAt < p.slots[first].readyAt) {
+			first = adapter
+		}
+	}
+	return first
+}
+
 // waiting lists the wanted adapters, the most urgent and oldest first.
 func (p *Planner) waiting() []string {
 	names := slices.Sorted(maps.Keys(p.wants))
@@ -344,7 +385,8 @@
 	return names
 }
 
-// makeRoom loads an adapter where a slot is free, and else evicts one.
+// makeRoom loads an adapter where a slot is free, and else evicts one or
+// begins to drain one.
 func (p *Planner) makeRoom(now time.Duration, adapter string) (Order, bool) {
 	if len(p.slots) < p.config.Capacity {
 		if p.count(loading) >= p.config.TransitLimit {
@@ -352,36 +394,47 @@
 		}
 		return Order{Model: p.model, Adapter: adapter}, true
 	}
-	victim := p.victim(now)
-	if victim == "" {
-		return Order{}, false
+	if victim := p.idle(now); victim != "" {
+		return Order{Unload: true, Model: p.model, Adapter: victim}, true
+	}
+	if p.count(draining) < p.config.MaxDraining {
+		p.drain(now)
 	}
-	return Order{Unload: true, Model: p.model, Adapter: victim}, true
+	return Order{}, false
 }
 
-// victim picks the slot to free: the one unused for longest, or where all are
-// in use the one with the fewest requests.
-func (p *Planner) victim(now time.Duration) string {
-	best, bestBusy := "", true
-	var bestSlot *slot
+// idle returns the evictable adapter that was unused for longest; those that
+// drain come first.
+func (p *Planner) idle(now time.Duration) string {
+	best := ""
 	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
 		s := p.slots[adapter]
-		if s.phase != ready || p.wants[adapter] != nil {
+		evictable := (s.phase == ready || s.phase == draining) && p.wants[adapter] == nil &&
+			s.running == 0 && now-s.lastUsed >= p.config.IdleGrace
+		if !evictable {
 			continue
 		}
-		busy := s.running > 0 || now-s.lastUsed < p.config.IdleGrace
-		better := bestSlot == nil || bestBusy && !busy ||
-			busy == bestBusy && (!busy && s.lastUsed < bestSlot.lastUsed || busy && s.running < bestSlot.running)
-		if better {
-			best, bestBusy, bestSlot = adapter, busy, s
+		if best == "" || s.phase > p.slots[best].phase || s.phase == p.slots[best].phase && s.lastUsed < p.slots[best].lastUsed {
+			best = adapter
 		}
 	}
-	if bestBusy && p.count(unloading) >= p.config.MaxDraining {
-		return ""
-	}
 	return best
 }
 
+// drain stops new requests for the adapter in use that has the fewest.
+func (p *Planner) drain(now time.Duration) {
+	best := ""
+	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
+		s := p.slots[adapter]
+		if s.phase == ready && p.wants[adapter] == nil && (best == "" || s.running < p.slots[best].running) {
+			best = adapter
+		}
+	}
+	if best != "" {
+		p.slots[best].phase, p.slots[best].since = draining, now
+	}
+}
+
 // begin records an order that is about to be sent.
 func (p *Planner) begin(now time.Duration, order Order) {
 	switch {
@@ -389,10 +442,11 @@
 		p.modelUntil = now + p.modelTime
 	case order.Unload:
 		s := p.slots[order.Adapter]
+		s.checking = s.phase == unloading
 		s.phase, s.since = unloading, now
 	default:
 		if s := p.slots[order.Adapter]; s != nil {
-			s.verify = false
+			s.checking = true
 			return
 		}
 		p.slots[order.Adapter] = &slot{phase: loading, since: now, readyAt: now + p.loadTime(order.Adapter), lastUsed: now}
@@ -411,6 +465,10 @@
 // rejectedWait is how long orders are held back after one was rejected.
 const rejectedWait = 60 * time.Millisecond
 
+// unreachableWait is how long orders are held back after a worker could not be
+// reached; the store tells of a restart within about as long.
+const unreachableWait = 400 * time.Millisecond
+
 // Ordered takes the result of the last order.
 func (p *Planner) Ordered(now time.Duration, result Result) {
 	order := p.current
@@ -426,16 +484,30 @@
 	default:
 		p.loadOrdered(now, order.Adapter, result)
 	}
-	if result == Rejected {
+	switch {
+	case result == Unreachable:
+		p.retryAt = now + unreachableWait
+	case result == Rejected && !p.hasChecks(now):
 		p.retryAt = now + rejectedWait
 	}
 }
 
+// hasChecks tells whether a load's end is asked for soon, which a rejection of
+// another order must not hold back.
+func (p *Planner) hasChecks(now time.Duration) bool {
+	for _, s := range p.slots {
+		if (s.phase == loading || s.phase == unloading) && s.readyAt < now+rejectedWait {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Planner) modelOrdered(now time.Duration, result Result) {
 	switch result {
 	case Done:
 		p.hasModel, p.modelUntil = true, 0
-	case Rejected:
+	case Rejected, Unreachable:
 		p.modelUntil = now + rejectedWait
 	case Accepted, Unknown:
 		// The report tells when the model is there.
@@ -447,13 +519,16 @@
 	if s == nil {
 		return
 	}
-	switch result {
-	case Done:
+	first := !s.checking
+	s.checking = false
+	switch {
+	case result == Done:
 		delete(p.slots, adapter)
-	case Rejected:
-		s.phase, s.since = ready, now
-	case Accepted, Unknown:
-		// The slot counts until a report lacks the adapter.
+		p.evicted[adapter] = now
+	case result.notTaken() && first:
+		s.phase, s.since = draining, now
+	default:
+		s.readyAt = now + p.config.CheckEvery
 	}
 }
 
@@ -462,21 +537,19 @@
 	if s == nil {
 		return
 	}
-	switch result {
-	case Done:
+	first := !s.checking
+	s.checking = false
+	switch {
+	case result == Done:
 		s.phase, s.since, s.readyAt = ready, now, now
-	case Rejected:
-		if s.phase == loading {
-			delete(p.slots, adapter)
-		}
-		return
-	case Accepted:
-		took := p.loadTime(adapter)
-		s.phase, s.since, s.readyAt = loading, now, now+took
-	case Unknown:
-		s.readyAt = max(s.readyAt, now+p.config.ColdLoad)
+		p.remember(adapter)
+	case result.notTaken() && first:
+		delete(p.slots, adapter)
+	case first:
+		s.since, s.readyAt = now, now+p.loadTime(adapter)
+	default:
+		s.readyAt = now + p.config.CheckEvery
 	}
-	p.remember(adapter)
 }
 
 // remember notes that the worker has a copy in host memory.
@@ -488,13 +561,16 @@
 	}
 }
 
-// Expecting tells whether a report is waited for: the end of an eviction or of
-// a load of the model shows there only.
+// Expecting tells whether a report is waited for: the end of a load of the model
+// shows there only.
 func (p *Planner) Expecting() bool {
-	return !p.hasModel || p.count(unloading) > 0
+	return !p.hasModel
 }
 
-var resultNames = [...]string{"accepted", "done", "rejected", "unknown"}
+// notTaken tells that the worker does not carry the order out.
+func (r Result) notTaken() bool { return r == Rejected || r == Unreachable }
+
+var resultNames = [...]string{"accepted", "done", "rejected", "unreachable", "unknown"}
 
 // String returns the result's name in logs.
 func (r Result) String() string { return resultNames[r] }
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -11,7 +11,7 @@
 )
 
 // candidates lists the workers of a service as the balancer takes them.
-func (f *fleet) candidates(at time.Duration, service routing.Service, r *Request, tried map[string]int) []balance.Candidate {
+func (f *fleet) candidates(at time.Duration, service routing.Service, r *Request, tried map[string]int, skipped map[string]bool) []balance.Candidate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []balance.Candidate
@@ -21,7 +21,7 @@
 			continue
 		}
 		c := f.candidate(at, w, service.Engine, r)
-		c.Avoid = tried[w.ID] > 0
+		c.Avoid = tried[w.ID] > 0 || skipped[w.ID]
 		all = append(all, c)
 	}
 	return all
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
+	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
@@ -110,6 +111,8 @@
 	stopWatch  func()
 	// tried counts the attempts by worker.
 	tried map[string]int
+	// skipped names the workers that did not get the adapter in time.
+	skipped map[string]bool
 	// missing names the worker that denied to hold the adapter.
 	missing string
 	// uncertain is true once an attempt may have run without an answer.
@@ -131,7 +134,7 @@
 	}
 	c := &call{
 		gateway: g, request: request, route: route, version: table.Config.Version, arrived: arrived,
-		deadline: arrived + limit - endSlack, callerWait: request.Wait, tried: make(map[string]int),
+		deadline: arrived + limit - endSlack, callerWait: request.Wait, tried: make(map[string]int), skipped: make(map[string]bool),
 	}
 	c.service = table.Config.Services[route.Service(request.ID)]
 	parent, cancel := context.WithCancelCause(context.Background())
@@ -200,21 +203,38 @@
 // busyRetryAfter is when a caller should come back after workers refused.
 const busyRetryAfter = 150 * time.Millisecond
 
+// maxLoads bounds the workers at which an adapter is waited for.
+const maxLoads = 3
+
+// prepare picks a worker and has the adapter loaded there.
+func (c *call) prepare() (worker.Worker, *failure) {
+	for range maxLoads {
+		choice, refusal := c.place()
+		if refusal != nil {
+			return worker.Worker{}, refusal
+		}
+		target, known := c.fleet.worker(choice.Candidate.ID)
+		if !known {
+			continue
+		}
+		if c.ensureAdapter(choice, target.Born) {
+			return target, nil
+		}
+		if c.ctx.Err() != nil {
+			return target, &failure{reason: context.Cause(c.ctx).Error()}
+		}
+		c.skipped[target.ID] = true
+	}
+	return worker.Worker{}, &failure{reason: "no worker got the adapter in time", retryAfter: busyRetryAfter}
+}
+
 // attempt sends the request to one worker.
 func (c *call) attempt(ctx *fasthttp.RequestCtx) step {
-	choice, refusal := c.place()
+	target, refusal := c.prepare()
 	if refusal != nil {
 		c.fail(ctx, *refusal)
 		return ended
 	}
-	target, known := c.fleet.worker(choice.Candidate.ID)
-	if !known {
-		return again
-	}
-	if failed := c.ensureAdapter(choice, target.Born); failed != nil {
-		c.fail(ctx, *failed)
-		return ended
-	}
 	c.worker = target.ID
 	c.progress = c.fleet.begin(target.ID, c.request.Adapter, c.request.PromptTokens, c.request.PromptTokens+c.request.OutputTokens)
 	send := Send{Worker: target, Left: c.waitLeft(), Priority: c.priority(), ResumeAfter: c.request.ResumeAfter}
@@ -247,14 +267,14 @@
 	if len(c.tried) >= max(c.route.MaxWorkers, 1) {
 		tried = nil // only workers that had the request before may have it again
 	}
-	candidates := c.fleet.candidates(at, c.service, c.request, tried)
+	candidates := c.fleet.candidates(at, c.service, c.request, tried, c.skipped)
 	if tried == nil {
 		candidates = c.onlyTried(candidates)
 	}
 	demand := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank}
 	choice, found := c.fleet.balance.Pick(demand, candidates)
 	if !found && len(c.tried) > 0 {
-		choice, found = c.fleet.balance.Pick(demand, c.fleet.candidates(at, c.service, c.request, nil))
+		choice, found = c.fleet.balance.Pick(demand, c.fleet.candidates(at, c.service, c.request, nil, c.skipped))
 		if found && c.tried[choice.Candidate.ID] == 0 && len(c.tried) >= max(c.route.MaxWorkers, 1) {
 			found = false
 		}
@@ -287,18 +307,25 @@
 	return kept
 }
 
+// loadPatience is how long a request waits for its adapter at one worker before
+// it looks for another.
+const loadPatience = 1500 * time.Millisecond
+
 // ensureAdapter has the adapter loaded where the worker does not hold it.
-func (c *call) ensureAdapter(choice balance.Choice, born int64) *failure {
+func (c *call) ensureAdapter(choice balance.Choice, born int64) bool {
 	denied := c.missing == choice.Candidate.ID
 	if c.request.Adapter == "" || choice.Candidate.Residency == balance.Resident && !denied {
-		return nil
+		return true
 	}
 	began := now()
+	patience := min(loadPatience, c.left())
+	ctx, cancel := context.WithTimeout(c.ctx, patience)
+	defer cancel()
 	want := loadWant{
 		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.route.Rank,
-		until: c.deadline, missing: denied,
+		until: began + patience, missing: denied,
 	}
-	ready, reason := c.loads.load(c.ctx, c.request, want)
+	ready, reason := c.loads.load(ctx, c.request, want)
 	took := now() - began
 	c.metrics.loadWaited(ready, took)
 	c.log.Line(decision.LoadWaited).Str("request", c.request.ID).Str("worker", choice.Candidate.ID).
@@ -306,12 +333,8 @@
 	if ready {
 		c.missing = ""
 		c.fleet.note(now(), choice.Candidate.ID, c.request.Adapter, true)
-		return nil
-	}
-	if c.ctx.Err() != nil {
-		return &failure{reason: context.Cause(c.ctx).Error()}
 	}
-	return &failure{reason: reason, retryAfter: busyRetryAfter}
+	return ready
 }
 
 // noAnswer decides after an attempt without an answer.
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -81,9 +81,9 @@
 
 	mu       sync.Mutex
 	planner  *slots.Planner
-	waiters  map[string][]chan struct{}
+	waiters  map[string][]chan bool
 	reported time.Duration
-	fence    uint64
+	stopped  bool
 }
 
 // refresh starts and stops the loops of workers by the rights that are held.
@@ -125,7 +125,7 @@
 	ordered := &orderedWorker{
 		orders: o, worker: w, right: right, cancel: cancel, wake: make(chan struct{}, 1),
 		planner: slots.NewPlanner(slots.DefaultConfig(capacityOf(engine, model)), model.Name, model.StoreLoad),
-		waiters: make(map[string][]chan struct{}),
+		waiters: make(map[string][]chan bool),
 	}
 	o.workers[w.ID] = ordered
 	go ordered.run(ctx)
@@ -159,7 +159,10 @@
 	}
 	done := w.want(want)
 	select {
-	case <-done:
+	case ready := <-done:
+		if !ready {
+			return false, "the worker takes no orders now"
+		}
 		return true, ""
 	case <-ctx.Done():
 		return false, "the adapter was not loaded in time"
@@ -177,17 +180,21 @@
 	missing bool
 }
 
-// want registers a wish; the channel closes when the adapter is ready.
-func (w *orderedWorker) want(want loadWant) <-chan struct{} {
+// want registers a wish; the channel tells whether the adapter is ready.
+func (w *orderedWorker) want(want loadWant) <-chan bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := now()
 	if want.missing {
 		w.planner.Missing(at, want.adapter)
 	}
-	done := make(chan struct{})
-	if w.planner.Ready(at, want.adapter) {
-		close(done)
+	done := make(chan bool, 1)
+	if w.stopped {
+		done <- false
+		return done
+	}
+	if w.planner.Ready(want.adapter) {
+		done <- true
 		return done
 	}
 	w.planner.Want(at, want.adapter, want.rank, want.until)
@@ -199,8 +206,28 @@
 	return done
 }
 
+// abandon tells every waiter that its adapter is not coming.
+func (w *orderedWorker) abandon() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for adapter, waiting := range w.waiters {
+		for _, done := range waiting {
+			done <- false
+		}
+		delete(w.waiters, adapter)
+	}
+}
+
+func (w *orderedWorker) stop() {
+	w.mu.Lock()
+	w.stopped = true
+	w.mu.Unlock()
+	w.abandon()
+}
+
 // run gives orders while the right is held.
 func (w *orderedWorker) run(ctx context.Context) {
+	defer w.stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -230,7 +257,7 @@
 	w.planner.Use(at, used)
 	w.planner.Transit(transit)
 	order, ok := w.planner.Next(at)
-	w.announce(at)
+	w.announce()
 	w.mu.Unlock()
 	if !ok {
 		return false
@@ -240,18 +267,18 @@
 }
 
 // announce publishes the slots and wakes the waiters whose adapter is ready.
-func (w *orderedWorker) announce(at time.Duration) {
+func (w *orderedWorker) announce() {
 	for adapter, waiting := range w.waiters {
-		if !w.planner.Ready(at, adapter) {
+		if !w.planner.Ready(adapter) {
 			continue
 		}
 		for _, done := range waiting {
-			close(done)
+			done <- true
 		}
 		delete(w.waiters, adapter)
 	}
 	if w.planner.Synced() {
-		w.fleet.setMine(w.worker.ID, slotNews{born: w.worker.Born, usable: w.planner.Usable(), slots: w.planner.Slots(at)})
+		w.fleet.setMine(w.worker.ID, slotNews{born: w.worker.Born, usable: w.planner.Usable(), slots: w.planner.Slots()})
 	}
 }
 
@@ -312,6 +339,10 @@
 	}
 	line.Send()
 	w.metrics.ordered(order, result, at-began)
+	if result == slots.Unreachable {
+		w.fleet.observe(at, w.worker.ID, false)
+		defer w.abandon()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.planner.Ordered(at, result)
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -153,20 +153,11 @@
 
 // continueElsewhere makes one attempt to go on after the last event.
 func (s *eventStream) continueElsewhere() error {
-	choice, refusal := s.place()
+	target, refusal := s.prepare()
 	if refusal != nil {
 		s.sends++
 		return errors.New(refusal.reason)
 	}
-	target, known := s.fleet.worker(choice.Candidate.ID)
-	if !known {
-		s.sends++
-		return errors.New("the chosen worker is gone")
-	}
-	if failed := s.ensureAdapter(choice, target.Born); failed != nil {
-		s.sends++
-		return errors.New(failed.reason)
-	}
 	s.worker = target.ID
 	s.progress = s.fleet.begin(target.ID, s.request.Adapter, s.request.PromptTokens, s.request.PromptTokens+s.request.OutputTokens)
 	send := Send{Worker: target, Left: s.waitLeft(), Priority: s.priority(), ResumeAfter: s.lastID}
