Keep adapters at their homes, spread by demand, bound waits for slots, end stops in time

Cause: a request whose load was late was moved to another worker, which loaded the adapter again; 600 adapters stood at up to 7 workers and the store's loads bound everything. LOST: requests taken 4.5 s after SIGTERM were cut at the end. Ruled out: our processor (0.02 of a core). Conclusion: loads from the store are what is scarce; wait for the home.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -53,6 +53,8 @@
 	Adapter string
 	Tokens  int
 	Rank    int
+	// Demand is the number of requests for the adapter lately, over all instances.
+	Demand float64
 }
 
 // Config weighs the parts of the estimate.
@@ -62,11 +64,16 @@
 	TokensPerMS float64
 	// LoadingCost is the expected rest of a load that is under way.
 	LoadingCost time.Duration
-	// HomeLoad is the cost of an absent adapter at its home, the first worker in
-	// rendezvous order, which probably keeps a copy in memory; SecondLoad that at
-	// the second, and ColdLoad that anywhere else, where the weight store is asked
-	// and another adapter's place is taken.
-	HomeLoad, SecondLoad, ColdLoad time.Duration
+	// HomeCost is the cost of an absent adapter at its home, the first worker in
+	// rendezvous order, which probably keeps a copy in host memory.
+	HomeCost time.Duration
+	// SpreadCost is added for each place further down that order, and divided by
+	// the requests that share the load: a popular adapter is spread over several
+	// workers when its home is busy, a rare one waits for its home. Lower spreads
+	// sooner, and spends slots and loads from the store.
+	SpreadCost time.Duration
+	// MaxSpreadCost bounds the cost of any place.
+	MaxSpreadCost time.Duration
 	// EvictionWait is how long an adapter waits where all slots are in use.
 	EvictionWait time.Duration
 	// StepCost is what each running request adds to the time of a full answer.
@@ -81,15 +88,15 @@
 // describe them.
 func DefaultConfig() Config {
 	return Config{
-		TokensPerMS:  25,
-		LoadingCost:  100 * time.Millisecond,
-		HomeLoad:     100 * time.Millisecond,
-		SecondLoad:   200 * time.Millisecond,
-		ColdLoad:     500 * time.Millisecond, // twice the time, for what it displaces
-		EvictionWait: 400 * time.Millisecond,
-		StepCost:     2 * time.Millisecond,
-		FullCost:     600 * time.Millisecond,
-		SuspectCost:  2 * time.Second,
+		TokensPerMS:   25,
+		LoadingCost:   100 * time.Millisecond,
+		HomeCost:      80 * time.Millisecond,
+		SpreadCost:    900 * time.Millisecond, // about the goal of urgent requests
+		MaxSpreadCost: 1800 * time.Millisecond,
+		EvictionWait:  400 * time.Millisecond,
+		StepCost:      2 * time.Millisecond,
+		FullCost:      600 * time.Millisecond,
+		SuspectCost:   2 * time.Second,
 	}
 }
 
@@ -102,14 +109,14 @@
 
 // Pick returns the cheapest usable candidate, or false where there is none.
 func (c Config) Pick(r Request, candidates []Candidate) (Choice, bool) {
-	homes := homesOf(r.Adapter, candidates)
+	places := placesOf(r.Adapter, candidates)
 	var best Choice
 	for i := range candidates {
 		candidate := &candidates[i]
 		if !eligible(r, candidate) {
 			continue
 		}
-		cost := c.cost(r, candidate, homes)
+		cost := c.cost(r, candidate, places[i])
 		if best.Candidate == nil || cost < best.Estimate {
 			best = Choice{Candidate: candidate, Estimate: cost}
 		}
@@ -126,7 +133,7 @@
 }
 
 // cost estimates the time until the answer begins.
-func (c Config) cost(r Request, w *Candidate, homes [2]string) time.Duration {
+func (c Config) cost(r Request, w *Candidate, place int) time.Duration {
 	total := w.Distance + time.Duration(w.Running)*c.StepCost
 	if w.CacheCapacity > 0 {
 		total += time.Duration(float64(w.WaitingTokens+r.Tokens) / c.TokensPerMS * float64(time.Millisecond))
@@ -140,47 +147,43 @@
 	if w.Suspect {
 		total += c.SuspectCost
 	}
-	return total + c.loadCost(r, w, homes)
+	return total + c.loadCost(r, w, place)
 }
 
-func (c Config) loadCost(r Request, w *Candidate, homes [2]string) time.Duration {
-	cost := c.ColdLoad
+func (c Config) loadCost(r Request, w *Candidate, place int) time.Duration {
 	switch {
 	case r.Adapter == "" || w.Residency == Resident:
 		return 0
 	case w.Residency == Loading:
 		return c.LoadingCost
-	case w.ID == homes[0]:
-		cost = c.HomeLoad
-	case w.ID == homes[1]:
-		cost = c.SecondLoad
 	}
+	spread := time.Duration(float64(c.SpreadCost) * float64(place) / (1 + r.Demand))
+	cost := c.HomeCost + min(spread, c.MaxSpreadCost)
 	if w.FreeSlots+w.IdleSlots == 0 {
 		cost += c.EvictionWait
 	}
 	return cost
 }
 
-// homesOf are the first two usable workers in rendezvous order for an adapter.
-func homesOf(adapter string, candidates []Candidate) [2]string {
-	var homes [2]string
-	var scores [2]uint64
+// placesOf gives each candidate's place in the adapter's rendezvous order over
+// the usable ones; the home is 0.
+func placesOf(adapter string, candidates []Candidate) []int {
+	places := make([]int, len(candidates))
 	if adapter == "" {
-		return homes
+		return places
 	}
+	scores := make([]uint64, len(candidates))
 	for i := range candidates {
-		w := &candidates[i]
-		if !w.Usable {
-			continue
+		if candidates[i].Usable {
+			scores[i] = xxhash.Sum64String(adapter + "\x00" + candidates[i].ID)
 		}
-		score := xxhash.Sum64String(adapter + "\x00" + w.ID)
-		switch {
-		case homes[0] == "" || score > scores[0]:
-			homes[1], scores[1] = homes[0], scores[0]
-			homes[0], scores[0] = w.ID, score
-		case homes[1] == "" || score > scores[1]:
-			homes[1], scores[1] = w.ID, score
+	}
+	for i := range candidates {
+		for j := range candidates {
+			if scores[j] > scores[i] {
+				places[i]++
+			}
 		}
 	}
-	return homes
+	return places
 }
--- a/coord/quorum/exchange.go
+++ b/coord/quorum/exchange.go
@@ -24,15 +24,15 @@
 		}
 	}
 	m.sent[m.sequence] = sentBeat{at: now, voters: digestOf(m.roster.voters())}
-	return b, m.targets()
+	return b, m.targets(now)
 }
 
-// targets lists the members that have not left, and seeds, which may be back
-// under another incarnation.
-func (m *Machine) targets() []string {
+// targets lists the members that have not left or still speak, and seeds, which
+// may be back under another incarnation.
+func (m *Machine) targets(now time.Duration) []string {
 	names := make(map[string]bool)
 	for address, p := range m.roster.peers {
-		if !p.member.Left {
+		if !p.member.Left || p.everHeard && now-p.heard <= m.config.LiveFor {
 			names[address] = true
 		}
 	}
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,9 +32,16 @@
 	CheckEvery time.Duration
 	// WarmCopies is how many adapters a worker keeps in host memory.
 	WarmCopies int
-	// IdleGrace is how long an adapter must be unused before it may be evicted,
-	// longer than news of its use takes between instances.
+	// IdleGrace is how long an adapter must be unused before it may be evicted.
 	IdleGrace time.Duration
+	// FreshGrace is how long a loaded adapter is kept for those who waited for it,
+	// longer than news of its use takes between instances.
+	FreshGrace time.Duration
+	// UseHalfLife is the time in which past use counts half for what to evict.
+	UseHalfLife time.Duration
+	// MaxWaiting bounds the wants of the same or a more urgent rank that wait for
+	// a slot when another comes.
+	MaxWaiting int
 	// ReportLag is how much older than its arrival a worker's report may be.
 	ReportLag time.Duration
 	// MaxDraining bounds the adapters in use that get no new requests.
@@ -50,8 +58,11 @@
 		WarmLoad:         25 * time.Millisecond, // the sheets: a tenth of a cold load
 		CheckEvery:       30 * time.Millisecond, // about a warm load
 		WarmCopies:       30,
-		IdleGrace:        300 * time.Millisecond, // one beat between instances
-		ReportLag:        time.Second,            // the sheets say some hundred ms
+		IdleGrace:        60 * time.Millisecond,
+		FreshGrace:       350 * time.Millisecond, // a beat between instances and a margin
+		UseHalfLife:      4 * time.Second,
+		MaxWaiting:       5,           // about what the slots of a worker turn over within a goal
+		ReportLag:        time.Second, // the sheets say some hundred ms
 		MaxDraining:      2,
 	}
 }
@@ -75,6 +86,9 @@
 	since    time.Duration
 	lastUsed time.Duration
 	running  int
+	// use is the decayed time in use, in request seconds, as of usedAt.
+	use    float64
+	usedAt time.Duration
 	// checking is set while the load order is out once more; its answer tells
 	// whether the adapter is held.
 	checking bool
@@ -228,10 +242,30 @@
 		if n > 0 || s.running > 0 {
 			s.lastUsed = now
 		}
-		s.running = n
+		s.use = p.decayed(now, s) + float64(n)*(now-s.usedAt).Seconds()
+		s.running, s.usedAt = n, now
 	}
 }
 
+// decayed is the past use of a slot as it counts now.
+func (p *Planner) decayed(now time.Duration, s *slot) float64 {
+	return s.use * math.Exp2(-float64(now-s.usedAt)/float64(p.config.UseHalfLife))
+}
+
+// Accepts tells whether a want of a rank would wait for few others.
+func (p *Planner) Accepts(adapter string, rank int) bool {
+	if p.slots[adapter] != nil || p.wants[adapter] != nil {
+		return true
+	}
+	ahead := 0
+	for waiting, w := range p.wants {
+		if p.slots[waiting] == nil && w.rank <= rank {
+			ahead++
+		}
+	}
+	return ahead < p.config.MaxWaiting
+}
+
 // Transit sets the number of adapters in transit to all other workers.
 func (p *Planner) Transit(others int) { p.transit = others }
 
@@ -403,30 +437,37 @@
 	return Order{}, false
 }
 
-// idle returns the evictable adapter that was unused for longest; those that
-// drain come first.
+// idle returns the evictable adapter that was used least; those that drain come
+// first.
 func (p *Planner) idle(now time.Duration) string {
 	best := ""
 	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
 		s := p.slots[adapter]
-		evictable := (s.phase == ready || s.phase == draining) && p.wants[adapter] == nil &&
-			s.running == 0 && now-s.lastUsed >= p.config.IdleGrace
-		if !evictable {
+		if !p.evictable(now, adapter, s) {
 			continue
 		}
-		if best == "" || s.phase > p.slots[best].phase || s.phase == p.slots[best].phase && s.lastUsed < p.slots[best].lastUsed {
+		if best == "" || s.phase > p.slots[best].phase ||
+			s.phase == p.slots[best].phase && p.decayed(now, s) < p.decayed(now, p.slots[best]) {
 			best = adapter
 		}
 	}
 	return best
 }
 
-// drain stops new requests for the adapter in use that has the fewest.
+func (p *Planner) evictable(now time.Duration, adapter string, s *slot) bool {
+	return (s.phase == ready || s.phase == draining) && p.wants[adapter] == nil && s.running == 0 &&
+		now-s.lastUsed >= p.config.IdleGrace && now-s.readyAt >= p.config.FreshGrace
+}
+
+// drain stops new requests for the adapter in use that was used least.
 func (p *Planner) drain(now time.Duration) {
 	best := ""
 	for _, adapter := range slices.Sorted(maps.Keys(p.slots)) {
 		s := p.slots[adapter]
-		if s.phase == ready && p.wants[adapter] == nil && (best == "" || s.running < p.slots[best].running) {
+		if s.phase != ready || p.wants[adapter] != nil || now-s.readyAt < p.config.FreshGrace {
+			continue
+		}
+		if best == "" || p.decayed(now, s) < p.decayed(now, p.slots[best]) {
 			best = adapter
 		}
 	}
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -72,6 +72,7 @@
 	health   map[string]*balance.Health
 	versions map[string]int64
 	budgets  map[string]*retry.Budget
+	demand   *balance.Demand
 }
 
 func newFleet(s Settings) *fleet {
@@ -80,6 +81,7 @@
 		byID: make(map[string]worker.Worker), own: make(map[string]*use), peers: make(map[string]peerNews),
 		mine: make(map[string]slotNews), notes: make(map[adapterAt]noted), health: make(map[string]*balance.Health),
 		versions: make(map[string]int64), budgets: make(map[string]*retry.Budget),
+		demand: balance.NewDemand(),
 	}
 }
 
@@ -283,11 +285,16 @@
 	h.Observe(at, ok)
 }
 
-// countRequest counts a caller's request to a service.
-func (f *fleet) countRequest(at time.Duration, service string) {
+// countRequest counts a caller's request to a service, and returns how many this
+// instance had lately for the adapter.
+func (f *fleet) countRequest(at time.Duration, service, adapter string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.budget(service).Request(at)
+	if adapter == "" {
+		return 0
+	}
+	return f.demand.Add(at, adapter)
 }
 
 // mayRepeat takes one repeat of the service's budget.
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -33,7 +33,11 @@
 	metrics  *metrics
 	policy   admission
 	draining atomic.Bool
-	active   atomic.Int64
+	// closed gateways refuse every request: the instance is about to end.
+	closed atomic.Bool
+	active atomic.Int64
+	// base is the parent of all calls; it ends when the instance must.
+	base context.Context
 }
 
 // errTimeout ends a request whose caller or route waits no longer.
@@ -47,8 +51,8 @@
 		ctx.SetConnectionClose()
 	}
 	table := g.fleet.table()
-	if table == nil {
-		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "no configuration is known yet")
+	if table == nil || g.closed.Load() {
+		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the instance is starting or stopping")
 		return
 	}
 	request, err := g.codec.ParseRequest(ctx)
@@ -81,8 +85,8 @@
 	ctx.SetBodyString(reason + "\n")
 }
 
-// startRetryAfter is when a caller of an instance that has just started should
-// come back: other instances have a configuration.
+// startRetryAfter is when a caller of an instance that starts or stops should
+// come back: other instances serve.
 const startRetryAfter = 100 * time.Millisecond
 
 func (g *gateway) version() uint64 {
@@ -118,9 +122,11 @@
 	// uncertain is true once an attempt may have run without an answer.
 	uncertain bool
 	sends     int
-	began     time.Duration
-	progress  *inProgress
-	worker    string
+	// demand is the number of requests for the adapter lately.
+	demand   float64
+	began    time.Duration
+	progress *inProgress
+	worker   string
 }
 
 // endSlack is how long before the caller's or route's deadline the final answer
@@ -137,7 +143,7 @@
 		deadline: arrived + limit - endSlack, callerWait: request.Wait, tried: make(map[string]int), skipped: make(map[string]bool),
 	}
 	c.service = table.Config.Services[route.Service(request.ID)]
-	parent, cancel := context.WithCancelCause(context.Background())
+	parent, cancel := context.WithCancelCause(g.base)
 	timer := time.AfterFunc(c.deadline-arrived, func() { cancel(errTimeout) })
 	watched, cancelWatched, stop := httpx.Watch(parent, ctx)
 	c.ctx, c.cancel = watched, cancelWatched
@@ -145,7 +151,7 @@
 		timer.Stop()
 		stop()
 	}
-	g.fleet.countRequest(arrived, c.service.Name)
+	c.demand = g.fleet.countRequest(arrived, c.service.Name, request.Adapter) * float64(g.loads.members())
 	return c
 }
 
@@ -203,31 +209,43 @@
 // busyRetryAfter is when a caller should come back after workers refused.
 const busyRetryAfter = 150 * time.Millisecond
 
-// maxLoads bounds the workers at which an adapter is waited for.
-const maxLoads = 3
+// maxPlacements bounds the workers that are considered one after the other.
+const maxPlacements = 3
 
-// prepare picks a worker and has the adapter loaded there.
+// prepare picks a worker and has the adapter loaded there. A load that takes too
+// long is not begun at another worker: loads are what is scarce then.
 func (c *call) prepare() (worker.Worker, *failure) {
-	for range maxLoads {
-		choice, refusal := c.place()
-		if refusal != nil {
-			return worker.Worker{}, refusal
+	refusal := &failure{reason: "no instance orders the chosen workers", retryAfter: busyRetryAfter}
+	for range maxPlacements {
+		choice, refused := c.place()
+		if refused != nil {
+			return worker.Worker{}, refused
 		}
 		target, known := c.fleet.worker(choice.Candidate.ID)
 		if !known {
 			continue
 		}
-		if c.ensureAdapter(choice, target.Born) {
+		began := now()
+		ready, reason := c.ensureAdapter(choice, target.Born)
+		if ready {
 			return target, nil
 		}
 		if c.ctx.Err() != nil {
 			return target, &failure{reason: context.Cause(c.ctx).Error()}
 		}
+		refusal = &failure{reason: reason, retryAfter: busyRetryAfter}
+		if now()-began > quickRefusal {
+			break
+		}
 		c.skipped[target.ID] = true
 	}
-	return worker.Worker{}, &failure{reason: "no worker got the adapter in time", retryAfter: busyRetryAfter}
+	return worker.Worker{}, refusal
 }
 
+// quickRefusal is the time within which a refused load leaves room to look for
+// another worker; a round trip between regions and a margin.
+const quickRefusal = 100 * time.Millisecond
+
 // attempt sends the request to one worker.
 func (c *call) attempt(ctx *fasthttp.RequestCtx) step {
 	target, refusal := c.prepare()
@@ -271,7 +289,7 @@
 	if tried == nil {
 		candidates = c.onlyTried(candidates)
 	}
-	demand := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank}
+	demand := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank, Demand: c.demand}
 	choice, found := c.fleet.balance.Pick(demand, candidates)
 	if !found && len(c.tried) > 0 {
 		choice, found = c.fleet.balance.Pick(demand, c.fleet.candidates(at, c.service, c.request, nil, c.skipped))
@@ -307,25 +325,32 @@
 	return kept
 }
 
-// loadPatience is how long a request waits for its adapter at one worker before
-// it looks for another.
-const loadPatience = 1500 * time.Millisecond
+// minLoadWait is the least time that a request waits for its adapter, about a
+// load that finds the store busy.
+const minLoadWait = 400 * time.Millisecond
+
+// loadWait is how long the request waits for its adapter: as long as it may
+// still begin within its goal.
+func (c *call) loadWait() time.Duration {
+	left := c.route.Goal - (now() - c.arrived)
+	return min(max(left, minLoadWait), c.left())
+}
 
 // ensureAdapter has the adapter loaded where the worker does not hold it.
-func (c *call) ensureAdapter(choice balance.Choice, born int64) bool {
+func (c *call) ensureAdapter(choice balance.Choice, born int64) (ready bool, reason string) {
 	denied := c.missing == choice.Candidate.ID
 	if c.request.Adapter == "" || choice.Candidate.Residency == balance.Resident && !denied {
-		return true
+		return true, ""
 	}
 	began := now()
-	patience := min(loadPatience, c.left())
-	ctx, cancel := context.WithTimeout(c.ctx, patience)
+	wait := c.loadWait()
+	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	want := loadWant{
 		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.route.Rank,
-		until: began + patience, missing: denied,
+		until: began + wait, missing: denied,
 	}
-	ready, reason := c.loads.load(ctx, c.request, want)
+	ready, reason = c.loads.load(ctx, c.request, want)
 	took := now() - began
 	c.metrics.loadWaited(ready, took)
 	c.log.Line(decision.LoadWaited).Str("request", c.request.ID).Str("worker", choice.Candidate.ID).
@@ -334,7 +359,7 @@
 		c.missing = ""
 		c.fleet.note(now(), choice.Candidate.ID, c.request.Adapter, true)
 	}
-	return ready
+	return ready, reason
 }
 
 // noAnswer decides after an attempt without an answer.
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -39,6 +39,8 @@
 	orders   *orders
 	gateway  *gateway
 	callers  *fasthttp.Server
+	// endCalls ends every call in progress.
+	endCalls context.CancelCauseFunc
 
 	fetchMu  sync.Mutex
 	fetching bool
@@ -61,8 +63,10 @@
 	}
 	i.cluster = c
 	i.orders = newOrders(i.fleet, c, ports.Orderer, log, i.metrics)
+	base, endCalls := context.WithCancelCause(context.Background())
+	i.endCalls = endCalls
 	i.gateway = &gateway{
-		fleet: i.fleet, codec: ports.Codec, pool: upstream.NewPool(upstream.DefaultConfig()), loads: i,
+		base: base, fleet: i.fleet, codec: ports.Codec, pool: upstream.NewPool(upstream.DefaultConfig()), loads: i,
 		log: log, metrics: i.metrics, policy: defaultAdmission(),
 	}
 	return i, nil
@@ -188,13 +192,19 @@
 	// balancerNotices is how long the load balancer may send new connections
 	// after readiness was withdrawn: it asks once a second and wants two misses.
 	balancerNotices = 2500 * time.Millisecond
-	// stopMargin is left between the end of the stop and the kill.
-	stopMargin = 700 * time.Millisecond
-	stopPoll   = 50 * time.Millisecond
+	// stopMargin is left between the end of the calls and the kill, for answers
+	// on their way.
+	stopMargin = 800 * time.Millisecond
+	// lastAnswers is how long the answers of ended calls may take.
+	lastAnswers = 300 * time.Millisecond
+	stopPoll    = 50 * time.Millisecond
 )
 
-// stop finishes the requests in progress while new ones are still taken, since
-// the load balancer learns of the stop with a lag.
+// errStopping ends the calls that outlast the grace of a stop.
+var errStopping = errors.New("the instance stops")
+
+// stop finishes the requests in progress. New ones are taken until the load
+// balancer has noticed, and refused afterwards.
 func (i *Instance) stop() error {
 	i.gateway.draining.Store(true)
 	began := now()
@@ -202,18 +212,20 @@
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	i.cluster.Leave(leave)
-	for {
-		passed := now() - began
-		idle := i.gateway.active.Load() == 0
-		if passed >= balancerNotices && idle || passed >= i.settings.StopGrace.Std()-stopMargin {
-			break
-		}
+	i.await(began + balancerNotices)
+	i.gateway.closed.Store(true)
+	limit := began + i.settings.StopGrace.Std() - stopMargin
+	for i.gateway.active.Load() > 0 && now() < limit {
 		time.Sleep(stopPoll)
 	}
-	i.log.Line(decision.Stopped).Int64("requests", i.gateway.active.Load()).Dur("took_ms", now()-began).Send()
+	i.log.Line(decision.Stopped).Int64("cut", i.gateway.active.Load()).Dur("took_ms", now()-began).Send()
+	i.endCalls(errStopping)
+	i.await(now() + lastAnswers)
 	return nil
 }
 
+func (i *Instance) await(at time.Duration) { time.Sleep(at - now()) }
+
 // Intervals of housekeeping.
 const (
 	refreshEvery = 100 * time.Millisecond
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -161,7 +161,7 @@
 	select {
 	case ready := <-done:
 		if !ready {
-			return false, "the worker takes no orders now"
+			return false, reasonBusy
 		}
 		return true, ""
 	case <-ctx.Done():
@@ -169,6 +169,10 @@
 	}
 }
 
+// reasonBusy refuses a load that would wait for too many others, or for a worker
+// that can't be reached.
+const reasonBusy = "too many adapters wait for the worker"
+
 // loadWant asks for an adapter at a worker.
 type loadWant struct {
 	worker  string
@@ -197,6 +201,10 @@
 		done <- true
 		return done
 	}
+	if !w.planner.Accepts(want.adapter, want.rank) {
+		done <- false
+		return done
+	}
 	w.planner.Want(at, want.adapter, want.rank, want.until)
 	w.waiters[want.adapter] = append(w.waiters[want.adapter], done)
 	select {
