--- a/cmd/bulrushwick/direct.go
+++ b/cmd/bulrushwick/direct.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
@@ -63,5 +64,48 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	go watchSettings(ctx, file, instance)
 	return errors.Join(instance.Run(ctx), decisions.Close())
 }
+
+// settingsEvery is the interval at which a change of the settings file is looked
+// for; it may come without a signal.
+const settingsEvery = 2 * time.Second
+
+// watchSettings reloads the settings on SIGHUP and when the file has changed.
+func watchSettings(ctx context.Context, file string, instance *direct.Instance) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	last := modified(file)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+		case <-ticker.C:
+			if modified(file).Equal(last) {
+				continue
+			}
+		}
+		last = modified(file)
+		s, err := direct.LoadSettings(file)
+		if err != nil {
+			instance.ReloadFailed(err)
+			continue
+		}
+		instance.Reload(s)
+	}
+}
+
+// modified is when the file was last changed; zero where it can't be read, which
+// the next load reports.
+func modified(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -64,13 +64,20 @@
 	for _, right := range m.rights {
 		m.claims[right] = &claim{granted: make(map[string]time.Duration), vote: ballot{formerEnd: now + config.promise()}}
 	}
+	m.AddSeeds(now, seeds)
+	return m
+}
+
+// AddSeeds makes seeds the addresses that are tried in any case. Those that
+// aren't members yet join the roster.
+func (m *Machine) AddSeeds(now time.Duration, seeds []string) {
+	m.seeds = m.seeds[:0]
 	for _, s := range seeds {
-		if s != self.Address {
+		if s != m.roster.self.Address {
 			m.seeds = append(m.seeds, s)
 			m.roster.add(now, Member{Address: s})
 		}
 	}
-	return m
 }
 
 // Held returns the fencing number of a right that is held and clear at now.
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -226,6 +226,16 @@
 
 func (i *Instance) await(at time.Duration) { time.Sleep(at - now()) }
 
+// Reload takes changed settings into use while the instance runs: the seeds.
+// Every other change counts from the next start.
+func (i *Instance) Reload(s Settings) {
+	i.cluster.With(func(at time.Duration, m *quorum.Machine) { m.AddSeeds(at, s.Seeds) })
+	i.log.Line(decision.Reloaded).Strs("seeds", s.Seeds).Send()
+}
+
+// ReloadFailed logs settings that can't be used; the former stay in force.
+func (i *Instance) ReloadFailed(err error) { i.log.Warn(decision.Reloaded, err).Send() }
+
 // Intervals of housekeeping.
 const (
 	refreshEvery = 100 * time.Millisecond
