--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -112,7 +113,7 @@
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(answer.Status)
 	ctx.SetBody(body.Bytes())
-	c.metrics.firstByte(c.route.Rank, at-c.arrived)
+	c.answerBegan(at)
 	c.end("answered", answer.Status)
 	return ended
 }
@@ -160,5 +161,12 @@
 	c.active.Add(-1)
 	c.metrics.ended(c.route.Kind.String(), c.route.Rank, outcome, took)
 	c.log.Line(decision.Ended).Str("request", c.request.ID).Str("route", c.route.Name).Str("outcome", outcome).Int("status", status).
-		Str("worker", c.worker).Int("sends", c.sends).Dur("took_ms", took).Send()
+		Str("worker", c.worker).Int("sends", c.sends).Dur("took_ms", took).
+		Dur("loading_ms", c.loading).Dur("first_byte_ms", c.firstByte).Int("prompt_tokens", c.request.PromptTokens).Send()
+}
+
+// answerBegan notes the time of the first byte for the caller.
+func (c *call) answerBegan(at time.Duration) {
+	c.firstByte = at - c.arrived
+	c.metrics.firstByte(c.route.Rank, c.firstByte)
 }
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -382,3 +382,10 @@
 	key := model + "/" + adapter
 	f.versions[key] = max(f.versions[key], version)
 }
+
+// version returns the newest declared version of an adapter, or 0.
+func (f *fleet) version(model, adapter string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions[model+"/"+adapter]
+}
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -123,10 +123,14 @@
 	uncertain bool
 	sends     int
 	// demand is the number of requests for the adapter lately.
-	demand   float64
-	began    time.Duration
-	progress *inProgress
-	worker   string
+	demand float64
+	began  time.Duration
+	// loading is the time spent on waiting for adapters.
+	loading time.Duration
+	// firstByte is when the answer began, after the request's arrival.
+	firstByte time.Duration
+	progress  *inProgress
+	worker    string
 }
 
 // endSlack is how long before the caller's or route's deadline the final answer
@@ -255,7 +259,7 @@
 	}
 	c.worker = target.ID
 	c.progress = c.fleet.begin(target.ID, c.request.Adapter, c.request.PromptTokens, c.request.PromptTokens+c.request.OutputTokens)
-	send := Send{Worker: target, Left: c.waitLeft(), Priority: c.priority(), ResumeAfter: c.request.ResumeAfter}
+	send := Send{Worker: target, Left: c.waitLeft(), Priority: c.priority(), ResumeAfter: c.request.ResumeAfter, AdapterVersion: c.adapterVersion()}
 	c.sends++
 	c.tried[target.ID]++
 	c.began = now()
@@ -275,6 +279,14 @@
 	return min(c.route.Rank, 2)*3 + 1
 }
 
+// adapterVersion is the newest version that is known of the request's adapter.
+func (c *call) adapterVersion() int64 {
+	if c.request.Adapter == "" {
+		return 0
+	}
+	return c.fleet.version(c.request.Model, c.request.Adapter)
+}
+
 // waitLeft is what remains of the caller's own wait, bounded by the route's.
 func (c *call) waitLeft() time.Duration { return max(c.left(), time.Millisecond) }
 
@@ -352,6 +364,7 @@
 	}
 	ready, reason = c.loads.load(ctx, c.request, want)
 	took := now() - began
+	c.loading += took
 	c.metrics.loadWaited(ready, took)
 	c.log.Line(decision.LoadWaited).Str("request", c.request.ID).Str("worker", choice.Candidate.ID).
 		Str("adapter", c.request.Adapter).Bool("denied", denied).Bool("ready", ready).Str("reason", reason).Dur("took_ms", took).Send()
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -25,7 +25,7 @@
 	at := now()
 	c.progress.answering()
 	c.fleet.observe(at, c.worker, true)
-	c.metrics.firstByte(c.route.Rank, at-c.arrived)
+	c.answerBegan(at)
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(answer.Status)
 	ctx.Response.ImmediateHeaderFlush = true
@@ -160,7 +160,7 @@
 	}
 	s.worker = target.ID
 	s.progress = s.fleet.begin(target.ID, s.request.Adapter, s.request.PromptTokens, s.request.PromptTokens+s.request.OutputTokens)
-	send := Send{Worker: target, Left: s.waitLeft(), Priority: s.priority(), ResumeAfter: s.lastID}
+	send := Send{Worker: target, Left: s.waitLeft(), Priority: s.priority(), ResumeAfter: s.lastID, AdapterVersion: s.adapterVersion()}
 	s.sends++
 	s.tried[target.ID]++
 	s.began = now()
