--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -37,6 +37,7 @@
 		loadCommand(),
 		standinCommand(),
 		statusCommand(),
+		traceCommand(),
 		versionCommand(),
 	)
 	return root
--- a/cmd/internal/check/check.go
+++ b/cmd/internal/check/check.go
@@ -13,6 +13,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/direct"
 	"github.com/bulrushwick/bulrushwick/entry/platform"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
@@ -73,6 +74,11 @@
 		var findings strictjson.Findings
 		errors.As(err, &findings)
 		c.add(f.name, findings)
+	case directSettingsKind:
+		_, err := direct.ParseSettings(f.data)
+		var findings strictjson.Findings
+		errors.As(err, &findings)
+		c.add(f.name, findings)
 	case instancesKind:
 		_, findings := platform.ParseInstances(f.data)
 		c.add(f.name, findings)
--- a/cmd/internal/check/kind.go
+++ b/cmd/internal/check/kind.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/member"
 	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/direct"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
@@ -19,6 +20,7 @@
 	chunkKind kind = iota
 	manifestKind
 	settingsKind
+	directSettingsKind
 	instancesKind
 	endpointsKind
 )
@@ -30,6 +32,7 @@
 		{chunkKind, reflect.TypeFor[table.Chunk]()},
 		{manifestKind, reflect.TypeFor[table.Manifest]()},
 		{settingsKind, reflect.TypeFor[settings.Settings]()},
+		{directSettingsKind, reflect.TypeFor[direct.Settings]()},
 	}
 	entries = []candidate{
 		{endpointsKind, reflect.TypeFor[fleet.EndpointState]()},
