--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -57,6 +57,7 @@
 	}
 	request, err := g.codec.ParseRequest(ctx)
 	if err != nil {
+		ctx.SetConnectionClose() // where the next request begins is unsure
 		g.refuseEarly(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
@@ -199,6 +200,8 @@
 		return &failure{reason: context.Cause(c.ctx).Error()}
 	case c.uncertain && !c.route.Repeatable():
 		return &failure{reason: "the worker gave no answer and the request may have run"}
+	case len(c.tried) >= max(c.route.MaxWorkers, 1):
+		return &failure{reason: "every worker that the route allows failed", retryAfter: busyRetryAfter}
 	case c.sends >= maxSends:
 		return &failure{reason: "every attempt failed", retryAfter: busyRetryAfter}
 	case !c.fleet.mayRepeat(now(), c.service.Name, c.loads.members()):
@@ -293,22 +296,9 @@
 // place picks a worker or refuses.
 func (c *call) place() (balance.Choice, *failure) {
 	at := now()
-	tried := c.tried
-	if len(c.tried) >= max(c.route.MaxWorkers, 1) {
-		tried = nil // only workers that had the request before may have it again
-	}
-	candidates := c.fleet.candidates(at, c.service, c.request, tried, c.skipped)
-	if tried == nil {
-		candidates = c.onlyTried(candidates)
-	}
+	candidates := c.fleet.candidates(at, c.service, c.request, c.tried, c.skipped)
 	demand := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank, Demand: c.demand}
 	choice, found := c.fleet.balance.Pick(demand, candidates)
-	if !found && len(c.tried) > 0 {
-		choice, found = c.fleet.balance.Pick(demand, c.fleet.candidates(at, c.service, c.request, nil, c.skipped))
-		if found && c.tried[choice.Candidate.ID] == 0 && len(c.tried) >= max(c.route.MaxWorkers, 1) {
-			found = false
-		}
-	}
 	if !found {
 		return choice, &failure{reason: "no worker of the service can take the request", retryAfter: noWorkerRetryAfter}
 	}
@@ -327,16 +317,6 @@
 // usable; bringing one back takes seconds.
 const noWorkerRetryAfter = 500 * time.Millisecond
 
-func (c *call) onlyTried(candidates []balance.Candidate) []balance.Candidate {
-	var kept []balance.Candidate
-	for _, candidate := range candidates {
-		if c.tried[candidate.ID] > 0 {
-			kept = append(kept, candidate)
-		}
-	}
-	return kept
-}
-
 // minLoadWait is the least time that a request waits for its adapter, about a
 // load that finds the store busy.
 const minLoadWait = 400 * time.Millisecond
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -47,6 +47,8 @@
 	buffer [4096]byte
 	lastID string
 	eof    bool
+	// failed is an error that came with events, which go first.
+	failed error
 	closed bool
 }
 
@@ -59,19 +61,20 @@
 // fill reads until a whole event or the end is there.
 func (s *eventStream) fill() error {
 	for s.ready == 0 && !s.eof {
+		if s.failed != nil {
+			return s.failed
+		}
 		n, err := s.exchange.Read(s.buffer[:])
 		s.pending = append(s.pending, s.buffer[:n]...)
 		s.ready = endOfEvents(s.pending)
 		if errors.Is(err, io.EOF) {
-			s.eof = true
-			if s.ready != len(s.pending) {
-				return errCutEvent
+			s.eof = s.ready == len(s.pending)
+			err = nil
+			if !s.eof {
+				err = errCutEvent
 			}
-			return nil
-		}
-		if err != nil {
-			return err
 		}
+		s.failed = err
 		if len(s.pending) > maxEventBytes {
 			return upstream.ErrWrongAnswer
 		}
@@ -125,7 +128,7 @@
 func (s *eventStream) resume(cause error) error {
 	at := now()
 	s.drop(s.exchange)
-	s.pending, s.ready, s.noted = nil, 0, 0
+	s.pending, s.ready, s.noted, s.failed = nil, 0, 0, nil
 	canceled := s.ctx.Err() != nil
 	s.log.Warn(decision.AttemptFailed, cause).Str("request", s.request.ID).Str("worker", s.worker).Str("last_event", s.lastID).
 		Bool("canceled", canceled).Dur("took_ms", at-s.began).Send()
