--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -91,8 +91,8 @@
 		TokensPerMS:   25,
 		LoadingCost:   100 * time.Millisecond,
 		HomeCost:      80 * time.Millisecond,
-		SpreadCost:    900 * time.Millisecond, // about the goal of urgent requests
-		MaxSpreadCost: 1800 * time.Millisecond,
+		SpreadCost:    10 * time.Second, // a rare adapter is loaded elsewhere only when its home is lost
+		MaxSpreadCost: 20 * time.Second,
 		EvictionWait:  400 * time.Millisecond,
 		StepCost:      2 * time.Millisecond,
 		FullCost:      600 * time.Millisecond,
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -95,6 +95,8 @@
 }
 
 type want struct {
+	// count is the number of requests that asked beside the first.
+	count int
 	rank  int
 	since time.Duration
 	until time.Duration
@@ -217,6 +219,7 @@
 		p.wants[adapter] = &want{rank: rank, since: now, until: until}
 		return
 	}
+	w.count++
 	w.rank, w.until = min(w.rank, rank), max(w.until, until)
 }
 
@@ -252,11 +255,15 @@
 	return s.use * math.Exp2(-float64(now-s.usedAt)/float64(p.config.UseHalfLife))
 }
 
-// Accepts tells whether a want of a rank would wait for few others.
-func (p *Planner) Accepts(adapter string, rank int) bool {
+// Accepts tells whether a want of a rank would wait for few others, and be loaded
+// within the time that it has.
+func (p *Planner) Accepts(adapter string, rank int, wait time.Duration) bool {
 	if p.slots[adapter] != nil || p.wants[adapter] != nil {
 		return true
 	}
+	if p.loadTime(adapter) > wait {
+		return false
+	}
 	ahead := 0
 	for waiting, w := range p.wants {
 		if p.slots[waiting] == nil && w.rank <= rank {
@@ -414,7 +421,7 @@
 func (p *Planner) waiting() []string {
 	names := slices.Sorted(maps.Keys(p.wants))
 	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.wants[a].rank, p.wants[b].rank), cmp.Compare(p.wants[a].since, p.wants[b].since))
+		return cmp.Or(cmp.Compare(p.wants[b].count, p.wants[a].count), cmp.Compare(p.wants[a].rank, p.wants[b].rank), cmp.Compare(p.wants[a].since, p.wants[b].since))
 	})
 	return names
 }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -324,7 +324,8 @@
 // loadWait is how long the request waits for its adapter: as long as it may
 // still begin within its goal.
 func (c *call) loadWait() time.Duration {
-	left := c.route.Goal - (now() - c.arrived)
+	reading := time.Duration(float64(c.request.PromptTokens) / c.fleet.balance.TokensPerMS * float64(time.Millisecond))
+	left := c.route.Goal - (now() - c.arrived) - reading
 	return min(max(left, minLoadWait), c.left())
 }
 
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -201,7 +201,7 @@
 		done <- true
 		return done
 	}
-	if !w.planner.Accepts(want.adapter, want.rank) {
+	if !w.planner.Accepts(want.adapter, want.rank, want.until-at) {
 		done <- false
 		return done
 	}
