--- /dev/null
+++ b/coord/routing/table_test.go
@@ -0,0 +1,47 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func table() *Table {
+	return NewTable(&Config{Version: 3, Routes: []Route{
+		{Name: "all", Host: "a.example", Prefix: "/"},
+		{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/"},
+	}})
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	for path, want := range map[string]string{"/x/y/z": "deep", "/x/yz": "short", "/q": "all", "/x": "all"} {
+		require.Equal(t, want, table().Match("A.example:80", path).Name, path)
+	}
+	require.Equal(t, "other", table().Match("b.example", "/x/y/").Name)
+	require.Nil(t, table().Match("b.example", "/q"))
+	require.Nil(t, table().Match("c.example", "/x/"))
+}
+
+func TestTargetsShareByWeight(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := map[string]int{}
+	for i := range 2000 {
+		id := string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676))
+		count[r.Service(id)]++
+		require.Equal(t, r.Service(id), r.Service(id))
+	}
+	require.InDelta(t, 200, count["b"], 80)
+	require.Equal(t, 2000, count["a"]+count["b"])
+}
+
+func TestARegisterNeverGoesBack(t *testing.T) {
+	var g Register
+	require.Nil(t, g.Current())
+	require.True(t, g.Offer(&Config{Version: 5}))
+	require.False(t, g.Offer(&Config{Version: 4}))
+	require.False(t, g.Offer(&Config{Version: 5}))
+	require.True(t, g.Offer(&Config{Version: 9}))
+	require.EqualValues(t, 9, g.Version())
+}
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -107,6 +107,8 @@
 	Unload  bool
 	Model   string
 	Adapter string // empty for the model itself
+	// FromStore is set where a model has no copy at the worker.
+	FromStore bool
 }
 
 // Result is what became of an order.
@@ -140,8 +142,10 @@
 	evicted map[string]time.Duration
 	wants   map[string]*want
 	warm    []string
-	synced  bool
-	current *Order
+	// modelCopied tells that the model can be loaded without the weight store.
+	modelCopied bool
+	synced      bool
+	current     *Order
 	// retryAt holds orders back after a rejection.
 	retryAt time.Duration
 	transit int
@@ -156,15 +160,19 @@
 // Held is what a worker reports.
 type Held struct {
 	HasModel bool
-	Adapters []string
-	Pending  []string
-	Busy     bool
+	// ModelCopied tells that the worker has a copy of the model's weights, on disk
+	// or in host memory.
+	ModelCopied bool
+	Adapters    []string
+	Pending     []string
+	Busy        bool
 }
 
 // Reported takes a report that arrived at now. The first one is taken as it is;
 // later ones may be older than the last orders and correct only what has stood
 // for longer than the lag.
 func (p *Planner) Reported(now time.Duration, held Held) {
+	p.modelCopied = held.ModelCopied
 	if !p.synced {
 		p.sync(now, held)
 		return
@@ -368,7 +376,7 @@
 		if now < p.modelUntil {
 			return Order{}, false
 		}
-		return Order{Model: p.model}, true
+		return Order{Model: p.model, FromStore: !p.modelCopied}, true
 	}
 	if p.evicting() {
 		return p.checkEviction(now)
--- a/coord/slots/planner_test.go
+++ b/coord/slots/planner_test.go
@@ -40,7 +40,7 @@
 	p := NewPlanner(DefaultConfig(2), "m", time.Second)
 	p.Reported(0, Held{})
 	p.Want(0, "a", 0, time.Minute)
-	require.Equal(t, Order{Model: "m"}, next(t, p, 0))
+	require.Equal(t, Order{Model: "m", FromStore: true}, next(t, p, 0))
 	p.Ordered(0, Accepted)
 	none(t, p, 10*ms)
 	p.Reported(900*ms, Held{HasModel: true})
@@ -223,3 +223,37 @@
 	}
 	return h
 }
+
+func TestACopyOfTheModelSparesTheStore(t *testing.T) {
+	p := NewPlanner(DefaultConfig(2), "m", time.Second)
+	p.Reported(0, Held{ModelCopied: true})
+	require.Equal(t, Order{Model: "m"}, next(t, p, 0))
+}
+
+// TestModelLoadsKeepTheirShare plays instances that all have many empty workers.
+func TestModelLoadsKeepTheirShare(t *testing.T) {
+	const perSecond, members = 2.9, 6
+	shares := make([]*StoreShare, members)
+	for i := range shares {
+		shares[i] = NewStoreShare(0)
+	}
+	var begun []time.Duration
+	for now := time.Duration(0); now < 30*time.Second; now += 50 * ms {
+		for _, s := range shares {
+			if s.Take(now, perSecond, members) {
+				begun = append(begun, now)
+			}
+		}
+	}
+	const window, overage, extra = 5 * time.Second, 1.1, 3 // the operators' bound
+	for i, from := range begun {
+		count := 0
+		for _, at := range begun[i:] {
+			if at-from < window {
+				count++
+			}
+		}
+		require.LessOrEqual(t, float64(count), perSecond*window.Seconds()*overage+extra)
+	}
+	require.Greater(t, len(begun), 30, "the store is used")
+}
--- /dev/null
+++ b/coord/worker/registry_test.go
@@ -0,0 +1,54 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func changesOf(news []News) []Change {
+	var changes []Change
+	for _, n := range news {
+		changes = append(changes, n.Change)
+	}
+	return changes
+}
+
+func TestADeletedEntryIsGoneAtOnce(t *testing.T) {
+	r := NewRegistry()
+	r.Put(Worker{ID: "w", Born: 1}, 4)
+	require.Equal(t, []Change{Gone}, changesOf(r.Delete(time.Second, "w", 5)))
+	require.Empty(t, r.Workers())
+}
+
+func TestAnOldRevisionChangesNothing(t *testing.T) {
+	r := NewRegistry()
+	r.Put(Worker{ID: "w", Draining: true}, 9)
+	require.Empty(t, r.Put(Worker{ID: "w"}, 8))
+	require.Empty(t, r.Delete(0, "w", 8))
+	require.True(t, r.Workers()[0].Draining)
+}
+
+func TestLapsedEntriesCountUntilTheGraceEnds(t *testing.T) {
+	r := NewRegistry()
+	r.Put(Worker{ID: "back"}, 1)
+	r.Put(Worker{ID: "lost"}, 2)
+	r.StoreLost()
+	require.Equal(t, []Change{Lapsed}, changesOf(r.Delete(0, "back", 3)))
+	r.StoreReturned(10 * time.Second)
+	require.Equal(t, []Change{Lapsed}, changesOf(r.Replace(10*time.Second, nil, 5)))
+	require.Len(t, r.Workers(), 2)
+	require.Empty(t, r.Tick(10*time.Second+ReturnGrace-1))
+	r.Put(Worker{ID: "back"}, 6)
+	require.Equal(t, []Change{Gone}, changesOf(r.Tick(10*time.Second+ReturnGrace)))
+	require.Equal(t, "back", r.Workers()[0].ID)
+}
+
+func TestARestartUnderTheSameIDIsTold(t *testing.T) {
+	r := NewRegistry()
+	r.Put(Worker{ID: "w", Born: 1, Models: []ModelState{{Name: "m"}}}, 1)
+	require.Equal(t, []Change{Restarted}, changesOf(r.Put(Worker{ID: "w", Born: 2}, 2)))
+	require.False(t, r.Workers()[0].HasModel("m"))
+	require.Equal(t, []Change{StartedDraining}, changesOf(r.Put(Worker{ID: "w", Born: 2, Draining: true}, 3)))
+}
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -53,6 +53,7 @@
 // rights tells which orders this instance may give.
 type rights interface {
 	Held(right string) (fence uint64, ok bool)
+	Members() int
 }
 
 // orders gives orders to the workers whose right this instance holds.
@@ -65,10 +66,11 @@
 
 	mu      sync.Mutex
 	workers map[string]*orderedWorker
+	share   *slots.StoreShare
 }
 
 func newOrders(f *fleet, r rights, o Orderer, log *decision.Log, m *metrics) *orders {
-	return &orders{fleet: f, rights: r, orderer: o, log: log, metrics: m, workers: make(map[string]*orderedWorker)}
+	return &orders{fleet: f, rights: r, orderer: o, log: log, metrics: m, workers: make(map[string]*orderedWorker), share: slots.NewStoreShare(now())}
 }
 
 // orderedWorker is one worker that this instance orders.
@@ -329,12 +331,27 @@
 	w.planner.Reported(at, report.Held)
 }
 
+// storeAllows tells whether an order may be given as far as the weight store is
+// concerned.
+func (w *orderedWorker) storeAllows(order slots.Order) bool {
+	if !order.FromStore {
+		return true
+	}
+	service, known := w.fleet.service(w.worker.Service)
+	if !known || service.Engine == nil {
+		return false
+	}
+	w.orders.mu.Lock()
+	defer w.orders.mu.Unlock()
+	return w.share.Take(now(), service.Engine.StoreLoadsPerSecond, w.rights.Members())
+}
+
 // send gives one order where the right is still held.
 func (w *orderedWorker) send(ctx context.Context, order slots.Order) {
 	fence, held := w.rights.Held(w.right)
 	result, err := slots.Rejected, error(nil)
 	began := now()
-	if held {
+	if held && w.storeAllows(order) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		result, err = w.orderer.Order(ctx, w.worker, order, fence)
