Predict the wait for a slot, send rosters only after changes, let callers return later

Cause: requests waited for their whole goal and were refused; beats carried the roster ten times a second to every peer.

--- a/coord/quorum/exchange.go
+++ b/coord/quorum/exchange.go
@@ -14,16 +14,19 @@
 	m.sequence++
 	b := Beat{
 		From: m.roster.self, Sequence: m.sequence, Settled: m.settled,
-		Members: m.roster.members(), Held: m.HeldRights(now),
+		Voters: digestOf(m.roster.voters()), Held: m.HeldRights(now),
 		Released: slices.Sorted(maps.Keys(m.released)),
 		Silent:   m.roster.silentFor(now, m.config.RemoveAfter),
 	}
+	if now < m.spreadUntil {
+		b.Members = m.roster.members()
+	}
 	for _, right := range m.rights {
 		if c := m.claims[right]; c.held || m.wants(now, right, c) {
 			b.Asks = append(b.Asks, Ask{Right: right, Fence: c.highest})
 		}
 	}
-	m.sent[m.sequence] = sentBeat{at: now, voters: digestOf(m.roster.voters())}
+	m.sent[m.sequence] = sentBeat{at: now, voters: b.Voters}
 	return b, m.targets(now)
 }
 
@@ -58,11 +61,24 @@
 		}
 		reply.Votes = m.votes(now, b)
 	}
+	m.spreadChanges(now, actions)
 	reply.Voters = digestOf(m.roster.voters())
-	reply.Members = m.roster.members()
+	if reply.Voters != b.Voters {
+		reply.Members = m.roster.members()
+	}
 	return reply, actions
 }
 
+// spreadFor is how long beats carry the roster after a change, or after a peer
+// had another one; a few beats.
+const spreadFor = time.Second
+
+func (m *Machine) spreadChanges(now time.Duration, actions []Action) {
+	if len(actions) > 0 {
+		m.spreadUntil = now + spreadFor
+	}
+}
+
 func (m *Machine) votes(now time.Duration, b Beat) []Vote {
 	votes := make([]Vote, 0, len(b.Asks))
 	for _, ask := range b.Asks {
@@ -95,8 +111,12 @@
 			actions = append(actions, m.roster.add(now, member)...)
 		}
 	}
+	m.spreadChanges(now, actions)
 	sent, known := m.sent[r.Sequence]
 	voters := digestOf(m.roster.voters())
+	if r.Voters != voters {
+		m.spreadUntil = now + spreadFor
+	}
 	if p == nil || !known || r.Voters != voters || sent.voters != voters {
 		return actions
 	}
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -41,6 +41,8 @@
 	released map[string]time.Duration
 	settled  bool
 	leaving  bool
+	// spreadUntil is until when beats carry the roster.
+	spreadUntil time.Duration
 	// minFence is the lowest fencing number that may be taken, so that numbers
 	// rise over a restart of all instances.
 	minFence func() uint64
@@ -64,6 +66,7 @@
 	for _, right := range m.rights {
 		m.claims[right] = &claim{granted: make(map[string]time.Duration), vote: ballot{formerEnd: now + config.promise()}}
 	}
+	m.spreadUntil = now + spreadFor
 	m.AddSeeds(now, seeds)
 	return m
 }
@@ -141,6 +144,7 @@
 func (m *Machine) Leave(now time.Duration) []Action {
 	m.leaving = true
 	m.roster.self.Left = true
+	m.spreadUntil = now + spreadFor
 	var actions []Action
 	for _, right := range m.rights {
 		actions = append(actions, m.release(now, right)...)
@@ -167,6 +171,7 @@
 func (m *Machine) Tick(now time.Duration) []Action {
 	m.settle(now)
 	actions := m.roster.remove(now, m.config)
+	m.spreadChanges(now, actions)
 	for _, right := range m.rights {
 		actions = append(actions, m.advance(now, right)...)
 	}
--- a/coord/quorum/messages.go
+++ b/coord/quorum/messages.go
@@ -28,6 +28,9 @@
 	Sequence uint64
 	// Settled senders remember everything that they ever promised.
 	Settled bool
+	// Voters is the digest of the set that the sender takes as voters.
+	Voters uint64
+	// Members is the sender's roster, left out while all peers have the same.
 	Members []Member
 	Asks    []Ask
 	// Held lists the rights that the sender holds.
@@ -55,7 +58,8 @@
 	Sequence uint64
 	Settled  bool
 	// Voters is the digest of the set that the replier takes as voters.
-	Voters  uint64
+	Voters uint64
+	// Members is the replier's roster where the sender's voters differ.
 	Members []Member
 	Votes   []Vote
 }
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -61,7 +61,7 @@
 		IdleGrace:        60 * time.Millisecond,
 		FreshGrace:       350 * time.Millisecond, // a beat between instances and a margin
 		UseHalfLife:      4 * time.Second,
-		MaxWaiting:       5,           // about what the slots of a worker turn over within a goal
+		MaxWaiting:       12,           // about what the slots of a worker turn over within a goal
 		ReportLag:        time.Second, // the sheets say some hundred ms
 		MaxDraining:      2,
 	}
@@ -95,6 +95,8 @@
 }
 
 type want struct {
+	// ahead is the number of wants that waited before it.
+	ahead int
 	// count is the number of requests that asked beside the first.
 	count int
 	rank  int
@@ -149,6 +151,8 @@
 	// retryAt holds orders back after a rejection.
 	retryAt time.Duration
 	transit int
+	// turnover is the decayed mean time in which one waiting want gets a slot.
+	turnover time.Duration
 }
 
 // NewPlanner returns the planner of a worker of which nothing is known. Loading
@@ -224,7 +228,7 @@
 	p.keep(now, adapter)
 	w := p.wants[adapter]
 	if w == nil {
-		p.wants[adapter] = &want{rank: rank, since: now, until: until}
+		p.wants[adapter] = &want{rank: rank, since: now, until: until, ahead: p.ahead(rank)}
 		return
 	}
 	w.count++
@@ -269,16 +273,31 @@
 	if p.slots[adapter] != nil || p.wants[adapter] != nil {
 		return true
 	}
-	if p.loadTime(adapter) > wait {
+	ahead := p.ahead(rank)
+	if p.loadTime(adapter)+time.Duration(ahead)*p.turnover > wait {
 		return false
 	}
-	ahead := 0
+	return ahead < p.config.MaxWaiting
+}
+
+// ahead counts the wants of a rank or a more urgent one that wait for a slot.
+func (p *Planner) ahead(rank int) int {
+	count := 0
 	for waiting, w := range p.wants {
 		if p.slots[waiting] == nil && w.rank <= rank {
-			ahead++
+			count++
 		}
 	}
-	return ahead < p.config.MaxWaiting
+	return count
+}
+
+// turnoverWeight is the weight of the newest sample in the turnover.
+const turnoverWeight = 0.2
+
+// sampleTurnover notes how long a want waited for its slot.
+func (p *Planner) sampleTurnover(now time.Duration, w *want) {
+	sample := float64(now-w.since) / float64(w.ahead+1)
+	p.turnover += time.Duration(turnoverWeight * (sample - float64(p.turnover)))
 }
 
 // Transit sets the number of adapters in transit to all other workers.
@@ -368,6 +387,11 @@
 // advance drops wants that are met or expired.
 func (p *Planner) advance(now time.Duration) {
 	maps.DeleteFunc(p.evicted, func(_ string, at time.Duration) bool { return now-at > p.config.ReportLag })
+	for adapter, w := range p.wants {
+		if now >= w.until && p.slots[adapter] == nil {
+			p.sampleTurnover(now, w)
+		}
+	}
 	maps.DeleteFunc(p.wants, func(adapter string, w *want) bool { return now >= w.until || p.Ready(adapter) })
 }
 
@@ -505,6 +529,9 @@
 			s.checking = true
 			return
 		}
+		if w := p.wants[order.Adapter]; w != nil {
+			p.sampleTurnover(now, w)
+		}
 		p.slots[order.Adapter] = &slot{phase: loading, since: now, readyAt: now + p.loadTime(order.Adapter), lastUsed: now}
 	}
 }
--- a/entry/cluster/codec.go
+++ b/entry/cluster/codec.go
@@ -33,7 +33,7 @@
 
 func encodeBeat(b quorum.Beat) *clusterpb.BeatRequest {
 	request := &clusterpb.BeatRequest{
-		From: encodeMember(b.From), Sequence: b.Sequence, Settled: b.Settled, Members: encodeMembers(b.Members),
+		From: encodeMember(b.From), Sequence: b.Sequence, Settled: b.Settled, Voters: b.Voters, Members: encodeMembers(b.Members),
 		Held: b.Held, Released: b.Released, Silent: b.Silent,
 	}
 	for _, ask := range b.Asks {
@@ -44,7 +44,7 @@
 
 func decodeBeat(b *clusterpb.BeatRequest) quorum.Beat {
 	beat := quorum.Beat{
-		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Settled: b.GetSettled(), Members: decodeMembers(b.GetMembers()),
+		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Settled: b.GetSettled(), Voters: b.GetVoters(), Members: decodeMembers(b.GetMembers()),
 		Held: b.GetHeld(), Released: b.GetReleased(), Silent: b.GetSilent(),
 	}
 	for _, ask := range b.GetAsks() {
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -213,8 +213,9 @@
 // maxSends bounds the attempts of one request, refusals by workers included.
 const maxSends = 4
 
-// busyRetryAfter is when a caller should come back after workers refused.
-const busyRetryAfter = 150 * time.Millisecond
+// busyRetryAfter is when a caller should come back after workers refused: half of
+// the time in which their slots turn over.
+const busyRetryAfter = 500 * time.Millisecond
 
 // maxPlacements bounds the workers that are considered one after the other.
 const maxPlacements = 3
