--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -118,6 +118,8 @@
 	tried map[string]int
 	// skipped names the workers that did not get the adapter in time.
 	skipped map[string]bool
+	// resuming is set while a broken stream is continued.
+	resuming bool
 	// missing names the worker that denied to hold the adapter.
 	missing string
 	// uncertain is true once an attempt may have run without an answer.
@@ -327,9 +329,24 @@
 func (c *call) loadWait() time.Duration {
 	reading := time.Duration(float64(c.request.PromptTokens) / c.fleet.balance.TokensPerMS * float64(time.Millisecond))
 	left := c.route.Goal - (now() - c.arrived) - reading
+	if c.resuming {
+		left = resumePatience
+	}
 	return min(max(left, minLoadWait), c.left())
 }
 
+// resumeRank goes before all ranks of routes: the worker that broke off has done
+// a part of the work, and the caller waits in the middle of an answer.
+const resumeRank = -1
+
+// loadRank is the rank of the request among those that wait for a slot.
+func (c *call) loadRank() int {
+	if c.resuming {
+		return resumeRank
+	}
+	return c.route.Rank
+}
+
 // ensureAdapter has the adapter loaded where the worker does not hold it.
 func (c *call) ensureAdapter(choice balance.Choice, born int64) (ready bool, reason string) {
 	denied := c.missing == choice.Candidate.ID
@@ -341,7 +358,7 @@
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	want := loadWant{
-		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.route.Rank,
+		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.loadRank(),
 		until: began + wait, missing: denied,
 	}
 	ready, reason = c.loads.load(ctx, c.request, want)
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -291,7 +291,7 @@
 	}
 	response, err := i.cluster.LoadAdapter(ctx, holder, &clusterpb.LoadAdapterRequest{
 		RequestId: r.ID, Worker: want.worker, Born: want.born, Model: r.Model, Adapter: want.adapter,
-		Rank: uint32(want.rank), WaitNs: int64(want.until - now()), Missing: want.missing,
+		Rank: uint32(want.rank - resumeRank), WaitNs: int64(want.until - now()), Missing: want.missing,
 	})
 	if err != nil {
 		i.log.Warn(decision.AttemptFailed, err).Str("request", r.ID).Str("holder", holder).Str("call", "load_adapter").Send()
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	ready, reason := i.orders.load(ctx, loadWant{
-		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(), rank: int(in.GetRank()),
+		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(), rank: int(in.GetRank()) + resumeRank,
 		until: now() + wait, missing: in.GetMissing(),
 	})
 	return &clusterpb.LoadAdapterResponse{Ready: ready, Reason: reason}, nil
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -55,6 +56,9 @@
 // errCutEvent marks an answer that ends in the middle of an event.
 var errCutEvent = errors.New("the answer ends in the middle of an event")
 
+// errNoBudget is a continuation that the budget for repeats does not allow now.
+var errNoBudget = errors.New("the budget for repeats is used up")
+
 // maxEventBytes bounds one event.
 const maxEventBytes = 1 << 20
 
@@ -139,10 +143,8 @@
 	if !s.route.Resumable || s.lastID == "" {
 		return cause
 	}
-	for s.sends < maxSends {
-		if !s.fleet.mayRepeat(now(), s.service.Name, s.loads.members()) {
-			return cause
-		}
+	s.resuming = true
+	for until := at + resumePatience; now() < until && s.sends < maxSends; {
 		err := s.continueElsewhere()
 		if err == nil {
 			return nil
@@ -150,17 +152,31 @@
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
+		s.log.Warn(decision.AttemptFailed, err).Str("request", s.request.ID).Str("last_event", s.lastID).Bool("resuming", true).Send()
+		clear(s.skipped)
+		time.Sleep(resumePause)
 	}
 	return cause
 }
 
+// Times of the continuation of a stream.
+const (
+	// resumePatience is how long another worker is looked for. Callers give a
+	// silent stream up after two seconds.
+	resumePatience = 1500 * time.Millisecond
+	// resumePause is left between two tries.
+	resumePause = 60 * time.Millisecond
+)
+
 // continueElsewhere makes one attempt to go on after the last event.
 func (s *eventStream) continueElsewhere() error {
 	target, refusal := s.prepare()
 	if refusal != nil {
-		s.sends++
 		return errors.New(refusal.reason)
 	}
+	if !s.fleet.mayRepeat(now(), s.service.Name, s.loads.members()) {
+		return errNoBudget
+	}
 	s.worker = target.ID
 	s.progress = s.fleet.begin(target.ID, s.request.Adapter, s.request.PromptTokens, s.request.PromptTokens+s.request.OutputTokens)
 	send := Send{Worker: target, Left: s.waitLeft(), Priority: s.priority(), ResumeAfter: s.lastID, AdapterVersion: s.adapterVersion()}
