--- a/cmd/bulrushctl/trace.go
+++ b/cmd/bulrushctl/trace.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/bulrushwick/bulrushwick/cmd/internal/trace"
+	"github.com/bulrushwick/bulrushwick/entry/decision/trace"
 )
 
 var errNoLines = errors.New("no line of these logs names the request")
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -70,6 +70,10 @@
 	replaced int
 }
 
+// timeFormat tells times to the millisecond, which orders lines of several
+// instances.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a log to output with the instance's name on every line.
 func New(config Config, output io.Writer, instance string) *Log {
 	l := &Log{config: config, limits: make(map[Event]*rate.Limiter), left: make(map[Event]int)}
@@ -79,7 +83,7 @@
 		l.replaced += missed
 	})
 	l.writer = writer
-	l.out = zerolog.New(writer).With().Timestamp().Str("instance", instance).Logger()
+	l.out = zerolog.New(writer).With().Str("instance", instance).Logger()
 	return l
 }
 
@@ -89,7 +93,7 @@
 	if !l.allow(event) {
 		return nil
 	}
-	return l.out.Info().Str("event", string(event))
+	return stamp(l.out.Info(), event)
 }
 
 // Warn begins a line about an error that is not passed on.
@@ -97,7 +101,11 @@
 	if !l.allow(event) {
 		return nil
 	}
-	return l.out.Warn().Str("event", string(event)).Err(err)
+	return stamp(l.out.Warn(), event).Err(err)
+}
+
+func stamp(line *zerolog.Event, event Event) *zerolog.Event {
+	return line.Str("time", time.Now().Format(timeFormat)).Str("event", string(event))
 }
 
 func (l *Log) allow(event Event) bool {
@@ -124,7 +132,7 @@
 	if len(left) == 0 && replaced == 0 {
 		return
 	}
-	line := l.out.Warn().Str("event", string(LinesDropped)).Int("replaced", replaced)
+	line := stamp(l.out.Warn(), LinesDropped).Int("replaced", replaced)
 	for event := range maps.Keys(left) {
 		line = line.Int("limited_"+string(event), left[event])
 	}
