--- a/cmd/e2e/docs_test.go
+++ b/cmd/e2e/docs_test.go
@@ -45,6 +45,9 @@
 
 	"go test work": proveByCI("go test work"),
 
+	"bulrushctl trace 9c41d07be2a35f68 logs/*.log": proveTrace,
+	"go test -bench Line ./entry/decision":         proveByGo("./entry/decision", "-run", "^$", "-bench", "Line", "-benchtime", "1x"),
+
 	"go build -o bin/ ./cmd/bulrushwick ./cmd/bulrushctl": proveByBuild,
 	"bin/bulrushwick serve --settings entry-a.json":       proveByServing("docs/operate/start.md"),
 }
@@ -91,6 +94,21 @@
 	require.Empty(t, run(t, "bulrushctl", args...))
 }
 
+// proveTrace finds the deciding line of a request in two logs.
+func proveTrace(t *testing.T, _ func() *system) {
+	dir := t.TempDir()
+	first, second := filepath.Join(dir, "a.log"), filepath.Join(dir, "b.log")
+	require.NoError(t, os.WriteFile(first, []byte(
+		`{"level":"info","instance":"a","time":"2026-12-04T07:00:00.100Z","event":"placed","request":"9c41d07be2a35f68","worker":"w1"}
+{"level":"info","instance":"a","time":"2026-12-04T07:00:00.300Z","event":"refused","request":"9c41d07be2a35f68","worker":"w1","reason":"full"}
+`), 0o600))
+	require.NoError(t, os.WriteFile(second, []byte(
+		`prefix {"level":"info","instance":"b","time":"2026-12-04T07:00:00.200Z","event":"order_sent","worker":"w1"}
+`), 0o600))
+	out := run(t, "bulrushctl", "trace", "9c41d07be2a35f68", first, second)
+	require.Contains(t, out, "decided by: 07:00:00.300 a refused reason=full worker=w1")
+}
+
 // TestEveryCommandOnAPageRuns fails for a command that has no proof.
 func TestEveryCommandOnAPageRuns(t *testing.T) {
 	commands := pageCommands(t)
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -354,6 +354,7 @@
 		return true, ""
 	}
 	began := now()
+	c.worker = choice.Candidate.ID
 	wait := c.loadWait()
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
