--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -43,6 +43,9 @@
 	FreeSlots, IdleSlots int
 	// Distance is the time for a message to the worker and back.
 	Distance time.Duration
+	// InScope workers are ordered by the instances that this one is in touch with;
+	// an adapter's home is one of them.
+	InScope bool
 	// Orderable workers have an instance that gives them orders now.
 	Orderable bool
 }
@@ -166,7 +169,7 @@
 }
 
 // placesOf gives each candidate's place in the adapter's rendezvous order over
-// the usable ones; the home is 0.
+// the usable ones in scope; the home is 0.
 func placesOf(adapter string, candidates []Candidate) []int {
 	places := make([]int, len(candidates))
 	if adapter == "" {
@@ -174,7 +177,7 @@
 	}
 	scores := make([]uint64, len(candidates))
 	for i := range candidates {
-		if candidates[i].Usable {
+		if candidates[i].Usable && candidates[i].InScope {
 			scores[i] = xxhash.Sum64String(adapter + "\x00" + candidates[i].ID)
 		}
 	}
--- a/coord/balance/balance_test.go
+++ b/coord/balance/balance_test.go
@@ -13,7 +13,7 @@
 	var all []Candidate
 	for i := range count {
 		all = append(all, Candidate{
-			ID: fmt.Sprintf("w%d", i), Usable: true, Orderable: true, BatchSize: 64, CacheCapacity: 150_000, FreeSlots: 6,
+			ID: fmt.Sprintf("w%d", i), Usable: true, InScope: true, Orderable: true, BatchSize: 64, CacheCapacity: 150_000, FreeSlots: 6,
 		})
 	}
 	return all
--- a/coord/quorum/config.go
+++ b/coord/quorum/config.go
@@ -32,6 +32,11 @@
 	// RemoveEvery is the least time between two removals, so that any two
 	// majorities before and after share a voter.
 	RemoveEvery time.Duration
+	// OwnDataCentre makes the members of the own data centre the only voters and,
+	// but for seeds, the only peers: beats grow with the square of the peers.
+	OwnDataCentre bool
+	// SeedEvery is the interval of beats to seeds that are no peers, once settled.
+	SeedEvery time.Duration
 	// SeedWait is how long an instance that has heard no settled one waits for
 	// seeds that don't answer, before it settles without them. It should exceed
 	// the usual length of a partition.
@@ -49,8 +54,20 @@
 		RemoveAfter: 20 * time.Second,
 		RemoveEvery: 5 * time.Second,
 		SeedWait:    20 * time.Second,
+		SeedEvery:   2 * time.Second,
 	}
 }
 
+// DataCentreConfig returns times for instances that form a cluster in each data
+// centre, for beats every 400 ms.
+func DataCentreConfig(turnGap time.Duration) Config {
+	c := DefaultConfig(turnGap)
+	c.OwnDataCentre = true
+	c.Term = 2 * time.Second            // four beats may be lost
+	c.LiveFor = 1500 * time.Millisecond // three beats may be lost
+	c.Margin = 300 * time.Millisecond
+	return c
+}
+
 // promise is how long a voter is bound by one vote.
 func (c Config) promise() time.Duration { return c.Term + c.Margin }
--- a/coord/quorum/exchange.go
+++ b/coord/quorum/exchange.go
@@ -19,7 +19,7 @@
 		Silent:   m.roster.silentFor(now, m.config.RemoveAfter),
 	}
 	if now < m.spreadUntil {
-		b.Members = m.roster.members()
+		b.Members = m.roster.membersOf(m.roster.self)
 	}
 	for _, right := range m.rights {
 		if c := m.claims[right]; c.held || m.wants(now, right, c) {
@@ -35,12 +35,16 @@
 func (m *Machine) targets(now time.Duration) []string {
 	names := make(map[string]bool)
 	for address, p := range m.roster.peers {
-		if !p.member.Left || p.everHeard && now-p.heard <= m.config.LiveFor {
+		spoke := p.everHeard && now-p.heard <= m.config.LiveFor
+		if m.roster.inScope(p.member) && (!p.member.Left || spoke) {
 			names[address] = true
 		}
 	}
-	for _, s := range m.seeds {
-		names[s] = true
+	if !m.config.OwnDataCentre || !m.settled || now >= m.seedsAt {
+		m.seedsAt = now + m.config.SeedEvery
+		for _, s := range m.seeds {
+			names[s] = true
+		}
 	}
 	return slices.Sorted(maps.Keys(names))
 }
@@ -54,7 +58,7 @@
 		}
 	}
 	reply := Reply{From: m.roster.self, Sequence: b.Sequence, Settled: m.settled}
-	if p != nil {
+	if p != nil && m.roster.inScope(b.From) {
 		p.settled, p.held, p.silent = b.Settled, setOf(b.Held), setOf(b.Silent)
 		for _, right := range b.Released {
 			m.releasedBy(now, right, b.From.Address)
@@ -64,7 +68,7 @@
 	m.spreadChanges(now, actions)
 	reply.Voters = digestOf(m.roster.voters())
 	if reply.Voters != b.Voters {
-		reply.Members = m.roster.members()
+		reply.Members = m.roster.membersOf(b.From)
 	}
 	return reply, actions
 }
@@ -114,7 +118,7 @@
 	m.spreadChanges(now, actions)
 	sent, known := m.sent[r.Sequence]
 	voters := digestOf(m.roster.voters())
-	if r.Voters != voters {
+	if r.Voters != voters && m.roster.inScope(r.From) {
 		m.spreadUntil = now + spreadFor
 	}
 	if p == nil || !known || r.Voters != voters || sent.voters != voters {
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -41,6 +41,8 @@
 	released map[string]time.Duration
 	settled  bool
 	leaving  bool
+	// seedsAt is when the seeds that are no peers get the next beat.
+	seedsAt time.Duration
 	// spreadUntil is until when beats carry the roster.
 	spreadUntil time.Duration
 	// minFence is the lowest fencing number that may be taken, so that numbers
@@ -67,6 +69,7 @@
 		m.claims[right] = &claim{granted: make(map[string]time.Duration), vote: ballot{formerEnd: now + config.promise()}}
 	}
 	m.spreadUntil = now + spreadFor
+	m.roster.ownDataCentre = config.OwnDataCentre
 	m.AddSeeds(now, seeds)
 	return m
 }
@@ -192,7 +195,7 @@
 		seeds = seeds && m.roster.peers[s].everHeard
 	}
 	for _, p := range m.roster.peers {
-		settledPeer = settledPeer || p.settled
+		settledPeer = settledPeer || p.settled && m.roster.inScope(p.member)
 	}
 	m.settled = seeds || settledPeer || now >= m.started+m.config.SeedWait
 }
--- a/coord/quorum/machine_test.go
+++ b/coord/quorum/machine_test.go
@@ -114,6 +114,27 @@
 	require.Empty(t, w.faults)
 }
 
+func dataCentreConfig() Config { return DataCentreConfig(requiredGap + 500*time.Millisecond) }
+
+// TestEachDataCentreOrdersItsOwn covers a fleet with a cluster in each data
+// centre: one that is lost stops nothing in the other.
+func TestEachDataCentreOrdersItsOwn(t *testing.T) {
+	w := newWorld(8, 9, dataCentreConfig())
+	w.run(10 * time.Second)
+	held := holders(w)
+	require.Len(t, held, len(w.rights))
+	for right, holder := range held {
+		require.Equal(t, right[:1], w.nodes[holder].machine.Self().DataCentre)
+		require.Equal(t, map[string]int{"a": 4, "b": 5}[right[:1]], w.nodes[holder].machine.Voters())
+	}
+	for _, n := range w.sorted() {
+		n.down = n.machine.Self().DataCentre == "a"
+	}
+	w.run(6 * time.Second)
+	require.Len(t, holders(w), 2)
+	require.Empty(t, w.faults)
+}
+
 // disturb runs a history of random faults.
 func disturb(w *world) {
 	w.run(8 * time.Second)
@@ -158,6 +179,16 @@
 	}
 }
 
+// TestRandomHistoriesOfDataCentres checks the same for clusters by data centre.
+func TestRandomHistoriesOfDataCentres(t *testing.T) {
+	for seed := range uint64(30) {
+		w := newWorld(seed, 9, dataCentreConfig())
+		disturb(w)
+		require.Empty(t, w.faults, "seed %d", seed)
+		require.Len(t, holders(w), len(w.rights), "seed %d", seed)
+	}
+}
+
 // TestBrokenTimesAreFound shows that the same check finds machines whose times
 // are wrong.
 func TestBrokenTimesAreFound(t *testing.T) {
--- a/coord/quorum/roster.go
+++ b/coord/quorum/roster.go
@@ -24,6 +24,8 @@
 type roster struct {
 	self  Member
 	peers map[string]*peer
+	// ownDataCentre leaves the members of others out of the voters.
+	ownDataCentre bool
 	// removed is when this instance last took a member out for its silence.
 	removed time.Duration
 }
@@ -96,7 +98,7 @@
 		names = append(names, r.self.Address)
 	}
 	for address, p := range r.peers {
-		if !p.member.Left {
+		if !p.member.Left && r.inScope(p.member) {
 			names = append(names, address)
 		}
 	}
@@ -104,6 +106,20 @@
 	return names
 }
 
+// inScope tells whether a member belongs to the same cluster.
+func (r *roster) inScope(m Member) bool {
+	return !r.ownDataCentre || m.DataCentre == r.self.DataCentre
+}
+
+// membersOf lists what is known of the cluster of another member.
+func (r *roster) membersOf(other Member) []Member {
+	all := r.members()
+	if !r.ownDataCentre {
+		return all
+	}
+	return slices.DeleteFunc(all, func(m Member) bool { return m.DataCentre != other.DataCentre })
+}
+
 // digestOf identifies a set of voters.
 func digestOf(voters []string) uint64 {
 	d := xxhash.New()
@@ -116,7 +132,7 @@
 
 func (r *roster) live(now, within time.Duration, address string) bool {
 	p, exists := r.peers[address]
-	return exists && p.everHeard && !p.member.Left && now-p.heard <= within
+	return exists && p.everHeard && !p.member.Left && r.inScope(p.member) && now-p.heard <= within
 }
 
 // silentFor lists the members not heard for so long.
@@ -127,7 +143,7 @@
 		if p.everHeard {
 			since = max(since, p.heard)
 		}
-		if !p.member.Left && now-since > limit {
+		if !p.member.Left && r.inScope(p.member) && now-since > limit {
 			names = append(names, address)
 		}
 	}
@@ -145,7 +161,7 @@
 	for _, candidate := range r.silentFor(now, config.RemoveAfter) {
 		agree := 1
 		for _, p := range r.peers {
-			if !p.member.Left && p.silent[candidate] && now-p.heard <= config.LiveFor {
+			if !p.member.Left && r.inScope(p.member) && p.silent[candidate] && now-p.heard <= config.LiveFor {
 				agree++
 			}
 		}
--- a/coord/quorum/sim_test.go
+++ b/coord/quorum/sim_test.go
@@ -84,7 +84,10 @@
 	ordinal := uint32(n.address[7])
 	dataCentre := []string{"a", "b"}[ordinal%2]
 	self := Member{Address: n.address, DataCentre: dataCentre, Incarnation: n.incarnation + uint64(w.now/time.Millisecond)}
-	n.machine = NewMachine(w.now, self, w.seeds, w.rights, w.config, func() uint64 {
+	rights := slices.DeleteFunc(slices.Clone(w.rights), func(right string) bool {
+		return w.config.OwnDataCentre && right[:1] != dataCentre
+	})
+	n.machine = NewMachine(w.now, self, w.seeds, rights, w.config, func() uint64 {
 		return Fence(uint64(w.now/time.Second)+1, ordinal)
 	})
 	n.nextBeat = w.now
@@ -102,7 +105,7 @@
 			}
 			n.machine.Tick(w.now)
 			if w.now >= n.nextBeat {
-				n.nextBeat = w.now + 250*time.Millisecond
+				n.nextBeat = w.now + w.config.Term/5
 				w.send(n)
 			}
 			w.act(n)
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -61,7 +61,7 @@
 		IdleGrace:        60 * time.Millisecond,
 		FreshGrace:       350 * time.Millisecond, // a beat between instances and a margin
 		UseHalfLife:      4 * time.Second,
-		MaxWaiting:       12,           // about what the slots of a worker turn over within a goal
+		MaxWaiting:       12,          // about what the slots of a worker turn over within a goal
 		ReportLag:        time.Second, // the sheets say some hundred ms
 		MaxDraining:      2,
 	}
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// DataCentreConfig returns the intervals that quorum.DataCentreConfig is made for.
+func DataCentreConfig() Config {
+	c := DefaultConfig()
+	c.BeatEvery = 400 * time.Millisecond
+	c.CallTimeout = time.Second
+	return c
+}
+
 // Local is what the instance tells others and learns from them.
 type Local interface {
 	// Outgoing fills in the part of a beat that is not the quorum's.
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -28,7 +28,7 @@
 }
 
 func (f *fleet) candidate(at time.Duration, w *worker.Worker, engine *routing.Engine, r *Request) balance.Candidate {
-	c := balance.Candidate{ID: w.ID, Usable: !w.Draining, BatchSize: w.Slots, Distance: f.distance(w.DataCentre)}
+	c := balance.Candidate{ID: w.ID, Usable: !w.Draining, InScope: f.settings.orders(w.DataCentre), BatchSize: w.Slots, Distance: f.distance(w.DataCentre)}
 	f.addUse(&c, f.own[w.ID])
 	for _, p := range f.peers {
 		if at-p.at <= peerNewsFor {
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -18,8 +18,9 @@
 	remoteRTT    = 40 * time.Millisecond
 )
 
-// peerNewsFor is how long a peer's news counts without another beat.
-const peerNewsFor = 1500 * time.Millisecond
+// peerNewsFor is how long a peer's news counts without another beat; four of the
+// longer interval.
+const peerNewsFor = 1600 * time.Millisecond
 
 // notedFor is how long this instance's own finding about an adapter at a worker
 // goes before the news of the instance that orders the worker; two beats.
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -55,14 +55,18 @@
 	i := &Instance{settings: s, ports: ports, log: log, metrics: newMetrics(), fleet: newFleet(s)}
 	incarnation := uint64(time.Now().UnixMilli())
 	self := quorum.Member{Address: s.ControlAddress, DataCentre: s.DataCentre, Incarnation: incarnation}
-	config := quorum.DefaultConfig(s.OrderTurnGap.Std() + orderFlight)
-	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.DataCentres), config, fenceFloor(s.ControlAddress))
-	c, err := cluster.New(cluster.DefaultConfig(), machine, now, i)
+	turnGap := s.OrderTurnGap.Std() + orderFlight
+	leases, beats := quorum.DefaultConfig(turnGap), cluster.DefaultConfig()
+	if s.ownDataCentre() {
+		leases, beats = quorum.DataCentreConfig(turnGap), cluster.DataCentreConfig()
+	}
+	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.orderedDataCentres()), leases, fenceFloor(s.ControlAddress))
+	c, err := cluster.New(beats, machine, now, i)
 	if err != nil {
 		return nil, err
 	}
 	i.cluster = c
-	i.orders = newOrders(i.fleet, c, ports.Orderer, log, i.metrics)
+	i.orders = newOrders(i.fleet, c, i.members, ports.Orderer, log, i.metrics)
 	base, endCalls := context.WithCancelCause(context.Background())
 	i.endCalls = endCalls
 	i.gateway = &gateway{
@@ -265,14 +269,20 @@
 
 func (i *Instance) observeLevels() {
 	i.metrics.level("config_version", float64(i.gateway.version()))
-	i.metrics.level("members", float64(i.cluster.Members()))
+	i.metrics.level("members", float64(i.members()))
 	i.metrics.level("workers", float64(len(i.fleet.allWorkers())))
 	i.metrics.level("requests_in_progress", float64(i.gateway.active.Load()))
 	i.metrics.level("upstream_connections_opened", float64(i.gateway.pool.Opened()))
 }
 
-// members implements loader.
-func (i *Instance) members() int { return i.cluster.Members() }
+// members implements loader: the instances of all clusters, as far as known.
+func (i *Instance) members() int {
+	members := i.cluster.Members()
+	if i.settings.ownDataCentre() {
+		members *= len(i.settings.DataCentres)
+	}
+	return members
+}
 
 // load implements loader: here where this instance orders the worker, else at
 // the instance that does.
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -24,9 +24,9 @@
 }
 
 // rightsOf lists all rights over the workers of the given data centres.
-func rightsOf(dataCentres map[string]string) []string {
+func rightsOf(dataCentres []string) []string {
 	var rights []string
-	for dataCentre := range dataCentres {
+	for _, dataCentre := range dataCentres {
 		for i := range rightsPerDataCentre {
 			rights = append(rights, dataCentre+"/"+strconv.Itoa(i))
 		}
@@ -53,13 +53,14 @@
 // rights tells which orders this instance may give.
 type rights interface {
 	Held(right string) (fence uint64, ok bool)
-	Members() int
 }
 
 // orders gives orders to the workers whose right this instance holds.
 type orders struct {
-	fleet   *fleet
-	rights  rights
+	fleet  *fleet
+	rights rights
+	// members counts the instances that share the weight store.
+	members func() int
 	orderer Orderer
 	log     *decision.Log
 	metrics *metrics
@@ -69,8 +70,8 @@
 	share   *slots.StoreShare
 }
 
-func newOrders(f *fleet, r rights, o Orderer, log *decision.Log, m *metrics) *orders {
-	return &orders{fleet: f, rights: r, orderer: o, log: log, metrics: m, workers: make(map[string]*orderedWorker), share: slots.NewStoreShare(now())}
+func newOrders(f *fleet, r rights, members func() int, o Orderer, log *decision.Log, m *metrics) *orders {
+	return &orders{fleet: f, rights: r, members: members, orderer: o, log: log, metrics: m, workers: make(map[string]*orderedWorker), share: slots.NewStoreShare(now())}
 }
 
 // orderedWorker is one worker that this instance orders.
@@ -343,7 +344,7 @@
 	}
 	w.orders.mu.Lock()
 	defer w.orders.mu.Unlock()
-	return w.share.Take(now(), service.Engine.StoreLoadsPerSecond, w.rights.Members())
+	return w.share.Take(now(), service.Engine.StoreLoadsPerSecond, w.members())
 }
 
 // send gives one order where the right is still held.
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -118,3 +118,27 @@
 		find("repeatRatio", "and repeatSlack must not be negative")
 	}
 }
+
+// maxFleetCluster is the number of data centres up to which all instances form
+// one cluster. Beats go from each to each: with more data centres each has a
+// cluster of its own, which orders its own workers.
+const maxFleetCluster = 3
+
+// ownDataCentre tells whether each data centre has a cluster of its own.
+func (s Settings) ownDataCentre() bool { return len(s.DataCentres) > maxFleetCluster }
+
+// orders tells whether this instance's cluster orders the workers of a data centre.
+func (s Settings) orders(dataCentre string) bool {
+	return !s.ownDataCentre() || dataCentre == s.DataCentre
+}
+
+// orderedDataCentres lists the data centres whose workers the cluster orders.
+func (s Settings) orderedDataCentres() []string {
+	var ordered []string
+	for dataCentre := range s.DataCentres {
+		if s.orders(dataCentre) {
+			ordered = append(ordered, dataCentre)
+		}
+	}
+	return ordered
+}
