--- a/coord/worker/registry.go
+++ b/coord/worker/registry.go
@@ -30,6 +30,10 @@
 type News struct {
 	Worker Worker
 	Change Change
+	// Revision is that of the entry, or of its deletion.
+	Revision uint64
+	// Structural updates change more than what the worker holds beside its models.
+	Structural bool
 }
 
 // Registry is what an instance knows of workers from the metadata store. The
@@ -40,6 +44,9 @@
 	// graceEnds is when missing entries count as gone again.
 	graceEnds time.Duration
 	away      bool
+	// buried holds the revisions at which workers went, so that late news does not
+	// bring them back.
+	buried map[string]uint64
 }
 
 type known struct {
@@ -50,7 +57,9 @@
 }
 
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry { return &Registry{workers: make(map[string]*known)} }
+func NewRegistry() *Registry {
+	return &Registry{workers: make(map[string]*known), buried: make(map[string]uint64)}
+}
 
 // StoreLost notes that the store does not answer.
 func (r *Registry) StoreLost() { r.away = true }
@@ -66,9 +75,12 @@
 // Put takes an entry as written at revision; older revisions are ignored.
 func (r *Registry) Put(w Worker, revision uint64) []News {
 	k, exists := r.workers[w.ID]
+	if !exists && revision <= r.buried[w.ID] {
+		return nil
+	}
 	if !exists {
 		r.workers[w.ID] = &known{worker: w, revision: revision}
-		return []News{{Worker: w, Change: Appeared}}
+		return []News{{Worker: w, Change: Appeared, Revision: revision}}
 	}
 	if revision < k.revision {
 		return nil
@@ -80,8 +92,18 @@
 	case w.Draining && !k.worker.Draining:
 		change = StartedDraining
 	}
+	structural := !k.worker.sameStructure(w)
 	k.worker, k.revision, k.missing = w, revision, false
-	return []News{{Worker: w, Change: change}}
+	return []News{{Worker: w, Change: change, Revision: revision, Structural: structural}}
+}
+
+// Learn takes an entry that another instance read at revision. It lacks the
+// adapters, so that it replaces only an older one.
+func (r *Registry) Learn(w Worker, revision uint64) []News {
+	if k, exists := r.workers[w.ID]; exists && !k.missing && (revision <= k.revision || k.worker.sameStructure(w)) {
+		return nil
+	}
+	return r.Put(w, revision)
 }
 
 // Delete takes the removal of an entry at revision.
@@ -95,10 +117,11 @@
 			return nil
 		}
 		k.missing = true
-		return []News{{Worker: k.worker, Change: Lapsed}}
+		return []News{{Worker: k.worker, Change: Lapsed, Revision: revision}}
 	}
 	delete(r.workers, id)
-	return []News{{Worker: k.worker, Change: Gone}}
+	r.buried[id] = revision
+	return []News{{Worker: k.worker, Change: Gone, Revision: revision}}
 }
 
 // Entry is one entry of a snapshot.
@@ -133,7 +156,7 @@
 	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
 		if k := r.workers[id]; k.missing {
 			delete(r.workers, id)
-			news = append(news, News{Worker: k.worker, Change: Gone})
+			news = append(news, News{Worker: k.worker, Change: Gone, Revision: k.revision})
 		}
 	}
 	return news
@@ -147,3 +170,13 @@
 	}
 	return all
 }
+
+// Entries returns every worker that is not gone with the revision of its entry,
+// by ID.
+func (r *Registry) Entries() []Entry {
+	all := make([]Entry, 0, len(r.workers))
+	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
+		all = append(all, Entry{Worker: r.workers[id].worker, Revision: r.workers[id].revision})
+	}
+	return all
+}
--- a/coord/worker/registry_test.go
+++ b/coord/worker/registry_test.go
@@ -52,3 +52,17 @@
 	require.False(t, r.Workers()[0].HasModel("m"))
 	require.Equal(t, []Change{StartedDraining}, changesOf(r.Put(Worker{ID: "w", Born: 2, Draining: true}, 3)))
 }
+
+func TestNewsFromAnotherInstanceNeverGoesBack(t *testing.T) {
+	r := NewRegistry()
+	held := Worker{ID: "w", Born: 1, Models: []ModelState{{Name: "m", Adapters: []string{"a@1"}}}}
+	r.Put(held, 5)
+	bare := Worker{ID: "w", Born: 1, Models: []ModelState{{Name: "m"}}}
+	require.Empty(t, r.Learn(bare, 6), "it adds nothing and lacks the adapters")
+	require.NotEmpty(t, r.Workers()[0].Models[0].Adapters)
+	bare.Draining = true
+	require.Empty(t, r.Learn(bare, 4))
+	require.Equal(t, []Change{StartedDraining}, changesOf(r.Learn(bare, 7)))
+	require.Equal(t, []Change{Gone}, changesOf(r.Delete(0, "w", 8)))
+	require.Empty(t, r.Learn(bare, 7), "late news does not bring it back")
+}
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -44,3 +44,14 @@
 // still count, since workers renew them on its return. Source: the operators'
 // bound of about two seconds.
 const ReturnGrace = 2 * time.Second
+
+// sameStructure tells whether two entries differ in no more than adapters and
+// counts.
+func (w *Worker) sameStructure(other Worker) bool {
+	same := w.Service == other.Service && w.Address == other.Address && w.DataCentre == other.DataCentre &&
+		w.Slots == other.Slots && w.Draining == other.Draining && w.Born == other.Born && len(w.Models) == len(other.Models)
+	for i := range w.Models {
+		same = same && w.Models[i].Name == other.Models[i].Name
+	}
+	return same
+}
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -58,7 +58,9 @@
 	// LoadAdapter serves the call of that name.
 	LoadAdapter(context.Context, *clusterpb.LoadAdapterRequest) (*clusterpb.LoadAdapterResponse, error)
 	// State serves FetchState.
-	State(version uint64) *clusterpb.FetchStateResponse
+	State(*clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse
+	// Version is the configuration version in force.
+	Version() uint64
 	// RightsChanged reports what changed in rights and in the roster.
 	RightsChanged(now time.Duration, actions []quorum.Action)
 }
@@ -213,11 +215,18 @@
 	return c.peer(address).LoadAdapter(ctx, r)
 }
 
-// FetchState asks a peer for a configuration above version.
-func (c *Cluster) FetchState(ctx context.Context, address string, version uint64) (*clusterpb.FetchStateResponse, error) {
+// FetchState asks a peer for what the caller lacks.
+func (c *Cluster) FetchState(ctx context.Context, address string, request *clusterpb.FetchStateRequest) (*clusterpb.FetchStateResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.config.FetchTimeout)
 	defer cancel()
-	return c.peer(address).FetchState(ctx, &clusterpb.FetchStateRequest{ConfigVersion: version})
+	return c.peer(address).FetchState(ctx, request)
+}
+
+// Live lists the other instances of the cluster that were heard lately.
+func (c *Cluster) Live() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Live(c.now())
 }
 
 // Leave releases all rights and tells every peer, for as long as ctx allows.
@@ -243,7 +252,7 @@
 	s.local.Incoming(at, from, in)
 	s.local.PeerVersion(from, in.GetConfigVersion())
 	response := encodeReply(reply)
-	response.ConfigVersion = s.local.State(^uint64(0)).GetConfigVersion()
+	response.ConfigVersion = s.local.Version()
 	return response, nil
 }
 
@@ -254,5 +263,5 @@
 
 // FetchState implements clusterpb.Cluster.
 func (s *server) FetchState(_ context.Context, in *clusterpb.FetchStateRequest) (*clusterpb.FetchStateResponse, error) {
-	return s.local.State(in.GetConfigVersion()), nil
+	return s.local.State(in), nil
 }
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -1,9 +1,13 @@
 package direct
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/retry"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
@@ -390,3 +394,35 @@
 	defer f.mu.Unlock()
 	return f.versions[model+"/"+adapter]
 }
+
+// directory returns all that is known from the store, for a peer.
+func (f *fleet) directory() ([]*clusterpb.WorkerEntry, []*clusterpb.AdapterVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var workers []*clusterpb.WorkerEntry
+	for _, e := range f.registry.Entries() {
+		workers = append(workers, encodeWorker(e.Worker, e.Revision, false))
+	}
+	var versions []*clusterpb.AdapterVersion
+	for key, version := range f.versions {
+		model, adapter, _ := strings.Cut(key, "/")
+		versions = append(versions, &clusterpb.AdapterVersion{Model: model, Adapter: adapter, Version: version})
+	}
+	return workers, versions
+}
+
+// digest identifies what is known from the store, but for the adapters and
+// counts of workers.
+func (f *fleet) digest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sum := uint64(0)
+	for i := range f.workers {
+		w := &f.workers[i]
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s %s %t %d %d", w.ID, w.Address, w.Draining, w.Born, len(w.Models)))
+	}
+	for key, version := range f.versions {
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s %d", key, version))
+	}
+	return sum
+}
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -42,6 +42,7 @@
 	// endCalls ends every call in progress.
 	endCalls context.CancelCauseFunc
 
+	shared   *shared
 	fetchMu  sync.Mutex
 	fetching bool
 }
@@ -52,7 +53,7 @@
 
 // New returns an instance that Run starts.
 func New(s Settings, ports Ports, log *decision.Log) (*Instance, error) {
-	i := &Instance{settings: s, ports: ports, log: log, metrics: newMetrics(), fleet: newFleet(s)}
+	i := &Instance{settings: s, ports: ports, log: log, metrics: newMetrics(), fleet: newFleet(s), shared: newShared()}
 	incarnation := uint64(time.Now().UnixMilli())
 	self := quorum.Member{Address: s.ControlAddress, DataCentre: s.DataCentre, Incarnation: incarnation}
 	turnGap := s.OrderTurnGap.Std() + orderFlight
@@ -128,7 +129,6 @@
 	i.serveAll(listeners, failed)
 	i.log.Line(decision.Started).Str("data_centre", i.settings.DataCentre).Str("callers", i.settings.CallerAddress).
 		Strs("seeds", i.settings.Seeds).Send()
-	go i.ports.Directory.Run(background, i)
 	go i.cluster.Run(background)
 	go i.housekeep(background)
 	select {
@@ -250,7 +250,9 @@
 	ticker := time.NewTicker(refreshEvery)
 	defer ticker.Stop()
 	summary := now()
+	store := &reader{Instance: i}
 	for {
+		store.refresh(ctx)
 		select {
 		case <-ctx.Done():
 			return
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -12,34 +12,70 @@
 )
 
 // Outgoing implements cluster.Local.
-func (i *Instance) Outgoing(beat *clusterpb.BeatRequest) { i.fleet.outgoing(beat) }
+func (i *Instance) Outgoing(beat *clusterpb.BeatRequest) {
+	i.fleet.outgoing(beat)
+	if i.settings.ownDataCentre() {
+		beat.DirectoryDigest = i.fleet.digest()
+		i.shared.outgoing(now(), beat)
+	}
+}
 
 // Incoming implements cluster.Local.
 func (i *Instance) Incoming(at time.Duration, from string, beat *clusterpb.BeatRequest) {
 	i.fleet.heard(at, from, beat)
+	if !i.settings.ownDataCentre() {
+		return
+	}
+	i.learn(beat.GetWorkers(), beat.GetVersions())
+	if i.shared.heard(at, from, beat, i.fleet.digest()) {
+		i.fetchFrom(from, true)
+	}
+}
+
+// learn takes news that a reader of the store passed on.
+func (i *Instance) learn(workers []*clusterpb.WorkerEntry, versions []*clusterpb.AdapterVersion) {
+	for _, entry := range workers {
+		i.workersChanged(i.fleet.changeWorkers(func(r *worker.Registry) []worker.News {
+			if entry.GetGone() {
+				return r.Delete(now(), entry.GetId(), entry.GetRevision())
+			}
+			return r.Learn(decodeWorker(entry), entry.GetRevision())
+		}))
+	}
+	for _, v := range versions {
+		i.fleet.setVersion(v.GetModel(), v.GetAdapter(), v.GetVersion())
+	}
 }
 
 // PeerVersion implements cluster.Local: a newer configuration is fetched.
 func (i *Instance) PeerVersion(from string, version uint64) {
-	if version <= i.gateway.version() {
-		return
+	if version > i.gateway.version() {
+		i.fetchFrom(from, false)
 	}
+}
+
+// Version implements cluster.Local.
+func (i *Instance) Version() uint64 { return i.gateway.version() }
+
+// fetchFrom fetches what this instance lacks from a peer, one fetch at a time.
+func (i *Instance) fetchFrom(from string, directory bool) {
 	i.fetchMu.Lock()
 	defer i.fetchMu.Unlock()
 	if i.fetching {
 		return
 	}
 	i.fetching = true
-	go i.fetch(from)
+	go i.fetch(from, directory)
 }
 
-func (i *Instance) fetch(from string) {
+func (i *Instance) fetch(from string, directory bool) {
 	defer func() {
 		i.fetchMu.Lock()
 		defer i.fetchMu.Unlock()
 		i.fetching = false
 	}()
-	state, err := i.cluster.FetchState(context.Background(), from, i.gateway.version())
+	request := &clusterpb.FetchStateRequest{ConfigVersion: i.gateway.version(), Directory: directory}
+	state, err := i.cluster.FetchState(context.Background(), from, request)
 	if err != nil {
 		i.log.Warn(decision.ConfigRejected, err).Str("source", from).Send()
 		return
@@ -47,6 +83,25 @@
 	if len(state.GetConfig()) > 0 {
 		i.accept(state.GetConfig(), from)
 	}
+	if directory {
+		i.adopt(state)
+	}
+}
+
+// adopt takes a reader's whole listing in place of the own.
+func (i *Instance) adopt(state *clusterpb.FetchStateResponse) {
+	listed := make(map[string]bool)
+	newest := uint64(0)
+	for _, entry := range state.GetWorkers() {
+		listed[entry.GetId()] = true
+		newest = max(newest, entry.GetRevision())
+	}
+	i.learn(state.GetWorkers(), state.GetVersions())
+	for _, w := range i.fleet.allWorkers() {
+		if !listed[w.ID] {
+			i.workersChanged(i.fleet.changeWorkers(func(r *worker.Registry) []worker.News { return r.Delete(now(), w.ID, newest) }))
+		}
+	}
 }
 
 // LoadAdapter implements cluster.Local.
@@ -62,12 +117,15 @@
 }
 
 // State implements cluster.Local.
-func (i *Instance) State(version uint64) *clusterpb.FetchStateResponse {
+func (i *Instance) State(in *clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse {
 	own, document := i.fleet.published()
 	response := &clusterpb.FetchStateResponse{ConfigVersion: own}
-	if own > version {
+	if own > in.GetConfigVersion() {
 		response.Config = document
 	}
+	if in.GetDirectory() {
+		response.Workers, response.Versions = i.fleet.directory()
+	}
 	return response
 }
 
@@ -122,6 +180,9 @@
 // workersChanged logs news of workers and closes connections to those that are
 // gone: their addresses may be given to others.
 func (i *Instance) workersChanged(news []worker.News) {
+	if i.settings.ownDataCentre() {
+		i.shared.share(now(), news)
+	}
 	for _, n := range news {
 		if n.Change == worker.Gone || n.Change == worker.Restarted {
 			i.gateway.pool.Forget(n.Worker.Address)
@@ -136,6 +197,7 @@
 // AdapterVersion implements DirectorySink.
 func (i *Instance) AdapterVersion(model, adapter string, version int64) {
 	i.fleet.setVersion(model, adapter, version)
+	i.shared.shareVersion(now(), &clusterpb.AdapterVersion{Model: model, Adapter: adapter, Version: version})
 }
 
 // EntryRejected implements DirectorySink.
@@ -146,6 +208,7 @@
 // Lost implements DirectorySink.
 func (i *Instance) Lost(err error) {
 	i.fleet.changeWorkers(func(r *worker.Registry) []worker.News { r.StoreLost(); return nil })
+	i.shared.setAway(true)
 	if !errors.Is(err, context.Canceled) {
 		i.log.Warn(decision.StoreLost, err).Send()
 	}
@@ -154,5 +217,6 @@
 // Returned implements DirectorySink.
 func (i *Instance) Returned() {
 	i.fleet.changeWorkers(func(r *worker.Registry) []worker.News { r.StoreReturned(now()); return nil })
+	i.shared.setAway(false)
 	i.log.Line(decision.StoreReturned).Send()
 }
