--- a/coord/quorum/exchange.go
+++ b/coord/quorum/exchange.go
@@ -14,7 +14,7 @@
 	m.sequence++
 	b := Beat{
 		From: m.roster.self, Sequence: m.sequence, Settled: m.settled,
-		Voters: digestOf(m.roster.voters()), Held: m.HeldRights(now),
+		Voters: m.roster.digest(), Held: m.HeldRights(now),
 		Released: slices.Sorted(maps.Keys(m.released)),
 		Silent:   m.roster.silentFor(now, m.config.RemoveAfter),
 	}
@@ -66,7 +66,7 @@
 		reply.Votes = m.votes(now, b)
 	}
 	m.spreadChanges(now, actions)
-	reply.Voters = digestOf(m.roster.voters())
+	reply.Voters = m.roster.digest()
 	if reply.Voters != b.Voters {
 		reply.Members = m.roster.membersOf(b.From)
 	}
@@ -117,7 +117,7 @@
 	}
 	m.spreadChanges(now, actions)
 	sent, known := m.sent[r.Sequence]
-	voters := digestOf(m.roster.voters())
+	voters := m.roster.digest()
 	if r.Voters != voters && m.roster.inScope(r.From) {
 		m.spreadUntil = now + spreadFor
 	}
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -147,6 +147,7 @@
 func (m *Machine) Leave(now time.Duration) []Action {
 	m.leaving = true
 	m.roster.self.Left = true
+	m.roster.changed()
 	m.spreadUntil = now + spreadFor
 	var actions []Action
 	for _, right := range m.rights {
--- a/coord/quorum/roster.go
+++ b/coord/quorum/roster.go
@@ -26,6 +26,9 @@
 	peers map[string]*peer
 	// ownDataCentre leaves the members of others out of the voters.
 	ownDataCentre bool
+	// cached holds the voters and their digest until the roster changes.
+	cached       []string
+	cachedDigest uint64
 	// removed is when this instance last took a member out for its silence.
 	removed time.Duration
 }
@@ -41,6 +44,10 @@
 		return nil
 	}
 	p, exists := r.peers[news.Address]
+	if exists && news.Incarnation <= p.member.Incarnation && news.Left == p.member.Left {
+		return nil
+	}
+	r.changed()
 	if !exists {
 		r.peers[news.Address] = &peer{member: news, known: now}
 		return []Action{MemberChanged{Member: news, Reason: "joined"}}
@@ -76,8 +83,9 @@
 		return nil, actions
 	}
 	p.heard, p.everHeard = now, true
-	if m.DataCentre != "" {
+	if m.DataCentre != "" && m.DataCentre != p.member.DataCentre {
 		p.member.DataCentre = m.DataCentre
+		r.changed()
 	}
 	return p, actions
 }
@@ -91,9 +99,28 @@
 	return all
 }
 
-// voters lists the addresses of the members that have not left, sorted.
+// changed drops what was worked out from the roster.
+func (r *roster) changed() { r.cached = nil }
+
+// digest identifies the voters.
+func (r *roster) digest() uint64 {
+	r.voters()
+	return r.cachedDigest
+}
+
+// voters lists the addresses of the members that have not left, sorted. The
+// result must not be changed.
 func (r *roster) voters() []string {
-	var names []string
+	if r.cached != nil {
+		return r.cached
+	}
+	r.cached = r.listVoters()
+	r.cachedDigest = digestOf(r.cached)
+	return r.cached
+}
+
+func (r *roster) listVoters() []string {
+	names := []string{}
 	if !r.self.Left {
 		names = append(names, r.self.Address)
 	}
@@ -171,6 +198,7 @@
 		r.removed = now
 		p := r.peers[candidate]
 		p.member.Left = true
+		r.changed()
 		return []Action{MemberChanged{Member: p.member, Reason: "removed"}}
 	}
 	return nil
