--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -26,8 +26,6 @@
 	// A changed value is a new process that knows nothing of before.
 	Born   int64
 	Models []ModelState
-	// Orders counts the orders that the worker has accepted since its start.
-	Orders int64
 }
 
 // HasModel tells whether the worker holds a model's weights.
@@ -45,8 +43,7 @@
 // bound of about two seconds.
 const ReturnGrace = 2 * time.Second
 
-// sameStructure tells whether two entries differ in no more than adapters and
-// counts.
+// sameStructure tells whether two entries differ in no more than adapters.
 func (w *Worker) sameStructure(other Worker) bool {
 	same := w.Service == other.Service && w.Address == other.Address && w.DataCentre == other.DataCentre &&
 		w.Slots == other.Slots && w.Draining == other.Draining && w.Born == other.Born && len(w.Models) == len(other.Models)
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -3,6 +3,8 @@
 package decision
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"maps"
 	"sync"
@@ -18,29 +20,30 @@
 
 // The events. docs/OPERATIONS.md explains each one's fields.
 const (
-	Started        Event = "started"
-	Stopping       Event = "stopping"
-	Stopped        Event = "stopped"
-	Reloaded       Event = "reloaded"
-	Placed         Event = "placed"
-	Refused        Event = "refused"
-	LoadWaited     Event = "load_waited"
-	AttemptFailed  Event = "attempt_failed"
-	Repeated       Event = "repeated"
-	Resumed        Event = "resumed"
-	Ended          Event = "ended"
-	OrderSent      Event = "order_sent"
-	RightAcquired  Event = "right_acquired"
-	RightLost      Event = "right_lost"
-	MemberChanged  Event = "member_changed"
-	WorkerChanged  Event = "worker_changed"
-	ConfigAccepted Event = "config_accepted"
-	ConfigRejected Event = "config_rejected"
-	EntryRejected  Event = "entry_rejected"
-	StoreLost      Event = "store_lost"
-	StoreReturned  Event = "store_returned"
-	ReportFailed   Event = "report_failed"
-	LinesDropped   Event = "lines_dropped"
+	Started          Event = "started"
+	Stopping         Event = "stopping"
+	Stopped          Event = "stopped"
+	Reloaded         Event = "reloaded"
+	Placed           Event = "placed"
+	Refused          Event = "refused"
+	LoadWaited       Event = "load_waited"
+	AttemptFailed    Event = "attempt_failed"
+	Repeated         Event = "repeated"
+	Resumed          Event = "resumed"
+	Ended            Event = "ended"
+	OrderSent        Event = "order_sent"
+	RightAcquired    Event = "right_acquired"
+	RightLost        Event = "right_lost"
+	MemberChanged    Event = "member_changed"
+	WorkerChanged    Event = "worker_changed"
+	ConfigAccepted   Event = "config_accepted"
+	ConfigRejected   Event = "config_rejected"
+	EntryRejected    Event = "entry_rejected"
+	StoreLost        Event = "store_lost"
+	StoreReturned    Event = "store_returned"
+	ReportFailed     Event = "report_failed"
+	ConnectionFailed Event = "connection_failed"
+	LinesDropped     Event = "lines_dropped"
 )
 
 // Config bounds the log's volume.
@@ -123,6 +126,23 @@
 	return false
 }
 
+// Printf implements the loggers of HTTP servers, whose lines are about one
+// connection.
+func (l *Log) Printf(format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	l.Line(ConnectionFailed).Str("error", text[:min(len(text), connectionErrorBytes)]).Send()
+}
+
+// connectionErrorBytes bounds the text of a server's line, which may quote what a
+// caller sent.
+const connectionErrorBytes = 200
+
+// Write implements io.Writer for the log package.
+func (l *Log) Write(line []byte) (int, error) {
+	l.Printf("%s", bytes.TrimSpace(line))
+	return len(line), nil
+}
+
 // Summarize writes how many lines were left out since the last call.
 func (l *Log) Summarize() {
 	l.mu.Lock()
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []balance.Candidate
+	peers := f.livePeers(at) + 1
 	for i := range f.workers {
 		w := &f.workers[i]
 		if w.Service != service.Name {
@@ -22,6 +24,7 @@
 		}
 		c := f.candidate(at, w, service.Engine, r)
 		c.Avoid = tried[w.ID] > 0 || skipped[w.ID]
+		c.Usable = c.Usable && f.connections(w) < f.connectionShare(service, w, peers)
 		all = append(all, c)
 	}
 	return all
@@ -46,6 +49,43 @@
 	return c
 }
 
+// Shares of the connections that a worker accepts. Instances that join, and
+// connections that are kept or being closed, need the rest.
+const (
+	clusterConnections = 0.7
+	othersConnections  = 0.2
+)
+
+// connectionShare is how many connections this instance may have to a worker.
+func (f *fleet) connectionShare(service routing.Service, w *worker.Worker, peers int) int {
+	if service.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	part := clusterConnections / float64(peers)
+	if !f.settings.orders(w.DataCentre) {
+		part = othersConnections / float64(peers*len(f.settings.DataCentres))
+	}
+	return max(1, int(part*float64(service.MaxConnections)))
+}
+
+// connections counts the requests in progress at a worker from this instance.
+func (f *fleet) connections(w *worker.Worker) int {
+	if u := f.own[w.ID]; u != nil {
+		return u.running
+	}
+	return 0
+}
+
+func (f *fleet) livePeers(at time.Duration) int {
+	live := 0
+	for _, p := range f.peers {
+		if at-p.at <= peerNewsFor {
+			live++
+		}
+	}
+	return live
+}
+
 func (f *fleet) addUse(c *balance.Candidate, u *use) {
 	if u == nil {
 		return
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"hash/fnv"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -52,8 +53,8 @@
 const orderFlight = 500 * time.Millisecond
 
 // New returns an instance that Run starts.
-func New(s Settings, ports Ports, log *decision.Log) (*Instance, error) {
-	i := &Instance{settings: s, ports: ports, log: log, metrics: newMetrics(), fleet: newFleet(s), shared: newShared()}
+func New(s Settings, ports Ports, decisions *decision.Log) (*Instance, error) {
+	i := &Instance{settings: s, ports: ports, log: decisions, metrics: newMetrics(), fleet: newFleet(s), shared: newShared()}
 	incarnation := uint64(time.Now().UnixMilli())
 	self := quorum.Member{Address: s.ControlAddress, DataCentre: s.DataCentre, Incarnation: incarnation}
 	turnGap := s.OrderTurnGap.Std() + orderFlight
@@ -67,12 +68,12 @@
 		return nil, err
 	}
 	i.cluster = c
-	i.orders = newOrders(i.fleet, c, i.members, ports.Orderer, log, i.metrics)
+	i.orders = newOrders(i.fleet, c, i.members, ports.Orderer, decisions, i.metrics)
 	base, endCalls := context.WithCancelCause(context.Background())
 	i.endCalls = endCalls
 	i.gateway = &gateway{
 		base: base, fleet: i.fleet, codec: ports.Codec, pool: upstream.NewPool(upstream.DefaultConfig()), loads: i,
-		log: log, metrics: i.metrics, policy: defaultAdmission(),
+		log: decisions, metrics: i.metrics, policy: defaultAdmission(),
 	}
 	return i, nil
 }
@@ -166,11 +167,11 @@
 		Handler: i.gateway.handle, Name: "bulrushwick", NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisableHeaderNamesNormalizing: true, ReadBufferSize: callerHeaderBytes, MaxRequestBodySize: callerBodyBytes,
 		IdleTimeout: callerIdle, ReadTimeout: callerIdle, DisablePreParseMultipartForm: true, StreamRequestBody: false,
-		ReduceMemoryUsage: true, CloseOnShutdown: true,
+		ReduceMemoryUsage: true, CloseOnShutdown: true, Logger: i.log,
 	}
 	go func() { failed <- i.callers.Serve(httpx.WatchListener(l.callers, callerStall)) }()
 	serve := func(listener net.Listener, handler http.Handler) {
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(i.log, "", 0)}
 		go func() { failed <- server.Serve(listener) }()
 	}
 	ready := http.NewServeMux()
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -50,9 +50,6 @@
 	AdapterVersion int64
 }
 
-// Load is what a worker says of its requests with an answer.
-type Load struct{ Running, Waiting, Slots int }
-
 // Answer is what the header of a worker's answer says.
 type Answer struct {
 	Status int
@@ -65,7 +62,6 @@
 	Misdirected bool
 	// Encoded bodies are not the worker's.
 	Encoded bool
-	Load    *Load
 	// KeepFor is how long the worker keeps the connection: 0 where it does not
 	// say, negative where it must not be used again.
 	KeepFor time.Duration
@@ -88,11 +84,9 @@
 
 // Report is a worker's own account of itself.
 type Report struct {
-	Held   slots.Held
-	Born   int64
-	Orders int64
-	// Running, Waiting and CacheTokens are as of a moment before.
-	Running, Waiting, CacheTokens int
+	Held slots.Held
+	// Born is the start of the worker's process, in Unix milliseconds.
+	Born int64
 }
 
 // Orderer speaks to workers about what they hold.
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -13,8 +13,6 @@
 	net       net.Conn
 	reader    *bufio.Reader
 	goodUntil time.Time
-	// used connections have carried a request before.
-	used bool
 }
 
 func newConn(address string, raw net.Conn, headerBytes int) *conn {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -118,10 +118,12 @@
 			break
 		}
 	}
-	return x.frame()
+	x.frame()
+	return nil
 }
 
-func (x *Exchange) frame() error {
+// frame prepares the body by the header's framing.
+func (x *Exchange) frame() {
 	status, length := x.Header.StatusCode(), x.Header.ContentLength()
 	switch {
 	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
@@ -133,7 +135,6 @@
 	default:
 		x.framing, x.body, x.Unframed = byClose, x.conn.reader, true
 	}
-	return nil
 }
 
 // skipStray reads past an answer to another request.
@@ -187,7 +188,6 @@
 		x.pool.closed(x.conn)
 		return
 	}
-	x.conn.used = true
 	x.pool.keep(x.conn, keepFor)
 }
 
