--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -263,18 +263,30 @@
 		c.fail(ctx, *refusal)
 		return ended
 	}
+	exchange, err := c.dispatch(target, c.request.ResumeAfter)
+	if err != nil {
+		return c.noAnswer(ctx, err)
+	}
+	return c.answered(ctx, exchange)
+}
+
+// dispatch sends the request to a worker and waits for the header of the answer.
+// resumeAfter is the last event that the caller has.
+func (c *call) dispatch(target worker.Worker, resumeAfter string) (*upstream.Exchange, error) {
 	c.worker = target.ID
-	c.progress = c.fleet.begin(target.ID, c.request.Adapter, c.request.PromptTokens, c.request.PromptTokens+c.request.OutputTokens)
-	send := Send{Worker: target, Left: c.waitLeft(), Priority: c.priority(), ResumeAfter: c.request.ResumeAfter, AdapterVersion: c.adapterVersion()}
 	c.sends++
 	c.tried[target.ID]++
 	c.began = now()
-	exchange, err := c.pool.Send(c.ctx, target.Address, c.codec.AppendRequest(nil, c.request, send), c.codec.Matches(c.request))
+	r := c.request
+	c.progress = c.fleet.begin(target.ID, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens)
+	send := Send{
+		Worker: target, Left: c.waitLeft(), Priority: c.priority(), ResumeAfter: resumeAfter, AdapterVersion: c.adapterVersion(),
+	}
+	exchange, err := c.pool.Send(c.ctx, target.Address, c.codec.AppendRequest(nil, r, send), c.codec.Matches(r))
 	if err != nil {
 		c.progress.end()
-		return c.noAnswer(ctx, err)
 	}
-	return c.answered(ctx, exchange)
+	return exchange, err
 }
 
 // priority is the engine's priority for the route's rank.
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -104,9 +104,9 @@
 
 // Limits of the callers' server.
 const (
-	// callerHeaderBytes bounds a request's header; the operators' documents allow
-	// 16 KiB.
-	callerHeaderBytes = 16 << 10
+	// callerHeaderBytes bounds a request's header: twice what the operators'
+	// documents allow.
+	callerHeaderBytes = 32 << 10
 	// callerBodyBytes bounds a request's body before its route is known.
 	callerBodyBytes = 8 << 20
 	// callerIdle keeps callers' connections longer than the operators' documents
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -177,15 +177,8 @@
 	if !s.fleet.mayRepeat(now(), s.service.Name, s.loads.members()) {
 		return errNoBudget
 	}
-	s.worker = target.ID
-	s.progress = s.fleet.begin(target.ID, s.request.Adapter, s.request.PromptTokens, s.request.PromptTokens+s.request.OutputTokens)
-	send := Send{Worker: target, Left: s.waitLeft(), Priority: s.priority(), ResumeAfter: s.lastID, AdapterVersion: s.adapterVersion()}
-	s.sends++
-	s.tried[target.ID]++
-	s.began = now()
-	x, err := s.pool.Send(s.ctx, target.Address, s.codec.AppendRequest(nil, s.request, send), s.codec.Matches(s.request))
+	x, err := s.dispatch(target, s.lastID)
 	if err != nil {
-		s.progress.end()
 		return err
 	}
 	answer := s.codec.ParseAnswer(&x.Header)
