Learn workers and versions from peers where the store does not answer

Cause: a process that starts while the store turns it away had no worker to send to, though its peers knew all of them. Before: the new test's instance was never ready to serve. After: it serves, and learns of a drain and a departure from its peer.

--- a/coord/worker/registry.go
+++ b/coord/worker/registry.go
@@ -130,6 +130,22 @@
 	Revision uint64
 }
 
+// Bury takes the word of another instance, which reads the store, that a worker
+// is gone as of revision.
+func (r *Registry) Bury(id string, revision uint64) []News {
+	k, exists := r.workers[id]
+	if !exists || revision < k.revision {
+		return nil
+	}
+	return r.bury(id, k, revision)
+}
+
+func (r *Registry) bury(id string, k *known, revision uint64) []News {
+	delete(r.workers, id)
+	r.buried[id] = revision
+	return []News{{Worker: k.worker, Change: Gone, Revision: revision}}
+}
+
 // Replace takes a whole listing as of revision at: entries that it lacks are
 // deleted.
 func (r *Registry) Replace(now time.Duration, entries []Entry, at uint64) []News {
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -14,18 +14,13 @@
 // Outgoing implements cluster.Local.
 func (i *Instance) Outgoing(beat *clusterpb.BeatRequest) {
 	i.fleet.outgoing(beat)
-	if i.settings.ownDataCentre() {
-		beat.DirectoryDigest = i.fleet.digest()
-		i.shared.outgoing(now(), beat)
-	}
+	beat.DirectoryDigest = i.fleet.digest()
+	i.shared.outgoing(now(), beat)
 }
 
 // Incoming implements cluster.Local.
 func (i *Instance) Incoming(at time.Duration, from string, beat *clusterpb.BeatRequest) {
 	i.fleet.heard(at, from, beat)
-	if !i.settings.ownDataCentre() {
-		return
-	}
 	i.learn(beat.GetWorkers(), beat.GetVersions())
 	if i.shared.heard(at, from, beat, i.fleet.digest()) {
 		i.fetchFrom(from, true)
@@ -37,7 +32,7 @@
 	for _, entry := range workers {
 		i.workersChanged(i.fleet.changeWorkers(func(r *worker.Registry) []worker.News {
 			if entry.GetGone() {
-				return r.Delete(now(), entry.GetId(), entry.GetRevision())
+				return r.Bury(entry.GetId(), entry.GetRevision())
 			}
 			return r.Learn(decodeWorker(entry), entry.GetRevision())
 		}))
@@ -99,7 +94,7 @@
 	i.learn(state.GetWorkers(), state.GetVersions())
 	for _, w := range i.fleet.allWorkers() {
 		if !listed[w.ID] {
-			i.workersChanged(i.fleet.changeWorkers(func(r *worker.Registry) []worker.News { return r.Delete(now(), w.ID, newest) }))
+			i.workersChanged(i.fleet.changeWorkers(func(r *worker.Registry) []worker.News { return r.Bury(w.ID, newest) }))
 		}
 	}
 }
@@ -180,9 +175,7 @@
 // workersChanged logs news of workers and closes connections to those that are
 // gone: their addresses may be given to others.
 func (i *Instance) workersChanged(news []worker.News) {
-	if i.settings.ownDataCentre() {
-		i.shared.share(now(), news)
-	}
+	i.shared.share(now(), news)
 	for _, n := range news {
 		if n.Change == worker.Gone || n.Change == worker.Restarted {
 			i.gateway.pool.Forget(n.Worker.Address)
