--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"time"
@@ -153,7 +154,7 @@
 
 // end counts a request that is over.
 func (c *call) end(outcome string, status int) {
-	if errors.Is(c.ctx.Err(), httpx.ErrHungUp) {
+	if errors.Is(context.Cause(c.ctx), httpx.ErrHungUp) {
 		outcome = "hung_up"
 	}
 	took := now() - c.arrived
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -108,12 +108,10 @@
 	version uint64
 	arrived time.Duration
 	// deadline is when the final answer is due.
-	deadline time.Duration
-	// callerWait is what the caller said that it waits.
-	callerWait time.Duration
-	ctx        context.Context
-	cancel     context.CancelCauseFunc
-	stopWatch  func()
+	deadline  time.Duration
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	stopWatch func()
 	// tried counts the attempts by worker.
 	tried map[string]int
 	// skipped names the workers that did not get the adapter in time.
@@ -147,7 +145,7 @@
 	}
 	c := &call{
 		gateway: g, request: request, route: route, version: table.Config.Version, arrived: arrived,
-		deadline: arrived + limit - endSlack, callerWait: request.Wait, tried: make(map[string]int), skipped: make(map[string]bool),
+		deadline: arrived + limit - endSlack, tried: make(map[string]int), skipped: make(map[string]bool),
 	}
 	c.service = table.Config.Services[route.Service(request.ID)]
 	parent, cancel := context.WithCancelCause(g.base)
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -59,7 +59,7 @@
 		c = fresh
 	}
 	if ctx.Err() != nil {
-		p.closed(c)
+		_ = c.net.Close() // nothing was sent on it
 		return nil, &SendError{Cause: context.Cause(ctx)}
 	}
 	x := &Exchange{pool: p, conn: c, written: make(chan error, 1)}
@@ -185,7 +185,7 @@
 	reusable := x.complete && x.framing != byClose && x.strays == 0 && x.conn.reader.Buffered() == 0 &&
 		!x.Header.ConnectionClose() && x.requestWritten()
 	if !x.stop() || !reusable || keepFor < 0 {
-		x.pool.closed(x.conn)
+		_ = x.conn.net.Close() // nothing is owed on it
 		return
 	}
 	x.pool.keep(x.conn, keepFor)
@@ -204,7 +204,7 @@
 func (x *Exchange) Discard() {
 	x.stop()
 	reset(x.conn.net)
-	x.pool.closed(x.conn)
+	_ = x.conn.net.Close() // the reset is all that matters
 }
 
 // exactReader reads a body of a known length and tells a cut one.
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -39,13 +39,12 @@
 	config Config
 	mu     sync.Mutex
 	idle   map[string][]*conn
-	open   map[string]int
 	opened uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
-	return &Pool{config: config, idle: make(map[string][]*conn), open: make(map[string]int)}
+	return &Pool{config: config, idle: make(map[string][]*conn)}
 }
 
 // SendError is a request without an answer.
@@ -86,7 +85,7 @@
 	delete(p.idle, address)
 	p.mu.Unlock()
 	for _, c := range conns {
-		p.closed(c)
+		_ = c.net.Close() // nothing is owed on it
 	}
 }
 
@@ -100,7 +99,7 @@
 		if now.Before(c.goodUntil) && quiet(c.net) {
 			return c
 		}
-		p.closed(c)
+		_ = c.net.Close() // nothing is owed on it
 	}
 }
 
@@ -123,7 +122,6 @@
 		return nil, err
 	}
 	p.mu.Lock()
-	p.open[address]++
 	p.opened++
 	p.mu.Unlock()
 	return newConn(address, raw, p.config.HeaderBytes), nil
@@ -142,16 +140,7 @@
 		return
 	}
 	p.mu.Unlock()
-	p.closed(c)
-}
-
-func (p *Pool) closed(c *conn) {
 	_ = c.net.Close() // nothing is owed on it
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.open[c.address]--; p.open[c.address] <= 0 {
-		delete(p.open, c.address)
-	}
 }
 
 // Trim closes the connections that were unused for too long.
@@ -173,6 +162,6 @@
 	}
 	p.mu.Unlock()
 	for _, c := range old {
-		p.closed(c)
+		_ = c.net.Close() // nothing is owed on it
 	}
 }
