Take the limits of headers and idle connections from the configuration

Ruled out: changing fasthttp's IdleTimeout while it serves, which it reads without a lock. The connection itself limits its rest instead. The time for a header stays the library's time for the whole request (60 s).

--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -55,6 +55,10 @@
 		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the instance is starting or stopping")
 		return
 	}
+	if limit := table.Config.Limits.MaxHeaderBytes; limit > 0 && len(ctx.Request.Header.RawHeaders()) > limit {
+		g.refuseEarly(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is over the limit")
+		return
+	}
 	request, err := g.codec.ParseRequest(ctx)
 	if err != nil {
 		ctx.SetConnectionClose() // where the next request begins is unsure
--- a/entry/httpx/watch.go
+++ b/entry/httpx/watch.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -21,9 +22,16 @@
 	return &watchListener{Listener: inner, stallTimeout: stallTimeout}
 }
 
+// WatchIdleListener is a WatchListener whose connections may rest for no longer
+// than idle tells when they begin to rest; 0 leaves it to the server.
+func WatchIdleListener(inner net.Listener, stallTimeout time.Duration, idle func() time.Duration) net.Listener {
+	return &watchListener{Listener: inner, stallTimeout: stallTimeout, idle: idle}
+}
+
 type watchListener struct {
 	net.Listener
 	stallTimeout time.Duration
+	idle         func() time.Duration
 }
 
 // Accept implements net.Listener.
@@ -32,7 +40,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &watchedConn{Conn: conn, stallTimeout: l.stallTimeout}, nil
+	watched := &watchedConn{Conn: conn, stallTimeout: l.stallTimeout, idle: l.idle}
+	watched.resting.Store(true)
+	return watched, nil
 }
 
 // Watch returns a context that ends with parent, or when the caller of ctx
@@ -53,6 +63,9 @@
 type watchedConn struct {
 	net.Conn
 	stallTimeout time.Duration
+	idle         func() time.Duration
+	// resting connections have no request on them.
+	resting atomic.Bool
 
 	mu   sync.Mutex
 	kept []byte
@@ -105,7 +118,25 @@
 		return n, nil
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	if limit := c.restLimit(); limit > 0 {
+		if err := c.SetReadDeadline(time.Now().Add(limit)); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.resting.Store(false)
+	}
+	return n, err
+}
+
+// restLimit is how long the next read may wait, where the connection rests and
+// its rest is limited.
+func (c *watchedConn) restLimit() time.Duration {
+	if c.idle == nil || !c.resting.Load() {
+		return 0
+	}
+	return c.idle()
 }
 
 // Write implements net.Conn.
@@ -113,5 +144,6 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.stallTimeout)); err != nil {
 		return 0, err
 	}
+	c.resting.Store(true)
 	return c.Conn.Write(p)
 }
