--- a/coord/matrix_test.go
+++ b/coord/matrix_test.go
@@ -300,5 +300,6 @@
 	"attempt has begun, and no step reads the platform.\n\n" +
 	"Twice: the fault comes again when a further attempt reaches the step.\n\n" +
 	"Leases, keys and tables have matrices of their own (`coord/ownership`,\n" +
-	"`coord/attempt`, `coord/table/replica`), and real processes, signals and links\n" +
-	"are tested in `cmd/e2e` and `cmd/internal/demo`.\n"
+	"`coord/attempt`, `coord/table/replica`), rights of instances that gossip have\n" +
+	"[a page](FAULTS-RIGHTS.md), and real processes, signals and links are tested in\n" +
+	"`cmd/e2e` and `cmd/internal/demo`.\n"
--- a/coord/quorum/exchange.go
+++ b/coord/quorum/exchange.go
@@ -14,9 +14,11 @@
 	m.sequence++
 	b := Beat{
 		From: m.roster.self, Sequence: m.sequence, Settled: m.settled,
-		Voters: m.roster.digest(), Held: m.HeldRights(now),
+		Voters: m.roster.current().votersDigest, Roster: m.roster.current().rosterDigest, Held: m.HeldRights(now),
 		Released: slices.Sorted(maps.Keys(m.released)),
-		Silent:   m.roster.silentFor(now, m.config.RemoveAfter),
+	}
+	if m.voting {
+		b.Silent = m.roster.silentFor(now, m.config.RemoveAfter)
 	}
 	if now < m.spreadUntil {
 		b.Members = m.roster.membersOf(m.roster.self)
@@ -30,17 +32,17 @@
 	return b, m.targets(now)
 }
 
-// targets lists the members that have not left or still speak, and seeds, which
-// may be back under another incarnation.
+// targets lists the voters, members that have left and still speak, which thus
+// learn of it, and seeds, which may be back under another incarnation.
 func (m *Machine) targets(now time.Duration) []string {
 	names := make(map[string]bool)
 	for address, p := range m.roster.peers {
 		spoke := p.everHeard && now-p.heard <= m.config.LiveFor
-		if m.roster.inScope(p.member) && (!p.member.Left || spoke) {
+		if m.roster.isVoter(address) || p.member.Left && spoke && m.roster.inScope(p.member) {
 			names[address] = true
 		}
 	}
-	if !m.config.OwnDataCentre || !m.settled || now >= m.seedsAt {
+	if m.Size() <= m.config.MaxVoters && !m.config.OwnRegion || !m.settled || now >= m.seedsAt {
 		m.seedsAt = now + m.config.SeedEvery
 		for _, s := range m.seeds {
 			names[s] = true
@@ -57,7 +59,8 @@
 			actions = append(actions, m.roster.add(now, member)...)
 		}
 	}
-	reply := Reply{From: m.roster.self, Sequence: b.Sequence, Settled: m.settled}
+	actions = append(actions, m.followRole(now)...)
+	reply := Reply{Settled: m.settled, Sequence: b.Sequence, Held: m.HeldRights(now)}
 	if p != nil && m.roster.inScope(b.From) {
 		p.settled, p.held, p.silent = b.Settled, setOf(b.Held), setOf(b.Silent)
 		for _, right := range b.Released {
@@ -66,8 +69,9 @@
 		reply.Votes = m.votes(now, b)
 	}
 	m.spreadChanges(now, actions)
-	reply.Voters = m.roster.digest()
-	if reply.Voters != b.Voters {
+	view := m.roster.current()
+	reply.From, reply.Voters, reply.Roster = m.roster.self, view.votersDigest, view.rosterDigest
+	if reply.Roster != b.Roster {
 		reply.Members = m.roster.membersOf(b.From)
 	}
 	return reply, actions
@@ -107,8 +111,8 @@
 // Replied counts the votes of a reply from when they were asked for.
 func (m *Machine) Replied(now time.Duration, r Reply) []Action {
 	p, actions := m.roster.heardFrom(now, r.From)
-	if p != nil {
-		p.settled = r.Settled
+	if p != nil && m.roster.inScope(r.From) {
+		p.settled, p.held = r.Settled, setOf(r.Held)
 	}
 	for _, member := range r.Members {
 		if member.Address != r.From.Address {
@@ -116,9 +120,10 @@
 		}
 	}
 	m.spreadChanges(now, actions)
+	actions = append(actions, m.followRole(now)...)
 	sent, known := m.sent[r.Sequence]
-	voters := m.roster.digest()
-	if r.Voters != voters && m.roster.inScope(r.From) {
+	voters := m.roster.current().votersDigest
+	if r.Roster != m.roster.current().rosterDigest && m.roster.inScope(r.From) {
 		m.spreadUntil = now + spreadFor
 	}
 	if p == nil || !known || r.Voters != voters || sent.voters != voters {
@@ -141,7 +146,7 @@
 	return actions
 }
 
-// preferred is the live, settled member that should hold a right: one of the
+// preferred is the live, settled voter that should hold a right: one of the
 // right's data centre first, then by rendezvous hashing.
 func (m *Machine) preferred(now time.Duration, right string) string {
 	dataCentre, _, _ := strings.Cut(right, "/")
@@ -155,7 +160,7 @@
 	}
 	consider(m.roster.self)
 	for address, p := range m.roster.peers {
-		if p.settled && m.roster.live(now, m.config.LiveFor, address) {
+		if p.settled && m.roster.isVoter(address) && m.roster.live(now, m.config.LiveFor, address) {
 			consider(p.member)
 		}
 	}
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -41,6 +42,7 @@
 	released map[string]time.Duration
 	settled  bool
 	leaving  bool
+	voting   bool
 	// seedsAt is when the seeds that are no peers get the next beat.
 	seedsAt time.Duration
 	// spreadUntil is until when beats carry the roster.
@@ -60,7 +62,7 @@
 // may take; numbers must be unique to this instance, see NextFence.
 func NewMachine(now time.Duration, self Member, seeds, rights []string, config Config, minFence func() uint64) *Machine {
 	m := &Machine{
-		config: config, roster: newRoster(self), rights: slices.Clone(rights),
+		config: config, roster: newRoster(self, config), rights: slices.Clone(rights),
 		claims: make(map[string]*claim), started: now, sent: make(map[uint64]sentBeat),
 		released: make(map[string]time.Duration), minFence: minFence,
 	}
@@ -69,7 +71,6 @@
 		m.claims[right] = &claim{granted: make(map[string]time.Duration), vote: ballot{formerEnd: now + config.promise()}}
 	}
 	m.spreadUntil = now + spreadFor
-	m.roster.ownDataCentre = config.OwnDataCentre
 	m.AddSeeds(now, seeds)
 	return m
 }
@@ -113,7 +114,7 @@
 		return m.roster.self.Address
 	}
 	for address, p := range m.roster.peers {
-		if p.held[right] && m.roster.live(now, m.config.LiveFor, address) {
+		if p.held[right] && m.roster.live(now, m.liveFor(), address) {
 			return address
 		}
 	}
@@ -129,14 +130,47 @@
 // Members lists the roster, this instance included.
 func (m *Machine) Members() []Member { return m.roster.members() }
 
-// Voters counts the members that have not left.
+// Size counts the members of the cluster that have not left.
+func (m *Machine) Size() int { return m.roster.current().size }
+
+// Voters counts the voters of the cluster.
 func (m *Machine) Voters() int { return len(m.roster.voters()) }
 
-// Live lists the addresses of the other members that were heard lately.
+// IsVoter tells whether a member is a voter.
+func (m *Machine) IsVoter(address string) bool { return m.roster.isVoter(address) }
+
+// Voting tells whether this instance is a voter. Voters hear every member;
+// the others hear the voters only.
+func (m *Machine) Voting() bool { return m.roster.isVoter(m.roster.self.Address) }
+
+// Follows tells whether a member of this cluster is no voter, and so hears the
+// voters only.
+func (m *Machine) Follows(address string) bool {
+	p := m.roster.peers[address]
+	return p != nil && m.roster.inScope(p.member) && !m.roster.isVoter(address)
+}
+
+// Interval is the time until the next beat.
+func (m *Machine) Interval() time.Duration {
+	if m.Voting() || m.config.FollowersPerSecond <= 0 {
+		return m.config.BeatEvery
+	}
+	share := time.Duration(float64(m.Size()) / m.config.FollowersPerSecond * float64(time.Second))
+	return max(m.config.BeatEvery, share)
+}
+
+// liveFor is how long a member counts as live after it was last heard.
+func (m *Machine) liveFor() time.Duration { return max(m.config.LiveFor, followedBeats*m.Interval()) }
+
+// followedBeats is the number of its own beats after which a follower takes a
+// voter that answered none of them as lost.
+const followedBeats = 3
+
+// Live lists the addresses of the other voters that were heard lately.
 func (m *Machine) Live(now time.Duration) []string {
 	var names []string
-	for _, address := range slices.Sorted(maps.Keys(m.roster.peers)) {
-		if m.roster.live(now, m.config.LiveFor, address) {
+	for _, address := range m.roster.voters() {
+		if m.roster.live(now, m.liveFor(), address) {
 			names = append(names, address)
 		}
 	}
@@ -176,6 +210,7 @@
 	m.settle(now)
 	actions := m.roster.remove(now, m.config)
 	m.spreadChanges(now, actions)
+	actions = append(actions, m.followRole(now)...)
 	for _, right := range m.rights {
 		actions = append(actions, m.advance(now, right)...)
 	}
@@ -201,6 +236,30 @@
 	m.settled = seeds || settledPeer || now >= m.started+m.config.SeedWait
 }
 
+// followRole takes up or gives up the part of a voter. What a new voter may not
+// know is that another voter of the former set was bound to a holder, so it takes
+// itself as bound for as long. Only voters hear what all members use, so one that
+// is no voter any more holds nothing.
+func (m *Machine) followRole(now time.Duration) []Action {
+	if voting := m.Voting(); voting == m.voting {
+		return nil
+	}
+	m.voting = !m.voting
+	var actions []Action
+	for _, right := range m.rights {
+		if m.voting {
+			c := m.claims[right]
+			c.vote.formerEnd = max(c.vote.formerEnd, now+m.config.promise())
+			continue
+		}
+		actions = append(actions, m.release(now, right)...)
+	}
+	if m.voting {
+		m.roster.learnAnew(now)
+	}
+	return actions
+}
+
 // advance recounts one right's votes.
 func (m *Machine) advance(now time.Duration, right string) []Action {
 	c := m.claims[right]
@@ -244,24 +303,25 @@
 	return counter<<24 | uint64(ordinal)&fenceOrdinalMask
 }
 
-// leaseEnd is until when a majority of the voters has voted for this instance.
+// leaseEnd is until when enough voters have voted for this instance.
 func (m *Machine) leaseEnd(c *claim) time.Duration {
 	voters := m.roster.voters()
 	ends := make([]time.Duration, 0, len(voters))
 	for _, v := range voters {
 		ends = append(ends, c.granted[v])
 	}
-	if len(ends) == 0 {
+	required := m.roster.required()
+	if len(ends) < required {
 		return 0
 	}
-	slices.SortFunc(ends, func(a, b time.Duration) int { return int(b - a) })
-	return ends[len(ends)/2]
+	slices.SortFunc(ends, func(a, b time.Duration) int { return cmp.Compare(b, a) })
+	return ends[required-1]
 }
 
 // wants tells whether this instance should ask for a right: where no live
 // member holds it and this instance is the preferred one among the live.
 func (m *Machine) wants(now time.Duration, right string, c *claim) bool {
-	if m.leaving || !m.settled {
+	if m.leaving || !m.settled || !m.voting {
 		return false
 	}
 	if c.held {
@@ -286,7 +346,7 @@
 
 // cast votes for an instance where no promise to another stands against it.
 func (m *Machine) cast(now time.Duration, c *claim, to string) Vote {
-	if !m.settled || c.vote.to != to && now < c.vote.until {
+	if !m.settled || !m.voting || c.vote.to != to && now < c.vote.until {
 		return Vote{Fence: c.highest}
 	}
 	if c.vote.to != to {
--- a/coord/quorum/machine_test.go
+++ b/coord/quorum/machine_test.go
@@ -114,12 +114,12 @@
 	require.Empty(t, w.faults)
 }
 
-func dataCentreConfig() Config { return DataCentreConfig(requiredGap + 500*time.Millisecond) }
+func regionConfig() Config { return RegionConfig(requiredGap + 500*time.Millisecond) }
 
-// TestEachDataCentreOrdersItsOwn covers a fleet with a cluster in each data
-// centre: one that is lost stops nothing in the other.
-func TestEachDataCentreOrdersItsOwn(t *testing.T) {
-	w := newWorld(8, 9, dataCentreConfig())
+// TestEachRegionOrdersItsOwn covers a fleet with a cluster in each region: one
+// that is lost stops nothing in the other.
+func TestEachRegionOrdersItsOwn(t *testing.T) {
+	w := newWorld(8, 9, regionConfig())
 	w.run(10 * time.Second)
 	held := holders(w)
 	require.Len(t, held, len(w.rights))
@@ -179,16 +179,103 @@
 	}
 }
 
-// TestRandomHistoriesOfDataCentres checks the same for clusters by data centre.
-func TestRandomHistoriesOfDataCentres(t *testing.T) {
+// TestRandomHistoriesOfRegions checks the same for clusters by region.
+func TestRandomHistoriesOfRegions(t *testing.T) {
 	for seed := range uint64(30) {
-		w := newWorld(seed, 9, dataCentreConfig())
+		w := newWorld(seed, 9, regionConfig())
 		disturb(w)
 		require.Empty(t, w.faults, "seed %d", seed)
 		require.Len(t, holders(w), len(w.rights), "seed %d", seed)
 	}
 }
 
+// TestRandomHistoriesOfAFewVoters checks the same where most members are no
+// voters, and others take the place of those that leave.
+func TestRandomHistoriesOfAFewVoters(t *testing.T) {
+	config := testConfig()
+	config.MaxVoters = 5
+	for seed := range uint64(60) {
+		w := newWorld(seed, 12, config)
+		disturb(w)
+		require.Empty(t, w.faults, "seed %d", seed)
+		require.Len(t, holders(w), len(w.rights), "seed %d", seed)
+	}
+}
+
+// TestFollowersKnowTheHoldersAndHoldNothing covers the members that are no voters.
+func TestFollowersKnowTheHoldersAndHoldNothing(t *testing.T) {
+	w := newWorld(9, 24, testConfig())
+	w.run(10 * time.Second)
+	held := holders(w)
+	require.Len(t, held, len(w.rights))
+	for _, n := range w.sorted() {
+		require.Equal(t, 9, n.machine.Voters())
+		require.Equal(t, 24, n.machine.Size())
+		for right, holder := range held {
+			require.Equal(t, holder, n.machine.Holder(w.now, right), "as %s knows", n.address)
+		}
+		if !n.machine.Voting() {
+			require.Empty(t, n.machine.HeldRights(w.now))
+			_, targets := n.machine.Beat(w.now)
+			require.LessOrEqual(t, len(targets), 9+len(w.seeds))
+		}
+	}
+}
+
+// TestRestartsAndJoinsChangeNoVoter shows that restarted members keep their
+// seniority, and that a wave of new ones replaces nobody.
+func TestRestartsAndJoinsChangeNoVoter(t *testing.T) {
+	w := newWorld(10, 12, testConfig())
+	w.run(10 * time.Second)
+	before := w.sorted()[0].machine.roster.voters()
+	for _, n := range w.sorted()[:8] {
+		w.start(n)
+	}
+	w.run(10 * time.Second)
+	w.add(12)
+	w.run(5 * time.Second)
+	for _, n := range w.sorted() {
+		require.Equal(t, before, n.machine.roster.voters(), "as %s knows", n.address)
+	}
+	require.Empty(t, w.faults)
+}
+
+// TestVotersComeFromEveryDataCentreTheStrongFirst covers members that joined
+// together.
+func TestVotersComeFromEveryDataCentreTheStrongFirst(t *testing.T) {
+	r := newRoster(Member{Address: "a1", DataCentre: "a", Since: 1, Weak: true}, Config{MaxVoters: 6})
+	for _, m := range []Member{
+		{Address: "a2", DataCentre: "a"}, {Address: "a3", DataCentre: "a"}, {Address: "a4", DataCentre: "a"},
+		{Address: "b1", DataCentre: "b", Weak: true}, {Address: "b2", DataCentre: "b"}, {Address: "b3", DataCentre: "b"},
+		{Address: "c1", DataCentre: "c"}, {Address: "c2", DataCentre: "c", Weak: true},
+	} {
+		m.Since = 1
+		r.add(0, m)
+	}
+	r.add(0, Member{Address: "c0", DataCentre: "c", Since: 2})
+	counts := make(map[byte]int)
+	for _, v := range r.voters() {
+		counts[v[0]]++
+	}
+	require.Equal(t, map[byte]int{'a': 2, 'b': 2, 'c': 2}, counts)
+	require.False(t, r.isVoter("a1"))
+	require.False(t, r.isVoter("b1"))
+	require.True(t, r.isVoter("c2"), "weak, but older than the strong one that joined later")
+}
+
+// TestFollowersBeatLessOftenInALargeCluster bounds what a voter hears.
+func TestFollowersBeatLessOftenInALargeCluster(t *testing.T) {
+	w := newWorld(11, 200, testConfig())
+	w.run(4 * time.Second)
+	perSecond := 0.0
+	for _, n := range w.sorted() {
+		if !n.machine.Voting() {
+			perSecond += 1 / n.machine.Interval().Seconds()
+		}
+	}
+	require.LessOrEqual(t, perSecond, testConfig().FollowersPerSecond)
+}
+
 // TestBrokenTimesAreFound shows that the same check finds machines whose times
 // are wrong.
 func TestBrokenTimesAreFound(t *testing.T) {
--- a/coord/quorum/messages.go
+++ b/coord/quorum/messages.go
@@ -7,6 +7,13 @@
 type Member struct {
 	Address    string
 	DataCentre string
+	Region     string
+	// Weak members are voters only where there are too few others.
+	Weak bool
+	// Since is when the address first joined, in units of seniorityUnit since the
+	// Unix epoch; 0 where that is not known. The lowest that is known of an
+	// address counts, so that a member keeps its seniority over restarts.
+	Since uint64
 	// Incarnation grows with every start of the instance, and when it refutes
 	// that it has left. News of a higher incarnation replaces all of a lower one.
 	Incarnation uint64
@@ -28,8 +35,9 @@
 	Sequence uint64
 	// Settled senders remember everything that they ever promised.
 	Settled bool
-	// Voters is the digest of the set that the sender takes as voters.
-	Voters uint64
+	// Voters is the digest of the set that the sender takes as voters, Roster
+	// that of all members that have not left.
+	Voters, Roster uint64
 	// Members is the sender's roster, left out while all peers have the same.
 	Members []Member
 	Asks    []Ask
@@ -57,11 +65,13 @@
 	From     Member
 	Sequence uint64
 	Settled  bool
-	// Voters is the digest of the set that the replier takes as voters.
-	Voters uint64
-	// Members is the replier's roster where the sender's voters differ.
+	// Voters and Roster are the digests of the replier's; see Beat.
+	Voters, Roster uint64
+	// Members is the replier's roster where the sender's differs.
 	Members []Member
 	Votes   []Vote
+	// Held lists the rights that the replier holds.
+	Held []string
 }
 
 // Action is what the caller of Machine must do or record.
--- a/coord/quorum/roster.go
+++ b/coord/quorum/roster.go
@@ -4,8 +4,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // peer is what is known of one member.
@@ -24,17 +22,17 @@
 type roster struct {
 	self  Member
 	peers map[string]*peer
-	// ownDataCentre leaves the members of others out of the voters.
-	ownDataCentre bool
-	// cached holds the voters and their digest until the roster changes.
-	cached       []string
-	cachedDigest uint64
+	// ownRegion leaves the members of other regions out.
+	ownRegion bool
+	maxVoters int
+	// view is worked out from the roster when it is asked for.
+	view *rosterView
 	// removed is when this instance last took a member out for its silence.
 	removed time.Duration
 }
 
-func newRoster(self Member) *roster {
-	return &roster{self: self, peers: make(map[string]*peer)}
+func newRoster(self Member, config Config) *roster {
+	return &roster{self: self, peers: make(map[string]*peer), ownRegion: config.OwnRegion, maxVoters: config.MaxVoters}
 }
 
 // add takes news of a member and returns what changed.
@@ -44,32 +42,47 @@
 		return nil
 	}
 	p, exists := r.peers[news.Address]
-	if exists && news.Incarnation <= p.member.Incarnation && news.Left == p.member.Left {
-		return nil
-	}
-	r.changed()
 	if !exists {
 		r.peers[news.Address] = &peer{member: news, known: now}
+		r.changed()
 		return []Action{MemberChanged{Member: news, Reason: "joined"}}
 	}
-	switch {
-	case news.Incarnation > p.member.Incarnation:
-		reason := "restarted"
-		if news.Left {
-			reason = "left"
+	senior := earliest(p.member.Since, news.Since)
+	if senior != p.member.Since {
+		p.member.Since = senior
+		r.changed()
+	}
+	if news.Incarnation < p.member.Incarnation || news.Incarnation == p.member.Incarnation && (!news.Left || p.member.Left) {
+		return nil
+	}
+	r.changed()
+	reason := "left"
+	if news.Incarnation > p.member.Incarnation {
+		if !news.Left {
+			reason = "restarted"
 		}
-		p.member, p.settled, p.held, p.silent = news, false, nil, nil
-		p.known = now
-		return []Action{MemberChanged{Member: news, Reason: reason}}
-	case news.Incarnation == p.member.Incarnation && news.Left && !p.member.Left:
-		p.member.Left = true
-		return []Action{MemberChanged{Member: news, Reason: "left"}}
+		p.settled, p.held, p.silent, p.known = false, nil, nil, now
 	}
-	return nil
+	p.member = news
+	p.member.Since = senior
+	return []Action{MemberChanged{Member: p.member, Reason: reason}}
 }
 
-// refute outbids news that this instance has left.
+// earliest is the lower of two times of joining, where 0 is not known.
+func earliest(a, b uint64) uint64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
+}
+
+// refute outbids news that this instance has left, and takes back the seniority
+// that it had before a restart.
 func (r *roster) refute(news Member) {
+	if senior := earliest(r.self.Since, news.Since); senior != r.self.Since {
+		r.self.Since = senior
+		r.changed()
+	}
 	if !r.self.Left && (news.Left && news.Incarnation >= r.self.Incarnation) {
 		r.self.Incarnation = news.Incarnation + 1
 	}
@@ -83,8 +96,8 @@
 		return nil, actions
 	}
 	p.heard, p.everHeard = now, true
-	if m.DataCentre != "" && m.DataCentre != p.member.DataCentre {
-		p.member.DataCentre = m.DataCentre
+	if m.DataCentre != p.member.DataCentre || m.Region != p.member.Region || m.Weak != p.member.Weak {
+		p.member.DataCentre, p.member.Region, p.member.Weak = m.DataCentre, m.Region, m.Weak
 		r.changed()
 	}
 	return p, actions
@@ -99,62 +112,18 @@
 	return all
 }
 
-// changed drops what was worked out from the roster.
-func (r *roster) changed() { r.cached = nil }
-
-// digest identifies the voters.
-func (r *roster) digest() uint64 {
-	r.voters()
-	return r.cachedDigest
-}
-
-// voters lists the addresses of the members that have not left, sorted. The
-// result must not be changed.
-func (r *roster) voters() []string {
-	if r.cached != nil {
-		return r.cached
-	}
-	r.cached = r.listVoters()
-	r.cachedDigest = digestOf(r.cached)
-	return r.cached
-}
-
-func (r *roster) listVoters() []string {
-	names := []string{}
-	if !r.self.Left {
-		names = append(names, r.self.Address)
-	}
-	for address, p := range r.peers {
-		if !p.member.Left && r.inScope(p.member) {
-			names = append(names, address)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // inScope tells whether a member belongs to the same cluster.
 func (r *roster) inScope(m Member) bool {
-	return !r.ownDataCentre || m.DataCentre == r.self.DataCentre
+	return !r.ownRegion || m.Region == r.self.Region
 }
 
 // membersOf lists what is known of the cluster of another member.
 func (r *roster) membersOf(other Member) []Member {
 	all := r.members()
-	if !r.ownDataCentre {
+	if !r.ownRegion {
 		return all
 	}
-	return slices.DeleteFunc(all, func(m Member) bool { return m.DataCentre != other.DataCentre })
-}
-
-// digestOf identifies a set of voters.
-func digestOf(voters []string) uint64 {
-	d := xxhash.New()
-	for _, v := range voters {
-		_, _ = d.WriteString(v)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
+	return slices.DeleteFunc(all, func(m Member) bool { return m.Region != other.Region })
 }
 
 func (r *roster) live(now, within time.Duration, address string) bool {
@@ -178,21 +147,28 @@
 	return names
 }
 
-// remove takes out the first member that a majority finds silent, at most one
-// each interval.
+// learnAnew gives every member time to be heard, for an instance that becomes a
+// voter and did not hear them before.
+func (r *roster) learnAnew(now time.Duration) {
+	for _, p := range r.peers {
+		p.known = now
+	}
+}
+
+// remove takes out the first member that a majority of the voters finds silent,
+// at most one each interval.
 func (r *roster) remove(now time.Duration, config Config) []Action {
-	if now-r.removed < config.RemoveEvery {
+	if now-r.removed < config.RemoveEvery || !r.isVoter(r.self.Address) {
 		return nil
 	}
-	voters := r.voters()
 	for _, candidate := range r.silentFor(now, config.RemoveAfter) {
 		agree := 1
-		for _, p := range r.peers {
-			if !p.member.Left && r.inScope(p.member) && p.silent[candidate] && now-p.heard <= config.LiveFor {
+		for address, p := range r.peers {
+			if r.isVoter(address) && p.silent[candidate] && now-p.heard <= config.LiveFor {
 				agree++
 			}
 		}
-		if agree <= len(voters)/2 {
+		if agree <= len(r.voters())/2 {
 			continue
 		}
 		r.removed = now
--- a/coord/quorum/sim_test.go
+++ b/coord/quorum/sim_test.go
@@ -5,17 +5,23 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/anishathalye/porcupine"
 )
 
 // requiredGap is the least time between orders of two instances to one worker.
 const requiredGap = 3 * time.Second
 
+// usualLoss is the part of messages that is lost without a fault.
+const usualLoss = 0.05
+
 // world runs several machines over a fake network in virtual time.
 type world struct {
 	random *rand.Rand
 	config Config
 	now    time.Duration
 	nodes  map[string]*node
+	order  []*node
 	seeds  []string
 	rights []string
 	queue  []delivery
@@ -23,17 +29,26 @@
 	faults []string
 	// held counts the steps at which a right was held and clear.
 	held int
+	// loss is the part of all messages that is lost.
+	loss float64
+	// history holds every order as sent, with the time until it may arrive.
+	history []porcupine.Operation
+	// breaks changes a machine that was just made, for broken variants.
+	breaks func(*Machine)
 }
 
 type node struct {
 	machine     *Machine
 	address     string
+	ordinal     uint32
 	incarnation uint64
 	down        bool
 	frozenUntil time.Duration
 	nextBeat    time.Duration
 	// group partitions the network: nodes talk within their group only.
 	group int
+	// mute nodes are heard by nobody, deaf ones hear nobody.
+	mute, deaf bool
 }
 
 type delivery struct {
@@ -54,46 +69,55 @@
 func newWorld(seed uint64, count int, config Config) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 7)), config: config, nodes: make(map[string]*node),
-		rights: []string{"a/0", "a/1", "b/0", "b/1"}, acts: make(map[string]act),
+		rights: []string{"a/0", "a/1", "b/0", "b/1"}, acts: make(map[string]act), loss: usualLoss,
 	}
-	for i := range count {
-		address := fmt.Sprintf("10.0.0.%d:1", i+1)
-		if i < 3 {
-			w.seeds = append(w.seeds, address)
+	w.add(count)
+	return w
+}
+
+// add starts further nodes; the first three of all are the seeds.
+func (w *world) add(count int) {
+	for range count {
+		ordinal := uint32(len(w.nodes) + 1)
+		n := &node{address: fmt.Sprintf("10.0.0.%d:1", ordinal), ordinal: ordinal}
+		if ordinal <= 3 {
+			w.seeds = append(w.seeds, n.address)
 		}
-		w.nodes[address] = &node{address: address}
+		w.nodes[n.address] = n
+		w.order = append(w.order, n)
 	}
 	for _, n := range w.sorted() {
-		w.start(n)
+		if n.machine == nil {
+			w.start(n)
+		}
 	}
-	return w
 }
 
-func (w *world) sorted() []*node {
-	var all []*node
-	for _, n := range w.nodes {
-		all = append(all, n)
-	}
-	slices.SortFunc(all, func(a, b *node) int { return slices.Compare([]byte(a.address), []byte(b.address)) })
-	return all
-}
+// sorted lists the nodes by ordinal.
+func (w *world) sorted() []*node { return w.order }
 
 func (w *world) start(n *node) {
 	n.incarnation++
 	n.down = false
-	ordinal := uint32(n.address[7])
+	ordinal := n.ordinal
 	dataCentre := []string{"a", "b"}[ordinal%2]
-	self := Member{Address: n.address, DataCentre: dataCentre, Incarnation: n.incarnation + uint64(w.now/time.Millisecond)}
+	self := Member{
+		Address: n.address, DataCentre: dataCentre, Region: dataCentre,
+		Incarnation: n.incarnation + uint64(w.now/time.Millisecond), Since: Seniority(int64(w.now/time.Second) + 1000),
+	}
 	rights := slices.DeleteFunc(slices.Clone(w.rights), func(right string) bool {
-		return w.config.OwnDataCentre && right[:1] != dataCentre
+		return w.config.OwnRegion && right[:1] != dataCentre
 	})
 	n.machine = NewMachine(w.now, self, w.seeds, rights, w.config, func() uint64 {
 		return Fence(uint64(w.now/time.Second)+1, ordinal)
 	})
+	if w.breaks != nil {
+		w.breaks(n.machine)
+	}
 	n.nextBeat = w.now
 }
 
-const step = 10 * time.Millisecond
+const step = 20 * time.Millisecond
 
 // run advances time by d.
 func (w *world) run(d time.Duration) {
@@ -105,7 +129,7 @@
 			}
 			n.machine.Tick(w.now)
 			if w.now >= n.nextBeat {
-				n.nextBeat = w.now + w.config.Term/5
+				n.nextBeat = w.now + n.machine.Interval()
 				w.send(n)
 			}
 			w.act(n)
@@ -130,6 +154,7 @@
 				w.faults = append(w.faults, fmt.Sprintf("%v %s: fence %d after %d", w.now, right, fence, last.fence))
 			}
 		}
+		w.record(right, n.address, fence)
 		w.acts[right] = act{by: n.address, at: w.now, fence: fence}
 	}
 }
@@ -144,7 +169,7 @@
 // post delays, drops and doubles messages.
 func (w *world) post(from *node, d delivery) {
 	to := w.nodes[d.to]
-	if to == nil || to.group != from.group || w.random.Float64() < 0.05 {
+	if to == nil || to.group != from.group || from.mute || to.deaf || w.random.Float64() < w.loss {
 		return
 	}
 	copies := 1
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -16,11 +16,8 @@
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 )
 
-// Config sets the intervals of the exchange.
+// Config bounds the calls to other instances.
 type Config struct {
-	// BeatEvery is the interval between beats to each other instance. Shorter
-	// spreads news sooner and costs more control traffic.
-	BeatEvery time.Duration
 	// CallTimeout bounds a beat; a later answer would hardly count.
 	CallTimeout time.Duration
 	// FetchTimeout bounds the transfer of a configuration.
@@ -29,30 +26,30 @@
 	Concurrency int
 }
 
-// DefaultConfig returns the intervals that quorum.DefaultConfig is made for.
+// DefaultConfig returns the bounds that quorum.DefaultConfig is made for.
 func DefaultConfig() Config {
 	return Config{
-		BeatEvery:    250 * time.Millisecond,
 		CallTimeout:  600 * time.Millisecond, // half of a lease
 		FetchTimeout: 2 * time.Second,
 		Concurrency:  256,
 	}
 }
 
-// DataCentreConfig returns the intervals that quorum.DataCentreConfig is made for.
-func DataCentreConfig() Config {
+// RegionConfig returns the bounds that quorum.RegionConfig is made for.
+func RegionConfig() Config {
 	c := DefaultConfig()
-	c.BeatEvery = 400 * time.Millisecond
 	c.CallTimeout = time.Second
 	return c
 }
 
 // Local is what the instance tells others and learns from them.
 type Local interface {
-	// Outgoing fills in the part of a beat that is not the quorum's.
-	Outgoing(*clusterpb.BeatRequest)
-	// Incoming takes that part of a peer's beat.
-	Incoming(now time.Duration, from string, beat *clusterpb.BeatRequest)
+	// Outgoing returns the news for the next beat.
+	Outgoing() *clusterpb.News
+	// Reply returns the news for a member that hears the voters only.
+	Reply(now time.Duration, to string) *clusterpb.News
+	// Incoming takes a member's news.
+	Incoming(now time.Duration, from string, news *clusterpb.News)
 	// PeerVersion tells the configuration version that a peer has in force.
 	PeerVersion(from string, version uint64)
 	// LoadAdapter serves the call of that name.
@@ -133,21 +130,44 @@
 func (c *Cluster) Members() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Voters()
+	return c.machine.Size()
+}
+
+// Voting tells whether this instance is a voter, which hears every member.
+func (c *Cluster) Voting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Voting()
+}
+
+// HeldRights lists the rights that this instance holds.
+func (c *Cluster) HeldRights() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.HeldRights(c.now())
+}
+
+// interval is the time until the next beat.
+func (c *Cluster) interval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.Interval()
 }
 
 // Run sends beats until ctx ends.
 func (c *Cluster) Run(ctx context.Context) {
-	ticker := time.NewTicker(c.config.BeatEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	defer c.pool.Release()
 	for {
-		c.beat(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		next := c.now() + c.interval()
+		c.beat(ctx)
+		timer.Reset(max(next-c.now(), 0))
 	}
 }
 
@@ -161,7 +181,8 @@
 		return actions
 	})
 	request := encodeBeat(beat)
-	c.local.Outgoing(request)
+	request.News = c.local.Outgoing()
+	request.News.IntervalNs = int64(c.interval())
 	for _, target := range targets {
 		if !c.reserve(target) {
 			continue
@@ -200,10 +221,18 @@
 	if err != nil {
 		return
 	}
+	var at time.Duration
+	follows := false
 	c.Step(func(now time.Duration, m *quorum.Machine) []quorum.Action {
+		at, follows = now, !m.Voting()
 		return m.Replied(now, decodeReply(response))
 	})
-	c.local.PeerVersion(target, response.GetConfigVersion())
+	if news := response.GetNews(); news != nil {
+		if follows {
+			c.local.Incoming(at, target, news)
+		}
+		c.local.PeerVersion(target, news.GetConfigVersion())
+	}
 }
 
 func (c *Cluster) peer(address string) clusterpb.Cluster {
@@ -242,17 +271,22 @@
 func (s *server) Beat(_ context.Context, in *clusterpb.BeatRequest) (*clusterpb.BeatResponse, error) {
 	var reply quorum.Reply
 	var at time.Duration
+	from, follower := in.GetFrom().GetAddress(), false
 	s.Step(func(now time.Duration, m *quorum.Machine) []quorum.Action {
 		var actions []quorum.Action
 		at = now
 		reply, actions = m.Receive(now, decodeBeat(in))
+		follower = m.Follows(from)
 		return actions
 	})
-	from := in.GetFrom().GetAddress()
-	s.local.Incoming(at, from, in)
-	s.local.PeerVersion(from, in.GetConfigVersion())
+	s.local.Incoming(at, from, in.GetNews())
+	s.local.PeerVersion(from, in.GetNews().GetConfigVersion())
 	response := encodeReply(reply)
-	response.ConfigVersion = s.local.Version()
+	response.News = &clusterpb.News{ConfigVersion: s.local.Version()}
+	if follower {
+		response.News = s.local.Reply(at, from)
+		response.News.IntervalNs = in.GetNews().GetIntervalNs()
+	}
 	return response, nil
 }
 
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -21,10 +21,14 @@
 	heard   chan uint64
 }
 
-func (*quietLocal) Outgoing(*clusterpb.BeatRequest)                        {}
-func (*quietLocal) Incoming(time.Duration, string, *clusterpb.BeatRequest) {}
-func (*quietLocal) RightsChanged(time.Duration, []quorum.Action)           {}
-func (l *quietLocal) Version() uint64                                      { return l.version }
+func (*quietLocal) Outgoing() *clusterpb.News                       { return &clusterpb.News{} }
+func (*quietLocal) Incoming(time.Duration, string, *clusterpb.News) {}
+func (*quietLocal) RightsChanged(time.Duration, []quorum.Action)    {}
+func (l *quietLocal) Version() uint64                               { return l.version }
+
+func (l *quietLocal) Reply(time.Duration, string) *clusterpb.News {
+	return &clusterpb.News{ConfigVersion: l.version}
+}
 
 func (l *quietLocal) State(*clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse {
 	return &clusterpb.FetchStateResponse{ConfigVersion: l.version}
@@ -86,14 +90,16 @@
 
 func TestABeatKeepsItsContent(t *testing.T) {
 	beat := quorum.Beat{
-		From: quorum.Member{Address: "x", DataCentre: "a", Incarnation: 3, Left: true}, Sequence: 4, Settled: true, Voters: 5,
+		From:     quorum.Member{Address: "x", DataCentre: "a", Region: "r", Weak: true, Since: 8, Incarnation: 3, Left: true},
+		Sequence: 4, Settled: true, Voters: 5, Roster: 6,
 		Members: []quorum.Member{{Address: "y", Incarnation: 6}}, Asks: []quorum.Ask{{Right: "a/0", Fence: 7}},
 		Held: []string{"a/1"}, Released: []string{"a/2"}, Silent: []string{"z"},
 	}
 	require.Equal(t, beat, decodeBeat(encodeBeat(beat)))
 	reply := quorum.Reply{
-		From: quorum.Member{Address: "x"}, Sequence: 4, Settled: true, Voters: 5, Members: []quorum.Member{{Address: "y", Left: true}},
-		Votes: []quorum.Vote{{Right: "a/0", Granted: true, ClearAfter: 8, Fence: 9}},
+		From: quorum.Member{Address: "x"}, Sequence: 4, Settled: true, Voters: 5, Roster: 6, Held: []string{"a/2"},
+		Members: []quorum.Member{{Address: "y", Left: true}},
+		Votes:   []quorum.Vote{{Right: "a/0", Granted: true, ClearAfter: 8, Fence: 9}},
 	}
 	require.Equal(t, reply, decodeReply(encodeReply(reply)))
 }
--- a/entry/cluster/codec.go
+++ b/entry/cluster/codec.go
@@ -8,11 +8,16 @@
 )
 
 func encodeMember(m quorum.Member) *clusterpb.Member {
-	return &clusterpb.Member{Address: m.Address, DataCentre: m.DataCentre, Incarnation: m.Incarnation, Left: m.Left}
+	return &clusterpb.Member{
+		Address: m.Address, DataCentre: m.DataCentre, Region: m.Region, Weak: m.Weak, Since: m.Since, Incarnation: m.Incarnation, Left: m.Left,
+	}
 }
 
 func decodeMember(m *clusterpb.Member) quorum.Member {
-	return quorum.Member{Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Incarnation: m.GetIncarnation(), Left: m.GetLeft()}
+	return quorum.Member{
+		Address: m.GetAddress(), DataCentre: m.GetDataCentre(), Region: m.GetRegion(), Weak: m.GetWeak(), Since: m.GetSince(),
+		Incarnation: m.GetIncarnation(), Left: m.GetLeft(),
+	}
 }
 
 func encodeMembers(members []quorum.Member) []*clusterpb.Member {
@@ -33,8 +38,8 @@
 
 func encodeBeat(b quorum.Beat) *clusterpb.BeatRequest {
 	request := &clusterpb.BeatRequest{
-		From: encodeMember(b.From), Sequence: b.Sequence, Settled: b.Settled, Voters: b.Voters, Members: encodeMembers(b.Members),
-		Held: b.Held, Released: b.Released, Silent: b.Silent,
+		From: encodeMember(b.From), Sequence: b.Sequence, Settled: b.Settled, Voters: b.Voters, Roster: b.Roster,
+		Members: encodeMembers(b.Members), Held: b.Held, Released: b.Released, Silent: b.Silent,
 	}
 	for _, ask := range b.Asks {
 		request.Asks = append(request.Asks, &clusterpb.Ask{Right: ask.Right, Fence: ask.Fence})
@@ -44,8 +49,8 @@
 
 func decodeBeat(b *clusterpb.BeatRequest) quorum.Beat {
 	beat := quorum.Beat{
-		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Settled: b.GetSettled(), Voters: b.GetVoters(), Members: decodeMembers(b.GetMembers()),
-		Held: b.GetHeld(), Released: b.GetReleased(), Silent: b.GetSilent(),
+		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Settled: b.GetSettled(), Voters: b.GetVoters(), Roster: b.GetRoster(),
+		Members: decodeMembers(b.GetMembers()), Held: b.GetHeld(), Released: b.GetReleased(), Silent: b.GetSilent(),
 	}
 	for _, ask := range b.GetAsks() {
 		beat.Asks = append(beat.Asks, quorum.Ask{Right: ask.GetRight(), Fence: ask.GetFence()})
@@ -55,7 +60,8 @@
 
 func encodeReply(r quorum.Reply) *clusterpb.BeatResponse {
 	response := &clusterpb.BeatResponse{
-		From: encodeMember(r.From), Sequence: r.Sequence, Settled: r.Settled, Voters: r.Voters, Members: encodeMembers(r.Members),
+		From: encodeMember(r.From), Sequence: r.Sequence, Settled: r.Settled, Voters: r.Voters, Roster: r.Roster,
+		Members: encodeMembers(r.Members), Held: r.Held,
 	}
 	for _, v := range r.Votes {
 		response.Votes = append(response.Votes, &clusterpb.Vote{
@@ -67,8 +73,8 @@
 
 func decodeReply(r *clusterpb.BeatResponse) quorum.Reply {
 	reply := quorum.Reply{
-		From: decodeMember(r.GetFrom()), Sequence: r.GetSequence(), Settled: r.GetSettled(), Voters: r.GetVoters(),
-		Members: decodeMembers(r.GetMembers()),
+		From: decodeMember(r.GetFrom()), Sequence: r.GetSequence(), Settled: r.GetSettled(), Voters: r.GetVoters(), Roster: r.GetRoster(),
+		Members: decodeMembers(r.GetMembers()), Held: r.GetHeld(),
 	}
 	for _, v := range r.GetVotes() {
 		reply.Votes = append(reply.Votes, quorum.Vote{
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -16,7 +16,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var all []balance.Candidate
-	peers := f.livePeers(at) + 1
 	for i := range f.workers {
 		w := &f.workers[i]
 		if w.Service != service.Name {
@@ -24,7 +23,7 @@
 		}
 		c := f.candidate(at, w, service.Engine, r)
 		c.Avoid = tried[w.ID] > 0 || skipped[w.ID]
-		c.Usable = c.Usable && f.connections(w) < f.connectionShare(service, w, peers)
+		c.Usable = c.Usable && f.connections(w) < f.connectionShare(service, w)
 		all = append(all, c)
 	}
 	return all
@@ -32,19 +31,15 @@
 
 func (f *fleet) candidate(at time.Duration, w *worker.Worker, engine *routing.Engine, r *Request) balance.Candidate {
 	c := balance.Candidate{ID: w.ID, Usable: !w.Draining, InScope: f.settings.orders(w.DataCentre), BatchSize: w.Slots, Distance: f.distance(w.DataCentre)}
-	f.addUse(&c, f.own[w.ID])
-	for _, p := range f.peers {
-		if at-p.at <= peerNewsFor {
-			u := p.uses[w.ID]
-			f.addUse(&c, &u)
-		}
-	}
+	others := f.othersUses(at)[w.ID]
+	addUse(&c, &others, r.Adapter)
+	addUse(&c, f.own[w.ID], r.Adapter)
 	if h := f.health[w.ID]; h != nil {
 		c.Suspect = h.Suspect(at)
 	}
 	if engine != nil {
 		c.CacheCapacity = engine.CacheTokens
-		f.addSlots(at, &c, w, engine, r)
+		f.addResidency(at, &c, w, engine, r)
 	}
 	return c
 }
@@ -57,14 +52,15 @@
 )
 
 // connectionShare is how many connections this instance may have to a worker.
-func (f *fleet) connectionShare(service routing.Service, w *worker.Worker, peers int) int {
+func (f *fleet) connectionShare(service routing.Service, w *worker.Worker) int {
 	if service.MaxConnections <= 0 {
 		return math.MaxInt
 	}
-	part := clusterConnections / float64(peers)
+	part := clusterConnections
 	if !f.settings.orders(w.DataCentre) {
-		part = othersConnections / float64(peers*len(f.settings.DataCentres))
+		part = othersConnections / float64(f.settings.clusters()-1)
 	}
+	part /= float64(f.instances)
 	return max(1, int(part*float64(service.MaxConnections)))
 }
 
@@ -76,38 +72,30 @@
 	return 0
 }
 
-func (f *fleet) livePeers(at time.Duration) int {
-	live := 0
-	for _, p := range f.peers {
-		if at-p.at <= peerNewsFor {
-			live++
-		}
-	}
-	return live
-}
-
-func (f *fleet) addUse(c *balance.Candidate, u *use) {
+func addUse(c *balance.Candidate, u *use, adapter string) {
 	if u == nil {
 		return
 	}
 	c.Running += u.running
 	c.WaitingTokens += u.waitingTokens
 	c.CacheTokens += u.cacheTokens
+	c.AdapterRunning += u.adapters[adapter]
 }
 
-// addSlots fills in what the worker holds: from the instance that orders it, or
+// addResidency fills in what the worker holds: from the instance that orders it, or
 // else from the worker's own entry in the store.
-func (f *fleet) addSlots(at time.Duration, c *balance.Candidate, w *worker.Worker, engine *routing.Engine, r *Request) {
+func (f *fleet) addResidency(at time.Duration, c *balance.Candidate, w *worker.Worker, engine *routing.Engine, r *Request) {
 	news, ordered := f.slotNews(at, w)
 	c.Orderable = ordered
 	if !ordered {
 		news = slotNews{usable: r.Model == "" || w.HasModel(r.Model), slots: entrySlots(w, r.Model)}
 	}
 	c.Usable = c.Usable && news.usable
-	inUse := f.inUse(at, w.ID)
+	others, own := f.othersUses(at)[w.ID], f.own[w.ID]
 	c.FreeSlots = max(0, engine.AdapterSlots-len(news.slots))
 	for _, s := range news.slots {
-		if !inUse[s.Adapter] && s.Ready {
+		used := others.adapters[s.Adapter] > 0 || own != nil && own.adapters[s.Adapter] > 0
+		if !used && s.Ready {
 			c.IdleSlots++
 		}
 		if s.Adapter == r.Adapter {
@@ -133,31 +121,13 @@
 	newest, found, newestAt := slotNews{}, false, time.Duration(0)
 	for _, p := range f.peers {
 		s, told := p.slots[w.ID]
-		if told && s.born == w.Born && at-p.at <= peerNewsFor && (!found || p.at > newestAt) {
+		if told && s.born == w.Born && at <= p.until && (!found || p.at > newestAt) {
 			newest, found, newestAt = s, true, p.at
 		}
 	}
 	return newest, found
 }
 
-func (f *fleet) inUse(at time.Duration, id string) map[string]bool {
-	used := make(map[string]bool)
-	if u := f.own[id]; u != nil {
-		for adapter := range u.adapters {
-			used[adapter] = true
-		}
-	}
-	for _, p := range f.peers {
-		if at-p.at > peerNewsFor {
-			continue
-		}
-		for adapter := range p.uses[id].adapters {
-			used[adapter] = true
-		}
-	}
-	return used
-}
-
 // entrySlots reads the adapters of a model from a worker's own entry.
 func entrySlots(w *worker.Worker, model string) []slots.Slot {
 	var held []slots.Slot
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -13,9 +13,9 @@
 
 // Sharing of what the store says within a cluster.
 const (
-	// storeReaders is the number of instances of a data centre's cluster that
-	// watch the store; the rest learn from their beats. More ride out more losses
-	// at once, and cost the store more calls.
+	// storeReaders is the number of voters of a region's cluster that watch the
+	// store; the rest learn from them. More ride out more losses at once, and cost
+	// the store more calls.
 	storeReaders = 3
 	// newsFor is how long beats repeat a piece of news; four beats.
 	newsFor = 1700 * time.Millisecond
@@ -102,34 +102,34 @@
 }
 
 // outgoing fills in the news that is still fresh.
-func (s *shared) outgoing(at time.Duration, beat *clusterpb.BeatRequest) {
+func (s *shared) outgoing(at time.Duration, news *clusterpb.News) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	beat.ReadsStore, beat.StoreAway = s.reading, s.away
+	news.ReadsStore, news.StoreAway = s.reading, s.away
 	for id, w := range s.workers {
 		if at >= w.until {
 			delete(s.workers, id)
 			continue
 		}
-		beat.Workers = append(beat.Workers, w.entry)
+		news.Workers = append(news.Workers, w.entry)
 	}
 	for key, v := range s.versions {
 		if at >= v.until {
 			delete(s.versions, key)
 			continue
 		}
-		beat.Versions = append(beat.Versions, v.version)
+		news.Versions = append(news.Versions, v.version)
 	}
 }
 
 // heard notes how a peer stands with the store, and tells whether the peer knows
 // other things for so long that its listing should be fetched.
-func (s *shared) heard(at time.Duration, from string, beat *clusterpb.BeatRequest, own uint64) (fetch bool) {
+func (s *shared) heard(at time.Duration, from string, news *clusterpb.News, own uint64) (fetch bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peersAway[from] = beat.GetStoreAway()
-	reads := beat.GetReadsStore() && !beat.GetStoreAway()
-	if beat.GetDirectoryDigest() == own || !reads || s.reading && !s.away {
+	s.peersAway[from] = news.GetStoreAway()
+	reads := news.GetReadsStore() && !news.GetStoreAway()
+	if news.GetDirectoryDigest() == own || !reads || s.reading && !s.away {
 		delete(s.differs, from)
 		return false
 	}
@@ -177,7 +177,7 @@
 // refresh follows the cluster: where it spans the fleet every instance reads.
 func (r *reader) refresh(ctx context.Context) {
 	at := now()
-	if !r.settings.ownDataCentre() || !r.shared.enough(r.settings.ControlAddress, r.cluster.Live()) {
+	if !r.settings.regional() || !r.shared.enough(r.settings.ControlAddress, r.cluster.Live()) {
 		r.surplus = 0
 		r.start(ctx)
 		return
--- a/entry/direct/directory_test.go
+++ b/entry/direct/directory_test.go
@@ -28,7 +28,7 @@
 					continue
 				}
 				live = append(live, peer)
-				s.heard(0, peer, &clusterpb.BeatRequest{StoreAway: away[peer]}, 0)
+				s.heard(0, peer, &clusterpb.News{StoreAway: away[peer]}, 0)
 			}
 			if !s.enough(self, live) && !away[self] {
 				count++
@@ -51,7 +51,7 @@
 		{Worker: worker.Worker{ID: "b"}, Change: worker.Updated},
 		{Worker: worker.Worker{ID: "c"}, Change: worker.Lapsed},
 	})
-	var beat clusterpb.BeatRequest
+	var beat clusterpb.News
 	s.outgoing(newsFor-1, &beat)
 	require.Len(t, beat.GetWorkers(), 1, "updates of adapters and lapses are not news for others")
 	require.True(t, beat.GetWorkers()[0].GetGone())
@@ -62,7 +62,7 @@
 
 func TestAListingIsFetchedWhenAReaderKnowsOtherThingsForLong(t *testing.T) {
 	s := newShared()
-	beat := &clusterpb.BeatRequest{DirectoryDigest: 5, ReadsStore: true}
+	beat := &clusterpb.News{DirectoryDigest: 5, ReadsStore: true}
 	require.False(t, s.heard(0, "r", beat, 6))
 	require.False(t, s.heard(differsFor-1, "r", beat, 6))
 	require.True(t, s.heard(differsFor, "r", beat, 6))
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -22,9 +22,12 @@
 	remoteRTT    = 40 * time.Millisecond
 )
 
-// peerNewsFor is how long a peer's news counts without another beat; four of the
-// longer interval.
-const peerNewsFor = 1600 * time.Millisecond
+// peerNewsBeats is the number of a peer's beats for which its news counts, and
+// peerNewsFor the least time.
+const (
+	peerNewsBeats = 4
+	peerNewsFor   = 1600 * time.Millisecond
+)
 
 // notedFor is how long this instance's own finding about an adapter at a worker
 // goes before the news of the instance that orders the worker; two beats.
@@ -36,11 +39,11 @@
 	adapters                            map[string]int
 }
 
-// peerNews is the latest beat of a peer.
+// peerNews is the latest news of a peer.
 type peerNews struct {
-	at    time.Duration
-	uses  map[string]use
-	slots map[string]slotNews
+	at, until time.Duration
+	uses      map[string]use
+	slots     map[string]slotNews
 }
 
 // slotNews is what the instance that orders a worker says of it.
@@ -78,6 +81,11 @@
 	versions map[string]int64
 	budgets  map[string]*retry.Budget
 	demand   *balance.Demand
+	// instances counts the instances of the cluster, this one included.
+	instances int
+	// others sums what the peers have in progress by worker, as of othersAt.
+	others   map[string]use
+	othersAt time.Duration
 }
 
 func newFleet(s Settings) *fleet {
@@ -86,7 +94,7 @@
 		byID: make(map[string]worker.Worker), own: make(map[string]*use), peers: make(map[string]peerNews),
 		mine: make(map[string]slotNews), notes: make(map[adapterAt]noted), health: make(map[string]*balance.Health),
 		versions: make(map[string]int64), budgets: make(map[string]*retry.Budget),
-		demand: balance.NewDemand(),
+		demand: balance.NewDemand(), instances: 1,
 	}
 }
 
@@ -163,54 +171,136 @@
 	return s, known
 }
 
-// heard takes a peer's beat.
-func (f *fleet) heard(at time.Duration, from string, beat *clusterpb.BeatRequest) {
-	news := peerNews{at: at, uses: make(map[string]use), slots: make(map[string]slotNews)}
-	for _, u := range beat.GetUses() {
-		decoded := use{
-			running: int(u.GetRunning()), waitingTokens: int(u.GetWaitingTokens()), cacheTokens: int(u.GetCacheTokens()),
-			adapters: make(map[string]int, len(u.GetAdapters())),
-		}
-		for _, a := range u.GetAdapters() {
-			decoded.adapters[a.GetAdapter()] = int(a.GetRunning())
-		}
-		news.uses[u.GetWorker()] = decoded
+// setInstances records the number of instances of the cluster.
+func (f *fleet) setInstances(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = max(count, 1)
+}
+
+// heard takes a peer's news.
+func (f *fleet) heard(at time.Duration, from string, news *clusterpb.News) {
+	lasts := max(peerNewsFor, peerNewsBeats*time.Duration(news.GetIntervalNs()))
+	decoded := peerNews{at: at, until: at + lasts, uses: make(map[string]use), slots: make(map[string]slotNews)}
+	for _, u := range news.GetUses() {
+		decoded.uses[u.GetWorker()] = decodeUse(u)
 	}
-	for _, s := range beat.GetSlots() {
-		decoded := slotNews{born: s.GetBorn(), usable: s.GetUsable()}
+	for _, s := range news.GetSlots() {
+		held := slotNews{born: s.GetBorn(), usable: s.GetUsable()}
 		for _, one := range s.GetSlots() {
-			decoded.slots = append(decoded.slots, slots.Slot{Adapter: one.GetAdapter(), Ready: one.GetReady()})
+			held.slots = append(held.slots, slots.Slot{Adapter: one.GetAdapter(), Ready: one.GetReady()})
 		}
-		news.slots[s.GetWorker()] = decoded
+		decoded.slots[s.GetWorker()] = held
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[from] = news
+	f.peers[from] = decoded
+}
+
+func decodeUse(u *clusterpb.WorkerUse) use {
+	decoded := use{
+		running: int(u.GetRunning()), waitingTokens: int(u.GetWaitingTokens()), cacheTokens: int(u.GetCacheTokens()),
+		adapters: make(map[string]int, len(u.GetAdapters())),
+	}
+	for _, a := range u.GetAdapters() {
+		decoded.adapters[a.GetAdapter()] = int(a.GetRunning())
+	}
+	return decoded
+}
+
+func encodeUse(id string, u *use) *clusterpb.WorkerUse {
+	encoded := &clusterpb.WorkerUse{
+		Worker: id, Running: uint32(u.running), WaitingTokens: uint32(max(u.waitingTokens, 0)), CacheTokens: uint32(max(u.cacheTokens, 0)),
+	}
+	for adapter, running := range u.adapters {
+		encoded.Adapters = append(encoded.Adapters, &clusterpb.AdapterUse{Adapter: adapter, Running: uint32(running)})
+	}
+	return encoded
+}
+
+// add sums what two instances have in progress at one worker.
+func (u *use) add(other use) {
+	u.running += other.running
+	u.waitingTokens += other.waitingTokens
+	u.cacheTokens += other.cacheTokens
+	for adapter, n := range other.adapters {
+		u.adapters[adapter] += n
+	}
 }
 
-// outgoing fills in what this instance has in progress and holds.
-func (f *fleet) outgoing(beat *clusterpb.BeatRequest) {
+// othersFor is how long the sum over the peers is used; their news comes a few
+// times a second.
+const othersFor = 50 * time.Millisecond
+
+// othersUses sums what the peers have in progress by worker.
+func (f *fleet) othersUses(at time.Duration) map[string]use {
+	if f.others != nil && at-f.othersAt < othersFor {
+		return f.others
+	}
+	f.others, f.othersAt = make(map[string]use), at
+	for _, p := range f.peers {
+		if at > p.until {
+			continue
+		}
+		for id, u := range p.uses {
+			total, known := f.others[id]
+			if !known {
+				total.adapters = make(map[string]int, len(u.adapters))
+			}
+			total.add(u)
+			f.others[id] = total
+		}
+	}
+	return f.others
+}
+
+// addOwnUses tells what this instance has in progress.
+func (f *fleet) addOwnUses(news *clusterpb.News) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	beat.ConfigVersion = f.register.Version()
 	for id, u := range f.own {
-		if u.running == 0 {
+		if u.running > 0 {
+			news.Uses = append(news.Uses, encodeUse(id, u))
+		}
+	}
+}
+
+// addOthersUses tells what all instances but one have in progress at the chosen
+// workers.
+func (f *fleet) addOthersUses(at time.Duration, news *clusterpb.News, but string, chosen func(*worker.Worker) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.workers {
+		w := &f.workers[i]
+		if !chosen(w) {
 			continue
 		}
-		encoded := &clusterpb.WorkerUse{
-			Worker: id, Running: uint32(u.running), WaitingTokens: uint32(max(u.waitingTokens, 0)), CacheTokens: uint32(max(u.cacheTokens, 0)),
+		total := use{adapters: make(map[string]int)}
+		if u := f.own[w.ID]; u != nil {
+			total.add(*u)
 		}
-		for adapter, running := range u.adapters {
-			encoded.Adapters = append(encoded.Adapters, &clusterpb.AdapterUse{Adapter: adapter, Running: uint32(running)})
+		for from, p := range f.peers {
+			if u, uses := p.uses[w.ID]; uses && from != but && at <= p.until {
+				total.add(u)
+			}
+		}
+		if total.running > 0 {
+			news.Uses = append(news.Uses, encodeUse(w.ID, &total))
 		}
-		beat.Uses = append(beat.Uses, encoded)
 	}
+}
+
+// addSlots tells the slots of the workers that this instance orders.
+func (f *fleet) addSlots(news *clusterpb.News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	news.ConfigVersion = f.register.Version()
 	for id, s := range f.mine {
 		encoded := &clusterpb.WorkerSlots{Worker: id, Born: s.born, Usable: s.usable}
 		for _, one := range s.slots {
 			encoded.Slots = append(encoded.Slots, &clusterpb.Slot{Adapter: one.Adapter, Ready: one.Ready})
 		}
-		beat.Slots = append(beat.Slots, encoded)
+		news.Slots = append(news.Slots, encoded)
 	}
 }
 
@@ -233,42 +323,12 @@
 func (f *fleet) usage(at time.Duration, id string) map[string]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	total := make(map[string]int)
+	total := use{adapters: make(map[string]int)}
+	total.add(f.othersUses(at)[id])
 	if u := f.own[id]; u != nil {
-		for adapter, n := range u.adapters {
-			total[adapter] += n
-		}
-	}
-	for _, p := range f.peers {
-		if at-p.at > peerNewsFor {
-			continue
-		}
-		for adapter, n := range p.uses[id].adapters {
-			total[adapter] += n
-		}
-	}
-	return total
-}
-
-// transitElsewhere counts the adapters on their way to workers that other
-// instances order.
-func (f *fleet) transitElsewhere(at time.Duration) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	count := 0
-	for _, p := range f.peers {
-		if at-p.at > peerNewsFor {
-			continue
-		}
-		for _, s := range p.slots {
-			for _, one := range s.slots {
-				if !one.Ready {
-					count++
-				}
-			}
-		}
+		total.add(*u)
 	}
-	return count
+	return total.adapters
 }
 
 // note records this instance's own finding about an adapter at a worker.
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -56,11 +56,14 @@
 func New(s Settings, ports Ports, decisions *decision.Log) (*Instance, error) {
 	i := &Instance{settings: s, ports: ports, log: decisions, metrics: newMetrics(), fleet: newFleet(s), shared: newShared()}
 	incarnation := uint64(time.Now().UnixMilli())
-	self := quorum.Member{Address: s.ControlAddress, DataCentre: s.DataCentre, Incarnation: incarnation}
+	self := quorum.Member{
+		Address: s.ControlAddress, DataCentre: s.DataCentre, Region: s.Region, Weak: s.weak(),
+		Since: quorum.Seniority(time.Now().Unix()), Incarnation: incarnation,
+	}
 	turnGap := s.OrderTurnGap.Std() + orderFlight
 	leases, beats := quorum.DefaultConfig(turnGap), cluster.DefaultConfig()
-	if s.ownDataCentre() {
-		leases, beats = quorum.DataCentreConfig(turnGap), cluster.DataCentreConfig()
+	if s.regional() {
+		leases, beats = quorum.RegionConfig(turnGap), cluster.RegionConfig()
 	}
 	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.orderedDataCentres()), leases, fenceFloor(s.ControlAddress))
 	c, err := cluster.New(beats, machine, now, i)
@@ -104,14 +107,14 @@
 
 // Limits of the callers' server.
 const (
-	// callerHeaderBytes bounds a request's header: twice what the operators'
-	// documents allow.
+	// callerHeaderBytes bounds a request's header before a configuration's own
+	// bound is looked at: twice what the operators' documents allow.
 	callerHeaderBytes = 32 << 10
 	// callerBodyBytes bounds a request's body before its route is known.
 	callerBodyBytes = 8 << 20
-	// callerIdle keeps callers' connections longer than the operators' documents
-	// let callers leave them idle.
-	callerIdle = 60 * time.Second
+	// callerRead bounds the reading of one request, and the rest of a connection
+	// while no configuration is in force.
+	callerRead = 60 * time.Second
 	// callerStall is how long a caller may take nothing of its answer.
 	callerStall = 20 * time.Second
 	// headerTimeout bounds the header of a call on the control and readiness ports.
@@ -166,10 +169,10 @@
 	i.callers = &fasthttp.Server{
 		Handler: i.gateway.handle, Name: "bulrushwick", NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisableHeaderNamesNormalizing: true, ReadBufferSize: callerHeaderBytes, MaxRequestBodySize: callerBodyBytes,
-		IdleTimeout: callerIdle, ReadTimeout: callerIdle, DisablePreParseMultipartForm: true, StreamRequestBody: false,
+		IdleTimeout: callerRead, ReadTimeout: callerRead, DisablePreParseMultipartForm: true, StreamRequestBody: false,
 		ReduceMemoryUsage: true, CloseOnShutdown: true, Logger: i.log,
 	}
-	go func() { failed <- i.callers.Serve(httpx.WatchListener(l.callers, callerStall)) }()
+	go func() { failed <- i.callers.Serve(httpx.WatchIdleListener(l.callers, callerStall, i.callerIdle)) }()
 	serve := func(listener net.Listener, handler http.Handler) {
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(i.log, "", 0)}
 		go func() { failed <- server.Serve(listener) }()
@@ -183,6 +186,15 @@
 	}
 }
 
+// callerIdle is how long a caller's connection may rest.
+func (i *Instance) callerIdle() time.Duration {
+	table := i.fleet.table()
+	if table == nil {
+		return 0
+	}
+	return table.Config.Limits.IdleTimeout
+}
+
 // readiness answers the load balancer.
 func (i *Instance) readiness(w http.ResponseWriter, _ *http.Request) {
 	if i.gateway.draining.Load() || i.fleet.table() == nil {
@@ -261,6 +273,7 @@
 		}
 		i.workersChanged(i.fleet.changeWorkers(tickRegistry))
 		i.orders.refresh(ctx)
+		i.fleet.setInstances(i.cluster.Members())
 		if at := now(); at-summary >= summaryEvery {
 			summary = at
 			i.gateway.pool.Trim(time.Now())
@@ -280,11 +293,7 @@
 
 // members implements loader: the instances of all clusters, as far as known.
 func (i *Instance) members() int {
-	members := i.cluster.Members()
-	if i.settings.ownDataCentre() {
-		members *= len(i.settings.DataCentres)
-	}
-	return members
+	return i.cluster.Members() * i.settings.clusters()
 }
 
 // load implements loader: here where this instance orders the worker, else at
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -12,17 +12,41 @@
 )
 
 // Outgoing implements cluster.Local.
-func (i *Instance) Outgoing(beat *clusterpb.BeatRequest) {
-	i.fleet.outgoing(beat)
-	beat.DirectoryDigest = i.fleet.digest()
-	i.shared.outgoing(now(), beat)
+func (i *Instance) Outgoing() *clusterpb.News {
+	news := i.news()
+	i.fleet.addOwnUses(news)
+	return news
+}
+
+// Reply implements cluster.Local.
+func (i *Instance) Reply(at time.Duration, to string) *clusterpb.News {
+	news := i.news()
+	held := setOf(i.cluster.HeldRights())
+	i.fleet.addOthersUses(at, news, to, func(w *worker.Worker) bool { return held[rightOf(w)] })
+	return news
+}
+
+// news is what goes with beats and with answers to them alike.
+func (i *Instance) news() *clusterpb.News {
+	news := &clusterpb.News{DirectoryDigest: i.fleet.digest()}
+	i.fleet.addSlots(news)
+	i.shared.outgoing(now(), news)
+	return news
+}
+
+func setOf(names []string) map[string]bool {
+	set := make(map[string]bool, len(names))
+	for _, n := range names {
+		set[n] = true
+	}
+	return set
 }
 
 // Incoming implements cluster.Local.
-func (i *Instance) Incoming(at time.Duration, from string, beat *clusterpb.BeatRequest) {
-	i.fleet.heard(at, from, beat)
-	i.learn(beat.GetWorkers(), beat.GetVersions())
-	if i.shared.heard(at, from, beat, i.fleet.digest()) {
+func (i *Instance) Incoming(at time.Duration, from string, news *clusterpb.News) {
+	i.fleet.heard(at, from, news)
+	i.learn(news.GetWorkers(), news.GetVersions())
+	if i.shared.heard(at, from, news, i.fleet.digest()) {
 		i.fetchFrom(from, true)
 	}
 }
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -71,7 +71,10 @@
 }
 
 func newOrders(f *fleet, r rights, members func() int, o Orderer, log *decision.Log, m *metrics) *orders {
-	return &orders{fleet: f, rights: r, members: members, orderer: o, log: log, metrics: m, workers: make(map[string]*orderedWorker), share: slots.NewStoreShare(now())}
+	return &orders{
+		fleet: f, rights: r, members: members, orderer: o, log: log, metrics: m, workers: make(map[string]*orderedWorker),
+		share: slots.NewStoreShare(now()),
+	}
 }
 
 // orderedWorker is one worker that this instance orders.
@@ -262,11 +265,9 @@
 func (w *orderedWorker) step(ctx context.Context) bool {
 	w.readReport(ctx)
 	used := w.fleet.usage(now(), w.worker.ID)
-	transit := w.fleet.transitElsewhere(now())
 	w.mu.Lock()
 	at := now()
 	w.planner.Use(at, used)
-	w.planner.Transit(transit)
 	order, ok := w.planner.Next(at)
 	w.announce()
 	w.mu.Unlock()
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -34,6 +34,8 @@
 	StoreAddress string `json:"storeAddress"`
 	// MemoryLimitMB is what the process may use, in megabytes.
 	MemoryLimitMB int `json:"memoryLimitMB"`
+	// CPUShare is what the process may use, in cores.
+	CPUShare float64 `json:"cpuShare"`
 	// OrderTurnGap is the least time between orders of two instances to one
 	// worker, as the operators require it.
 	OrderTurnGap settings.Duration `json:"orderTurnGap"`
@@ -50,6 +52,7 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryLimitMB: 256,
+		CPUShare:      1,
 		OrderTurnGap:  settings.Duration(3 * time.Second),
 		StopGrace:     settings.Duration(8 * time.Second),
 		RepeatRatio:   0.2,
@@ -114,24 +117,47 @@
 	if s.MemoryLimitMB < 1 {
 		find("memoryLimitMB", "must be at least 1")
 	}
+	if s.CPUShare <= 0 {
+		find("cpuShare", "must be above zero")
+	}
 	if s.RepeatRatio < 0 || s.RepeatSlack < 0 {
 		find("repeatRatio", "and repeatSlack must not be negative")
 	}
 }
 
 // maxFleetCluster is the number of data centres up to which all instances form
-// one cluster. Beats go from each to each: with more data centres each has a
-// cluster of its own, which orders its own workers.
+// one cluster. With more of them each region has a cluster of its own, which
+// orders its own workers: most of its traffic stays where that is cheap.
 const maxFleetCluster = 3
 
-// ownDataCentre tells whether each data centre has a cluster of its own.
-func (s Settings) ownDataCentre() bool { return len(s.DataCentres) > maxFleetCluster }
+// regional tells whether each region has a cluster of its own.
+func (s Settings) regional() bool { return len(s.DataCentres) > maxFleetCluster }
 
 // orders tells whether this instance's cluster orders the workers of a data centre.
 func (s Settings) orders(dataCentre string) bool {
-	return !s.ownDataCentre() || dataCentre == s.DataCentre
+	return !s.regional() || s.DataCentres[dataCentre] == s.Region
 }
 
+// clusters counts the clusters of the fleet.
+func (s Settings) clusters() int {
+	if !s.regional() {
+		return 1
+	}
+	regions := make(map[string]bool)
+	for _, region := range s.DataCentres {
+		regions[region] = true
+	}
+	return len(regions)
+}
+
+// weakShare is the part of a core below which an instance is a voter, and so
+// holds rights, only where there are too few others: a voter's duties take some
+// hundredths of a core.
+const weakShare = 0.35
+
+// weak tells whether this instance should have few duties.
+func (s Settings) weak() bool { return s.CPUShare < weakShare }
+
 // orderedDataCentres lists the data centres whose workers the cluster orders.
 func (s Settings) orderedDataCentres() []string {
 	var ordered []string
