--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -38,6 +38,9 @@
 	// worker's room for them; 0 for plain services.
 	CacheTokens, CacheCapacity int
 	Residency                  Residency
+	// AdapterRunning counts the requests in progress for the adapter that is asked
+	// for, from all instances.
+	AdapterRunning int
 	// FreeSlots and IdleSlots count the adapter slots that are empty and those
 	// whose adapter has no request.
 	FreeSlots, IdleSlots int
@@ -56,7 +59,8 @@
 	Adapter string
 	Tokens  int
 	Rank    int
-	// Demand is the number of requests for the adapter lately, over all instances.
+	// Demand is the number of requests for the adapter lately, over all instances
+	// as far as this one can guess from its own.
 	Demand float64
 }
 
@@ -75,6 +79,9 @@
 	// workers when its home is busy, a rare one waits for its home. Lower spreads
 	// sooner, and spends slots and loads from the store.
 	SpreadCost time.Duration
+	// CopyLoad is the number of requests in progress for an adapter that one worker
+	// takes at ease: a more popular adapter has several homes, one more for each.
+	CopyLoad float64
 	// MaxSpreadCost bounds the cost of any place.
 	MaxSpreadCost time.Duration
 	// EvictionWait is how long an adapter waits where all slots are in use.
@@ -95,6 +102,7 @@
 		LoadingCost:   100 * time.Millisecond,
 		HomeCost:      80 * time.Millisecond,
 		SpreadCost:    10 * time.Second, // a rare adapter is loaded elsewhere only when its home is lost
+		CopyLoad:      12,               // a fifth of a batch
 		MaxSpreadCost: 20 * time.Second,
 		EvictionWait:  400 * time.Millisecond,
 		StepCost:      2 * time.Millisecond,
@@ -112,7 +120,7 @@
 
 // Pick returns the cheapest usable candidate, or false where there is none.
 func (c Config) Pick(r Request, candidates []Candidate) (Choice, bool) {
-	places := placesOf(r.Adapter, candidates)
+	places := c.placesOf(r, candidates)
 	var best Choice
 	for i := range candidates {
 		candidate := &candidates[i]
@@ -169,24 +177,28 @@
 }
 
 // placesOf gives each candidate's place in the adapter's rendezvous order over
-// the usable ones in scope; the home is 0.
-func placesOf(adapter string, candidates []Candidate) []int {
+// the usable ones in scope: 0 for its homes.
+func (c Config) placesOf(r Request, candidates []Candidate) []int {
 	places := make([]int, len(candidates))
-	if adapter == "" {
+	if r.Adapter == "" {
 		return places
 	}
-	scores := make([]uint64, len(candidates))
+	scores, running := make([]uint64, len(candidates)), 0
 	for i := range candidates {
+		running += candidates[i].AdapterRunning
 		if candidates[i].Usable && candidates[i].InScope {
-			scores[i] = xxhash.Sum64String(adapter + "\x00" + candidates[i].ID)
+			scores[i] = xxhash.Sum64String(r.Adapter + "\x00" + candidates[i].ID)
 		}
 	}
+	homes := 1 + int(float64(running)/c.CopyLoad)
 	for i := range candidates {
+		before := 0
 		for j := range candidates {
 			if scores[j] > scores[i] {
-				places[i]++
+				before++
 			}
 		}
+		places[i] = max(0, before-homes+1)
 	}
 	return places
 }
--- a/coord/balance/balance_test.go
+++ b/coord/balance/balance_test.go
@@ -57,6 +57,27 @@
 	require.GreaterOrEqual(t, len(used), 3)
 }
 
+// TestAnAdapterThatMostInstancesUseHasSeveralHomes plays one of many instances: it
+// has seen none of the requests that wait at the adapter's home.
+func TestAnAdapterThatMostInstancesUseHasSeveralHomes(t *testing.T) {
+	all := workers(12)
+	r := Request{Adapter: "a1", Tokens: 2000}
+	home := pick(t, r, all)
+	for i := range all {
+		if all[i].ID == home {
+			all[i].Residency, all[i].AdapterRunning, all[i].Running, all[i].WaitingTokens = Resident, 30, 30, 40_000
+		}
+	}
+	second := pick(t, r, all)
+	require.NotEqual(t, home, second)
+	for i := range all {
+		if all[i].ID == home {
+			all[i].AdapterRunning = 2 // the others run other adapters
+		}
+	}
+	require.Equal(t, home, pick(t, r, all))
+}
+
 func TestAResidentAdapterIsUsedWhereItIs(t *testing.T) {
 	all := workers(12)
 	r := Request{Adapter: "a9", Tokens: 500}
--- a/coord/slots/config.go
+++ b/coord/slots/config.go
@@ -10,12 +10,10 @@
 	// TransitLimit is the number of adapters in transit to one worker. Source:
 	// the engines refuse a fifth.
 	TransitLimit int
-	// ColdLoad is the time to fetch an adapter from the weight store while few
-	// loads are in transit.
+	// ColdLoad is the time after which the end of a load from the weight store is
+	// asked for, about what it takes while the store is at ease. Later keeps
+	// loaded adapters waiting; a question costs little.
 	ColdLoad time.Duration
-	// FullSpeedTransit is the number of loads over all workers beyond which each
-	// takes proportionally longer.
-	FullSpeedTransit int
 	// WarmLoad is the time to load an adapter that the worker held lately.
 	WarmLoad time.Duration
 	// CheckEvery is the interval between questions whether a load has ended.
@@ -41,18 +39,17 @@
 // DefaultConfig returns the times of the operators' sheets for the given room.
 func DefaultConfig(capacity int) Config {
 	return Config{
-		Capacity:         capacity,
-		TransitLimit:     4,
-		ColdLoad:         250 * time.Millisecond,
-		FullSpeedTransit: 8,
-		WarmLoad:         25 * time.Millisecond, // the sheets: a tenth of a cold load
-		CheckEvery:       30 * time.Millisecond, // about a warm load
-		WarmCopies:       30,
-		IdleGrace:        60 * time.Millisecond,
-		FreshGrace:       350 * time.Millisecond, // a beat between instances and a margin
-		UseHalfLife:      4 * time.Second,
-		MaxWaiting:       12,          // about what the slots of a worker turn over within a goal
-		ReportLag:        time.Second, // the sheets say some hundred ms
-		MaxDraining:      2,
+		ColdLoad:     250 * time.Millisecond, // the sheets: 250 and 288 ms
+		Capacity:     capacity,
+		TransitLimit: 4,
+		WarmLoad:     25 * time.Millisecond, // the sheets: a tenth of a cold load
+		CheckEvery:   30 * time.Millisecond, // about a warm load
+		WarmCopies:   30,
+		IdleGrace:    60 * time.Millisecond,
+		FreshGrace:   350 * time.Millisecond, // a beat between instances and a margin
+		UseHalfLife:  4 * time.Second,
+		MaxWaiting:   12,          // about what the slots of a worker turn over within a goal
+		ReportLag:    time.Second, // the sheets say some hundred ms
+		MaxDraining:  2,
 	}
 }
--- a/coord/slots/orders.go
+++ b/coord/slots/orders.go
@@ -55,9 +55,7 @@
 	if p.Warm(adapter) {
 		return p.config.WarmLoad
 	}
-	total := p.transit + p.count(loading) + 1
-	slowdown := max(1, float64(total)/float64(p.config.FullSpeedTransit))
-	return time.Duration(float64(p.config.ColdLoad) * slowdown)
+	return p.config.ColdLoad
 }
 
 // rejectedWait is how long orders are held back after one was rejected.
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -77,7 +77,6 @@
 	current     *Order
 	// retryAt holds orders back after a rejection.
 	retryAt time.Duration
-	transit int
 	// turnover is the decayed mean time in which one waiting want gets a slot.
 	turnover time.Duration
 }
@@ -227,9 +226,6 @@
 	p.turnover += time.Duration(turnoverWeight * (sample - float64(p.turnover)))
 }
 
-// Transit sets the number of adapters in transit to all other workers.
-func (p *Planner) Transit(others int) { p.transit = others }
-
 // InTransit counts the adapters on their way to this worker.
 func (p *Planner) InTransit() int { return p.count(loading) }
 
