Names of fields in one place, a page of events from them, the missing metrics

The holder of a right now writes what a load took there (load_served), so that each hop of a request has a line with its time; placed tells the age of peers' news. Before: TestLinesHaveTheFieldsOfTheTable and TestThePageNamesEveryMetric had nothing to compare. After: both pass, and the first finds a literal or a field that the table lacks.

--- a/coord/retry/budget.go
+++ b/coord/retry/budget.go
@@ -50,16 +50,20 @@
 // Repeat takes one repeat, or reports that none is left for an instance that is
 // one of members.
 func (b *Budget) Repeat(now time.Duration, members int) bool {
+	if b.Left(now, members) < 1 {
+		return false
+	}
+	b.repeats[b.at%buckets]++
+	return true
+}
+
+// Left is what remains of the share of one of members.
+func (b *Budget) Left(now time.Duration, members int) float64 {
 	b.advance(now)
 	requests, repeats := 0, 0
 	for i := range buckets {
 		requests += b.requests[i]
 		repeats += b.repeats[i]
 	}
-	allowed := b.config.Safety * (b.config.Ratio*float64(requests) + b.config.Slack/float64(max(members, 1)))
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	b.repeats[b.at%buckets]++
-	return true
+	return b.config.Safety*(b.config.Ratio*float64(requests)+b.config.Slack/float64(max(members, 1))) - float64(repeats)
 }
--- a/coord/worker/registry.go
+++ b/coord/worker/registry.go
@@ -61,6 +61,12 @@
 	return &Registry{workers: make(map[string]*known), buried: make(map[string]uint64)}
 }
 
+// Missing tells whether a worker's entry is absent and not yet given up.
+func (r *Registry) Missing(id string) bool {
+	k := r.workers[id]
+	return k != nil && k.missing
+}
+
 // StoreLost notes that the store does not answer.
 func (r *Registry) StoreLost() { r.away = true }
 
--- a/entry/decision/log.go
+++ b/entry/decision/log.go
@@ -15,37 +15,6 @@
 	"golang.org/x/time/rate"
 )
 
-// Event names a kind of line.
-type Event string
-
-// The events. docs/OPERATIONS.md explains each one's fields.
-const (
-	Started          Event = "started"
-	Stopping         Event = "stopping"
-	Stopped          Event = "stopped"
-	Reloaded         Event = "reloaded"
-	Placed           Event = "placed"
-	Refused          Event = "refused"
-	LoadWaited       Event = "load_waited"
-	AttemptFailed    Event = "attempt_failed"
-	Repeated         Event = "repeated"
-	Resumed          Event = "resumed"
-	Ended            Event = "ended"
-	OrderSent        Event = "order_sent"
-	RightAcquired    Event = "right_acquired"
-	RightLost        Event = "right_lost"
-	MemberChanged    Event = "member_changed"
-	WorkerChanged    Event = "worker_changed"
-	ConfigAccepted   Event = "config_accepted"
-	ConfigRejected   Event = "config_rejected"
-	EntryRejected    Event = "entry_rejected"
-	StoreLost        Event = "store_lost"
-	StoreReturned    Event = "store_returned"
-	ReportFailed     Event = "report_failed"
-	ConnectionFailed Event = "connection_failed"
-	LinesDropped     Event = "lines_dropped"
-)
-
 // Config bounds the log's volume.
 type Config struct {
 	// LinesPerSecond is the mean rate for each event, Burst what may come at once.
@@ -71,6 +40,7 @@
 	limits   map[Event]*rate.Limiter
 	left     map[Event]int
 	replaced int
+	dropped  uint64
 }
 
 // timeFormat tells times to the millisecond, which orders lines of several
@@ -84,9 +54,10 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.replaced += missed
+		l.dropped += uint64(missed)
 	})
 	l.writer = writer
-	l.out = zerolog.New(writer).With().Str("instance", instance).Logger()
+	l.out = zerolog.New(writer).With().Str(FieldInstance, instance).Logger()
 	return l
 }
 
@@ -108,7 +79,7 @@
 }
 
 func stamp(line *zerolog.Event, event Event) *zerolog.Event {
-	return line.Str("time", time.Now().Format(timeFormat)).Str("event", string(event))
+	return line.Str(FieldTime, time.Now().Format(timeFormat)).Str(FieldEvent, string(event))
 }
 
 func (l *Log) allow(event Event) bool {
@@ -123,14 +94,22 @@
 		return true
 	}
 	l.left[event]++
+	l.dropped++
 	return false
 }
 
+// Dropped counts the lines that were left out or replaced since the start.
+func (l *Log) Dropped() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dropped
+}
+
 // Printf implements the loggers of HTTP servers, whose lines are about one
 // connection.
 func (l *Log) Printf(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
-	l.Line(ConnectionFailed).Str("error", text[:min(len(text), connectionErrorBytes)]).Send()
+	l.Line(ConnectionFailed).Str(FieldError, text[:min(len(text), connectionErrorBytes)]).Send()
 }
 
 // connectionErrorBytes bounds the text of a server's line, which may quote what a
@@ -152,7 +131,7 @@
 	if len(left) == 0 && replaced == 0 {
 		return
 	}
-	line := stamp(l.out.Warn(), LinesDropped).Int("replaced", replaced)
+	line := stamp(l.out.Warn(), LinesDropped).Int(FieldReplaced, replaced)
 	for event := range maps.Keys(left) {
 		line = line.Int("limited_"+string(event), left[event])
 	}
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -65,8 +65,8 @@
 		c.fleet.observe(at, c.worker, false)
 	}
 	c.metrics.repeated(cause)
-	c.log.Line(decision.AttemptFailed).Str("request", c.request.ID).Str("worker", c.worker).Int("status", answer.Status).
-		Bool("not_run", true).Str("cause", cause).Dur("took_ms", at-c.began).Send()
+	c.log.Line(decision.AttemptFailed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.worker).Int(decision.FieldStatus, answer.Status).
+		Bool(decision.FieldNotRun, true).Str(decision.FieldCause, cause).Dur(decision.FieldTookMS, at-c.began).Send()
 	return again
 }
 
@@ -86,8 +86,8 @@
 	at := now()
 	c.fleet.observe(at, c.worker, false)
 	c.metrics.repeated("broken")
-	c.log.Warn(decision.AttemptFailed, err).Str("request", c.request.ID).Str("worker", c.worker).Bool("sent", true).
-		Dur("took_ms", at-c.began).Send()
+	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.worker).Bool(decision.FieldSent, true).
+		Dur(decision.FieldTookMS, at-c.began).Send()
 	return again
 }
 
@@ -107,7 +107,7 @@
 	if answer.Status >= 500 && c.route.Repeatable() && len(c.tried) < c.route.MaxWorkers &&
 		c.left() > 0 && c.fleet.mayRepeat(at, c.service.Name, c.loads.members()) {
 		c.metrics.repeated("server_error")
-		c.log.Line(decision.Repeated).Str("request", c.request.ID).Str("worker", c.worker).Int("status", answer.Status).Send()
+		c.log.Line(decision.Repeated).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.worker).Int(decision.FieldStatus, answer.Status).Send()
 		return againPaid(c)
 	}
 	c.stopWatch()
@@ -143,9 +143,9 @@
 	ctx.SetStatusCode(status)
 	ctx.SetBodyString(f.reason + "\n")
 	c.metrics.refused(f.reason)
-	c.log.Line(decision.Refused).Str("request", c.request.ID).Str("route", c.route.Name).Str("service", c.service.Name).
-		Int("status", status).Str("reason", f.reason).Bool("may_have_run", c.uncertain).Int("sends", c.sends).
-		Str("worker", c.worker).Dur("retry_after_ms", f.retryAfter).Dur("took_ms", now()-c.arrived).Uint64("config", c.version).Send()
+	c.log.Line(decision.Refused).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldService, c.service.Name).
+		Int(decision.FieldStatus, status).Str(decision.FieldReason, f.reason).Bool(decision.FieldMayHaveRun, c.uncertain).Int(decision.FieldSends, c.sends).
+		Str(decision.FieldWorker, c.worker).Dur(decision.FieldRetryAfterMS, f.retryAfter).Dur(decision.FieldTookMS, now()-c.arrived).Uint64(decision.FieldConfig, c.version).Send()
 	c.end("failed", status)
 }
 
@@ -161,9 +161,9 @@
 	c.cancel(nil)
 	c.active.Add(-1)
 	c.metrics.ended(c.route.Kind.String(), c.route.Rank, outcome, took)
-	c.log.Line(decision.Ended).Str("request", c.request.ID).Str("route", c.route.Name).Str("outcome", outcome).Int("status", status).
-		Str("worker", c.worker).Int("sends", c.sends).Dur("took_ms", took).
-		Dur("loading_ms", c.loading).Dur("first_byte_ms", c.firstByte).Int("prompt_tokens", c.request.PromptTokens).Send()
+	c.log.Line(decision.Ended).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldOutcome, outcome).Int(decision.FieldStatus, status).
+		Str(decision.FieldWorker, c.worker).Int(decision.FieldSends, c.sends).Dur(decision.FieldTookMS, took).
+		Dur(decision.FieldLoadingMS, c.loading).Dur(decision.FieldFirstByteMS, c.firstByte).Int(decision.FieldPromptTokens, c.request.PromptTokens).Send()
 }
 
 // answerBegan notes the time of the first byte for the caller.
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -70,6 +70,8 @@
 	mu       sync.Mutex
 	register routing.Register
 	document []byte
+	// configAt is when the configuration in force was taken.
+	configAt time.Duration
 	registry *worker.Registry
 	workers  []worker.Worker
 	byID     map[string]worker.Worker
@@ -112,7 +114,7 @@
 	if !f.register.Offer(config) {
 		return false
 	}
-	f.document = document
+	f.document, f.configAt = document, now()
 	return true
 }
 
@@ -331,6 +333,20 @@
 	return total.adapters
 }
 
+// newsAge is the age of the latest news of any peer, 0 where there is none.
+func (f *fleet) newsAge(at time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	latest := time.Duration(0)
+	for _, p := range f.peers {
+		latest = max(latest, p.at)
+	}
+	if latest == 0 {
+		return 0
+	}
+	return at - latest
+}
+
 // note records this instance's own finding about an adapter at a worker.
 func (f *fleet) note(at time.Duration, id, adapter string, present bool) {
 	f.mu.Lock()
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -81,8 +81,8 @@
 func (g *gateway) refuseEarly(ctx *fasthttp.RequestCtx, status int, reason string) {
 	defer g.active.Add(-1)
 	g.metrics.refused(strconv.Itoa(status))
-	g.log.Line(decision.Refused).Int("status", status).Str("reason", reason).Bytes("host", ctx.Host()).
-		Bytes("path", ctx.Path()).Uint64("config", g.version()).Send()
+	g.log.Line(decision.Refused).Int(decision.FieldStatus, status).Str(decision.FieldReason, reason).Bytes(decision.FieldHost, ctx.Host()).
+		Bytes(decision.FieldPath, ctx.Path()).Uint64(decision.FieldConfig, g.version()).Send()
 	if status == fasthttp.StatusServiceUnavailable {
 		setRetryAfter(ctx, startRetryAfter)
 	}
@@ -322,11 +322,12 @@
 	if refusal := c.policy.refuse(c, choice); refusal != nil {
 		return choice, refusal
 	}
-	c.log.Line(decision.Placed).Str("request", c.request.ID).Str("route", c.route.Name).Str("worker", choice.Candidate.ID).
-		Str("adapter", c.request.Adapter).Uint8("residency", uint8(choice.Candidate.Residency)).
-		Int("running", choice.Candidate.Running).Int("waiting_tokens", choice.Candidate.WaitingTokens).
-		Int("candidates", len(candidates)).Dur("estimate_ms", choice.Estimate).Dur("left_ms", c.left()).
-		Uint64("config", c.version).Send()
+	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
+		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
+		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
+		Dur(decision.FieldNewsAgeMS, c.fleet.newsAge(at)).
+		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.left()).
+		Uint64(decision.FieldConfig, c.version).Send()
 	return choice, nil
 }
 
@@ -380,8 +381,8 @@
 	took := now() - began
 	c.loading += took
 	c.metrics.loadWaited(ready, took)
-	c.log.Line(decision.LoadWaited).Str("request", c.request.ID).Str("worker", choice.Candidate.ID).
-		Str("adapter", c.request.Adapter).Bool("denied", denied).Bool("ready", ready).Str("reason", reason).Dur("took_ms", took).Send()
+	c.log.Line(decision.LoadWaited).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, choice.Candidate.ID).
+		Str(decision.FieldAdapter, c.request.Adapter).Bool(decision.FieldDenied, denied).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).Dur(decision.FieldTookMS, took).Send()
 	if ready {
 		c.missing = ""
 		c.fleet.note(now(), choice.Candidate.ID, c.request.Adapter, true)
@@ -394,8 +395,8 @@
 	at := now()
 	notSent := upstream.NotSent(err)
 	gone := c.ctx.Err() != nil
-	c.log.Warn(decision.AttemptFailed, err).Str("request", c.request.ID).Str("worker", c.worker).Bool("sent", !notSent).
-		Dur("took_ms", at-c.began).Bool("canceled", gone).Send()
+	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.worker).Bool(decision.FieldSent, !notSent).
+		Dur(decision.FieldTookMS, at-c.began).Bool(decision.FieldCanceled, gone).Send()
 	if !gone {
 		c.fleet.observe(at, c.worker, false)
 	}
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -131,8 +131,8 @@
 	defer cancel()
 	failed := make(chan error, 4)
 	i.serveAll(listeners, failed)
-	i.log.Line(decision.Started).Str("data_centre", i.settings.DataCentre).Str("callers", i.settings.CallerAddress).
-		Strs("seeds", i.settings.Seeds).Send()
+	i.log.Line(decision.Started).Str(decision.FieldDataCentre, i.settings.DataCentre).Str(decision.FieldCallers, i.settings.CallerAddress).
+		Strs(decision.FieldSeeds, i.settings.Seeds).Send()
 	go i.cluster.Run(background)
 	go i.housekeep(background)
 	select {
@@ -225,7 +225,7 @@
 func (i *Instance) stop() error {
 	i.gateway.draining.Store(true)
 	began := now()
-	i.log.Line(decision.Stopping).Int64("requests", i.gateway.active.Load()).Send()
+	i.log.Line(decision.Stopping).Int64(decision.FieldRequests, i.gateway.active.Load()).Send()
 	leave, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	i.cluster.Leave(leave)
@@ -235,7 +235,7 @@
 	for i.gateway.active.Load() > 0 && now() < limit {
 		time.Sleep(stopPoll)
 	}
-	i.log.Line(decision.Stopped).Int64("cut", i.gateway.active.Load()).Dur("took_ms", now()-began).Send()
+	i.log.Line(decision.Stopped).Int64(decision.FieldCut, i.gateway.active.Load()).Dur(decision.FieldTookMS, now()-began).Send()
 	i.endCalls(errStopping)
 	i.await(now() + lastAnswers)
 	return nil
@@ -247,7 +247,7 @@
 // Every other change counts from the next start.
 func (i *Instance) Reload(s Settings) {
 	i.cluster.With(func(at time.Duration, m *quorum.Machine) { m.AddSeeds(at, s.Seeds) })
-	i.log.Line(decision.Reloaded).Strs("seeds", s.Seeds).Send()
+	i.log.Line(decision.Reloaded).Strs(decision.FieldSeeds, s.Seeds).Send()
 }
 
 // ReloadFailed logs settings that can't be used; the former stay in force.
@@ -257,40 +257,39 @@
 const (
 	refreshEvery = 100 * time.Millisecond
 	summaryEvery = 5 * time.Second
+	// levelsEvery is the interval of gauges; metrics are read every few seconds.
+	levelsEvery = time.Second
 )
 
 func (i *Instance) housekeep(ctx context.Context) {
 	ticker := time.NewTicker(refreshEvery)
 	defer ticker.Stop()
-	summary := now()
+	summary, levels := now(), now()
 	store := &reader{Instance: i}
 	for {
 		store.refresh(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case due := <-ticker.C:
+			i.metrics.loopLate(time.Since(due))
 		}
 		i.workersChanged(i.fleet.changeWorkers(tickRegistry))
 		i.orders.refresh(ctx)
 		i.fleet.setInstances(i.cluster.Members())
-		if at := now(); at-summary >= summaryEvery {
+		at := now()
+		if at-levels >= levelsEvery {
+			levels = at
+			i.observeLevels(at)
+		}
+		if at-summary >= summaryEvery {
 			summary = at
 			i.gateway.pool.Trim(time.Now())
 			i.log.Summarize()
-			i.observeLevels()
 		}
 	}
 }
 
-func (i *Instance) observeLevels() {
-	i.metrics.level("config_version", float64(i.gateway.version()))
-	i.metrics.level("members", float64(i.members()))
-	i.metrics.level("workers", float64(len(i.fleet.allWorkers())))
-	i.metrics.level("requests_in_progress", float64(i.gateway.active.Load()))
-	i.metrics.level("upstream_connections_opened", float64(i.gateway.pool.Opened()))
-}
-
 // members implements loader: the instances of all clusters, as far as known.
 func (i *Instance) members() int {
 	return i.cluster.Members() * i.settings.clusters()
@@ -316,7 +315,7 @@
 		Rank: uint32(want.rank - resumeRank), WaitNs: int64(want.until - now()), Missing: want.missing,
 	})
 	if err != nil {
-		i.log.Warn(decision.AttemptFailed, err).Str("request", r.ID).Str("holder", holder).Str("call", "load_adapter").Send()
+		i.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, r.ID).Str(decision.FieldHolder, holder).Str(decision.FieldCall, "load_adapter").Send()
 		return false, "the instance that orders the worker did not answer"
 	}
 	return response.GetReady(), response.GetReason()
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -96,7 +96,7 @@
 	request := &clusterpb.FetchStateRequest{ConfigVersion: i.gateway.version(), Directory: directory}
 	state, err := i.cluster.FetchState(context.Background(), from, request)
 	if err != nil {
-		i.log.Warn(decision.ConfigRejected, err).Str("source", from).Send()
+		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, from).Send()
 		return
 	}
 	if len(state.GetConfig()) > 0 {
@@ -128,10 +128,14 @@
 	wait := time.Duration(in.GetWaitNs())
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	began := now()
 	ready, reason := i.orders.load(ctx, loadWant{
 		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(), rank: int(in.GetRank()) + resumeRank,
-		until: now() + wait, missing: in.GetMissing(),
+		until: began + wait, missing: in.GetMissing(),
 	})
+	i.log.Line(decision.LoadServed).Str(decision.FieldRequest, in.GetRequestId()).Str(decision.FieldWorker, in.GetWorker()).
+		Str(decision.FieldAdapter, in.GetAdapter()).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).
+		Int(decision.FieldWaiting, i.orders.waiting(in.GetWorker(), in.GetBorn())).Dur(decision.FieldTookMS, now()-began).Send()
 	return &clusterpb.LoadAdapterResponse{Ready: ready, Reason: reason}, nil
 }
 
@@ -153,12 +157,12 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case quorum.Acquired:
-			i.log.Line(decision.RightAcquired).Str("right", a.Right).Uint64("fence", a.Fence).Dur("clear_in_ms", a.ClearAt-at).Send()
+			i.log.Line(decision.RightAcquired).Str(decision.FieldRight, a.Right).Uint64(decision.FieldFence, a.Fence).Dur(decision.FieldClearInMS, a.ClearAt-at).Send()
 		case quorum.Lost:
-			i.log.Line(decision.RightLost).Str("right", a.Right).Send()
+			i.log.Line(decision.RightLost).Str(decision.FieldRight, a.Right).Send()
 		case quorum.MemberChanged:
-			i.log.Line(decision.MemberChanged).Str("member", a.Member.Address).Str("change", a.Reason).
-				Uint64("incarnation", a.Member.Incarnation).Send()
+			i.log.Line(decision.MemberChanged).Str(decision.FieldMember, a.Member.Address).Str(decision.FieldChange, a.Reason).
+				Uint64(decision.FieldIncarnation, a.Member.Incarnation).Send()
 		}
 	}
 }
@@ -169,14 +173,14 @@
 func (i *Instance) accept(document []byte, source string) {
 	config, err := i.ports.Codec.DecodeConfig(document)
 	if err != nil {
-		i.log.Warn(decision.ConfigRejected, err).Str("source", source).Send()
+		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
 		return
 	}
 	if !i.fleet.offer(config, document) {
 		return
 	}
-	i.log.Line(decision.ConfigAccepted).Uint64("config", config.Version).Str("source", source).Int("routes", len(config.Routes)).
-		Int("services", len(config.Services)).Send()
+	i.log.Line(decision.ConfigAccepted).Uint64(decision.FieldConfig, config.Version).Str(decision.FieldSource, source).Int(decision.FieldRoutes, len(config.Routes)).
+		Int(decision.FieldServices, len(config.Services)).Send()
 }
 
 // Workers implements DirectorySink.
@@ -205,8 +209,8 @@
 			i.gateway.pool.Forget(n.Worker.Address)
 		}
 		if n.Change != worker.Updated {
-			i.log.Line(decision.WorkerChanged).Str("worker", n.Worker.ID).Str("service", n.Worker.Service).Str("change", n.Change.String()).
-				Str("address", n.Worker.Address).Int64("born", n.Worker.Born).Int("models", len(n.Worker.Models)).Send()
+			i.log.Line(decision.WorkerChanged).Str(decision.FieldWorker, n.Worker.ID).Str(decision.FieldService, n.Worker.Service).Str(decision.FieldChange, n.Change.String()).
+				Str(decision.FieldAddress, n.Worker.Address).Int64(decision.FieldBorn, n.Worker.Born).Int(decision.FieldModels, len(n.Worker.Models)).Send()
 		}
 	}
 }
@@ -219,7 +223,7 @@
 
 // EntryRejected implements DirectorySink.
 func (i *Instance) EntryRejected(key string, err error) {
-	i.log.Warn(decision.EntryRejected, err).Str("key", key).Send()
+	i.log.Warn(decision.EntryRejected, err).Str(decision.FieldKey, key).Send()
 }
 
 // Lost implements DirectorySink.
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -52,6 +52,11 @@
 	m.tagged("rank", strconv.Itoa(rank)).Histogram("first_byte_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// paused records the longest pause of a stream.
+func (m *metrics) paused(rank int, longest time.Duration) {
+	m.tagged("rank", strconv.Itoa(rank)).Histogram("pause_seconds", latencyBuckets).RecordDuration(longest)
+}
+
 // refused counts a refusal by its reason.
 func (m *metrics) refused(reason string) { m.tagged("reason", reason).Counter("refusals").Inc(1) }
 
@@ -77,5 +82,10 @@
 	s.Histogram("order_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// loopLate records how late the housekeeping began: a busy or held up processor.
+func (m *metrics) loopLate(by time.Duration) {
+	m.scope.Histogram("loop_late_seconds", latencyBuckets).RecordDuration(by)
+}
+
 // level sets a gauge.
 func (m *metrics) level(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -175,6 +175,17 @@
 	}
 }
 
+// waiting counts the adapters that wait for a slot of a worker.
+func (o *orders) waiting(id string, born int64) int {
+	w := o.find(id, born)
+	if w == nil {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.waiters)
+}
+
 // reasonBusy refuses a load that would wait for too many others, or for a worker
 // that can't be reached.
 const reasonBusy = "too many adapters wait for the worker"
@@ -324,7 +335,7 @@
 	at := now()
 	w.reported = at
 	if err != nil {
-		w.log.Warn(decision.ReportFailed, err).Str("worker", w.worker.ID).Send()
+		w.log.Warn(decision.ReportFailed, err).Str(decision.FieldWorker, w.worker.ID).Send()
 		return
 	}
 	if report.Born != 0 && w.worker.Born != 0 && report.Born != w.worker.Born {
@@ -359,8 +370,8 @@
 		result, err = w.orderer.Order(ctx, w.worker, order, fence)
 	}
 	at := now()
-	line := w.log.Line(decision.OrderSent).Str("worker", w.worker.ID).Bool("unload", order.Unload).Str("model", order.Model).
-		Str("adapter", order.Adapter).Uint64("fence", fence).Bool("held", held).Str("result", result.String()).Dur("took_ms", at-began)
+	line := w.log.Line(decision.OrderSent).Str(decision.FieldWorker, w.worker.ID).Bool(decision.FieldUnload, order.Unload).Str(decision.FieldModel, order.Model).
+		Str(decision.FieldAdapter, order.Adapter).Uint64(decision.FieldFence, fence).Bool(decision.FieldHeld, held).Str(decision.FieldResult, result.String()).Dur(decision.FieldTookMS, at-began)
 	if err != nil {
 		line = line.Err(err)
 	}
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -99,6 +99,8 @@
 // Directory reports what the metadata store says until ctx ends.
 type Directory interface {
 	Run(ctx context.Context, sink DirectorySink)
+	// Calls counts the calls to the store since the start.
+	Calls() uint64
 }
 
 // DirectorySink takes news from a Directory.
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -27,6 +27,7 @@
 	c.progress.answering()
 	c.fleet.observe(at, c.worker, true)
 	c.answerBegan(at)
+	s.passedAt = at
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(answer.Status)
 	ctx.Response.ImmediateHeaderFlush = true
@@ -51,6 +52,8 @@
 	// failed is an error that came with events, which go first.
 	failed error
 	closed bool
+	// passedAt is when events were last passed on, longest the longest pause.
+	passedAt, longest time.Duration
 }
 
 // errCutEvent marks an answer that ends in the middle of an event.
@@ -111,6 +114,8 @@
 	if s.ready > s.noted {
 		s.noteID(s.pending[:s.ready])
 		s.noted = s.ready
+		at := now()
+		s.longest, s.passedAt = max(s.longest, at-s.passedAt), at
 	}
 	n := copy(p, s.pending[:s.ready])
 	s.noted -= n
@@ -134,8 +139,8 @@
 	s.drop(s.exchange)
 	s.pending, s.ready, s.noted, s.failed = nil, 0, 0, nil
 	canceled := s.ctx.Err() != nil
-	s.log.Warn(decision.AttemptFailed, cause).Str("request", s.request.ID).Str("worker", s.worker).Str("last_event", s.lastID).
-		Bool("canceled", canceled).Dur("took_ms", at-s.began).Send()
+	s.log.Warn(decision.AttemptFailed, cause).Str(decision.FieldRequest, s.request.ID).Str(decision.FieldWorker, s.worker).Str(decision.FieldLastEvent, s.lastID).
+		Bool(decision.FieldCanceled, canceled).Dur(decision.FieldTookMS, at-s.began).Send()
 	if canceled {
 		return context.Cause(s.ctx)
 	}
@@ -152,7 +157,7 @@
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
-		s.log.Warn(decision.AttemptFailed, err).Str("request", s.request.ID).Str("last_event", s.lastID).Bool("resuming", true).Send()
+		s.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, s.request.ID).Str(decision.FieldLastEvent, s.lastID).Bool(decision.FieldResuming, true).Send()
 		clear(s.skipped)
 		time.Sleep(resumePause)
 	}
@@ -191,7 +196,7 @@
 	}
 	s.progress.answering()
 	s.exchange, s.answer, s.eof = x, answer, false
-	s.log.Line(decision.Resumed).Str("request", s.request.ID).Str("worker", s.worker).Str("last_event", s.lastID).Send()
+	s.log.Line(decision.Resumed).Str(decision.FieldRequest, s.request.ID).Str(decision.FieldWorker, s.worker).Str(decision.FieldLastEvent, s.lastID).Send()
 	return nil
 }
 
@@ -202,6 +207,7 @@
 	}
 	s.closed = true
 	s.stopWatch()
+	s.metrics.paused(s.route.Rank, s.longest)
 	outcome := "answered"
 	if s.eof && s.ready == 0 {
 		s.finish(s.exchange, s.answer)
