check reads settings templates of the platform

Before: bulrushctl check deploy/settings.json.tmpl called it a broken chunk. After: it is filled in with example fields, and each finding has its line and column in the template (TestCheckReadsASettingsTemplate).

--- a/cmd/bulrushctl/check.go
+++ b/cmd/bulrushctl/check.go
@@ -18,7 +18,7 @@
 	c := &cobra.Command{
 		Use:   "check FILE...",
 		Short: "Find every defect of settings, tables and lists in files",
-		Long: "Check settings, manifests, chunks with routes, pools, endpoints and adapters,\n" +
+		Long: "Check settings, settings templates of the platform, manifests, chunks with routes, pools, endpoints and adapters,\n" +
 			"and the lists of instances and endpoints, as an instance does. A file's kind is\n" +
 			"told by its fields. Chunks are joined with each other, under the manifest among\n" +
 			"the files where there is one. Each finding is a line\n" +
--- a/cmd/bulrushctl/check_test.go
+++ b/cmd/bulrushctl/check_test.go
@@ -78,6 +78,26 @@
 	require.Equal(t, "broken.json", findings[0].File)
 }
 
+// TestCheckReadsASettingsTemplate finds defects at the template's own places.
+func TestCheckReadsASettingsTemplate(t *testing.T) {
+	template, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	require.NoError(t, err)
+	text := strings.Replace(string(template), "{{zone|json}}", `""`, 1)
+	text = strings.Replace(text, "{{limits.memoryMb}}", "{{limits.memory}}", 1)
+	text = strings.Replace(text, `"stopGrace": "{{bounds.graceS}}s"`, `"seedss": 1, "stopGrace": "-{{bounds.graceS}}s"`, 1)
+	write(t, map[string]string{"good.tmpl": string(template), "bad.tmpl": text})
+	out, code := checked(t, "good.tmpl")
+	require.Empty(t, out)
+	require.Zero(t, code)
+	out, code = checked(t, "bad.tmpl")
+	require.Equal(t, exitFailed, code)
+	require.Equal(t, strings.Split(`bad.tmpl:3:3: dataCentre: is empty
+bad.tmpl:12:20: limits.memory: the platform has no such field
+bad.tmpl:15:3: seedss: unknown field; did you mean "seeds"?
+bad.tmpl:15:16: stopGrace: must be above zero
+`, "\n"), strings.Split(out, "\n"))
+}
+
 func TestCheckJoinsByTheManifest(t *testing.T) {
 	manifest := func(digest string) string {
 		return fmt.Sprintf("{\n  \"revision\": 3,\n  \"chunks\": [{\"key\": \"c/pools\", \"digest\": %q}]\n}", digest)
--- a/cmd/internal/check/check.go
+++ b/cmd/internal/check/check.go
@@ -16,6 +16,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/direct"
 	"github.com/bulrushwick/bulrushwick/entry/platform"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
+	users "github.com/bulrushwick/bulrushwick/platform"
 )
 
 // Finding is one defect of a file.
@@ -79,6 +80,8 @@
 		var findings strictjson.Findings
 		errors.As(err, &findings)
 		c.add(f.name, findings)
+	case templateKind:
+		c.template(f)
 	case instancesKind:
 		_, findings := platform.ParseInstances(f.data)
 		c.add(f.name, findings)
@@ -92,6 +95,17 @@
 	}
 }
 
+// template checks the settings that a template gives, at the template's places.
+func (c *checker) template(f file) {
+	rendering, findings := users.RenderExample(f.data)
+	_, err := direct.ParseSettings(rendering.Text)
+	var settingsFindings strictjson.Findings
+	errors.As(err, &settingsFindings)
+	findings = append(findings, rendering.Locate(settingsFindings)...)
+	findings.Sort()
+	c.add(f.name, findings)
+}
+
 // tables joins the chunks, under each manifest or under one that lists them all.
 func (c *checker) tables() {
 	named := make(map[string]bool)
--- a/cmd/internal/check/kind.go
+++ b/cmd/internal/check/kind.go
@@ -23,6 +23,7 @@
 	directSettingsKind
 	instancesKind
 	endpointsKind
+	templateKind
 )
 
 // objects and entries are the kinds of files that hold an object or a list. The
@@ -47,6 +48,9 @@
 
 // kindOf tells a file's kind by its fields. What is no JSON counts as a chunk.
 func kindOf(data []byte) kind {
+	if bytes.Contains(data, []byte("{{")) {
+		return templateKind
+	}
 	if !bytes.HasPrefix(bytes.TrimSpace(data), []byte("[")) {
 		var fields map[string]json.RawMessage
 		_ = json.Unmarshal(data, &fields) // its defects are found later
