Fault soak: the real program between stand-ins, with planted faults found

Six processes, links, a store and workers that misbehave; checks from what callers and workers see (docs/design/soak.md).

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -37,7 +37,7 @@
 		loadCommand(),
 		standinCommand(),
 		statusCommand(),
-		traceCommand(),
+		traceCommand(), soakCommand(),
 		versionCommand(),
 	)
 	return root
--- /dev/null
+++ b/cmd/internal/soak/process.go
@@ -0,0 +1,167 @@
+package soak
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/entry/direct"
+	"github.com/bulrushwick/bulrushwick/entry/settings"
+	"github.com/bulrushwick/bulrushwick/standin"
+)
+
+// instance is one process with its links.
+type instance struct {
+	program  string
+	file     string
+	log      string
+	settings direct.Settings
+	// control leads other instances' calls to it, store its own to the store.
+	control, store *standin.Link
+
+	mu          sync.Mutex
+	command     *exec.Cmd
+	incarnation int
+	// stopping is set from a signal that ends the process until its next start.
+	stopping bool
+	ended    chan struct{}
+	// ownEnds counts the ends that no signal asked for.
+	ownEnds int
+}
+
+// runs counts the runs of this process.
+var runs atomic.Uint32
+
+// hostOf is a loopback address that only one instance of one run uses, so that
+// its ports are free.
+func hostOf(run uint32, ordinal int) string {
+	const networks, hosts = 200, 250
+	return fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%networks, run%hosts, 1+ordinal)
+}
+
+// Ports of every instance.
+const (
+	callerPort    = "8149"
+	readinessPort = "8141"
+	controlPort   = "8144"
+)
+
+// newInstance prepares a process; its seeds are set later.
+func newInstance(program, dir, host string, ordinal int, storeAddress string) (*instance, error) {
+	i := &instance{program: program, file: filepath.Join(dir, fmt.Sprintf("e%d.json", ordinal)), log: filepath.Join(dir, fmt.Sprintf("e%d.log", ordinal))}
+	s := direct.DefaultSettings()
+	s.Instance = fmt.Sprintf("e%d", ordinal)
+	s.DataCentre, s.Region = string(rune('a'+ordinal%2)), "north"
+	s.DataCentres = map[string]string{"a": "north", "b": "north"}
+	s.OrderTurnGap, s.StopGrace = settings.Duration(turnGap), settings.Duration(grace)
+	s.CallerAddress, s.ReadinessAddress = net.JoinHostPort(host, callerPort), net.JoinHostPort(host, readinessPort)
+	s.ControlListenAddress = net.JoinHostPort(host, controlPort)
+	var err error
+	if i.control, err = standin.StartLink("127.0.0.1:0", s.ControlListenAddress); err != nil {
+		return nil, err
+	}
+	if i.store, err = standin.StartLink("127.0.0.1:0", storeAddress); err != nil {
+		return nil, errors.Join(err, i.control.Close())
+	}
+	s.ControlAddress, s.StoreAddress = i.control.Address(), i.store.Address()
+	i.settings = s
+	return i, nil
+}
+
+// writeSettings writes the settings file with the given seeds.
+func (i *instance) writeSettings(seeds []string) error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.settings.Seeds = seeds
+	data, err := json.Marshal(i.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(i.file, data, 0o600)
+}
+
+// start starts the process unless it runs.
+func (i *instance) start() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command != nil {
+		return nil
+	}
+	log, err := os.OpenFile(i.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(i.program, "direct", "--settings", i.file) //nolint:gosec // the path is the caller's own program
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return errors.Join(err, log.Close())
+	}
+	i.command, i.stopping, i.ended = command, false, make(chan struct{})
+	i.incarnation++
+	go i.await(command, log, i.ended)
+	return nil
+}
+
+func (i *instance) await(command *exec.Cmd, log *os.File, ended chan struct{}) {
+	_ = command.Wait() // how it ended shows in stopping
+	_ = log.Close()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if !i.stopping {
+		i.ownEnds++
+	}
+	i.command = nil
+	close(ended)
+}
+
+// signal sends a signal to the process where it runs. Those that end it are
+// expected to.
+func (i *instance) signal(s syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.command == nil {
+		return
+	}
+	i.stopping = i.stopping || s == syscall.SIGKILL || s == syscall.SIGTERM
+	_ = i.command.Process.Signal(s) // it may have ended just now
+}
+
+// stop ends the process, at once or gracefully, and waits for the end.
+func (i *instance) stop(s syscall.Signal) {
+	i.signal(s)
+	i.mu.Lock()
+	ended, running := i.ended, i.command != nil
+	i.mu.Unlock()
+	if !running {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * grace):
+		i.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// starts returns the number of the process's starts.
+func (i *instance) starts() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.incarnation
+}
+
+// close ends the process and its links.
+func (i *instance) close() {
+	i.signal(syscall.SIGCONT)
+	i.stop(syscall.SIGKILL)
+	_ = i.control.Close() // nothing uses it any more
+	_ = i.store.Close()
+}
--- /dev/null
+++ b/cmd/internal/soak/soak_test.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// build builds the program, with a part of one source file replaced.
+func build(t *testing.T, file, old, replacement string) string {
+	t.Helper()
+	dir := t.TempDir()
+	program := filepath.Join(dir, "bulrushwick")
+	arguments := []string{"build", "-o", program}
+	if file != "" {
+		source, err := filepath.Abs(filepath.Join("../../..", file))
+		require.NoError(t, err)
+		text, err := os.ReadFile(source) //nolint:gosec // a file of this repository
+		require.NoError(t, err)
+		require.Equal(t, 1, strings.Count(string(text), old), "the mutated line has changed")
+		mutant := filepath.Join(dir, "mutant.go")
+		require.NoError(t, os.WriteFile(mutant, []byte(strings.Replace(string(text), old, replacement, 1)), 0o600))
+		overlay, err := json.Marshal(map[string]map[string]string{"Replace": {source: mutant}})
+		require.NoError(t, err)
+		overlayFile := filepath.Join(dir, "overlay.json")
+		require.NoError(t, os.WriteFile(overlayFile, overlay, 0o600))
+		arguments = append(arguments, "-overlay", overlayFile)
+	}
+	output, err := exec.Command("go", append(arguments, "github.com/bulrushwick/bulrushwick/cmd/bulrushwick")...).CombinedOutput()
+	require.NoError(t, err, string(output))
+	return program
+}
+
+// regressions are the seeds that once found a fault, with its cause.
+var regressions = map[uint64]string{}
+
+// shortFaults is how long faults strike in CI.
+const shortFaults = 12 * time.Second
+
+// TestSoak plays a fresh seed and every regression.
+func TestSoak(t *testing.T) {
+	t.Parallel()
+	program := build(t, "", "", "")
+	seeds := map[uint64]string{uint64(time.Now().Unix()): "fresh"}
+	for seed, cause := range regressions {
+		seeds[seed] = cause
+	}
+	for seed, cause := range seeds {
+		config := DefaultConfig(program, seed)
+		config.Faults = shortFaults
+		outcome, err := Run(t.Context(), config)
+		require.NoError(t, err)
+		require.Empty(t, outcome.Broken, "seed %d (%s), logs in %s", seed, cause, outcome.Logs)
+		require.Positive(t, outcome.Served)
+	}
+}
+
+// TestSoakFindsMutations shows that the soak finds planted faults.
+func TestSoakFindsMutations(t *testing.T) {
+	for name, m := range map[string]struct{ file, old, replacement, finds string }{
+		"an order is repeated after its first byte": {
+			"entry/direct/gateway.go", "case c.uncertain && !c.route.Repeatable():", "case false:", "ran 2 times",
+		},
+		"a lower configuration is taken": {
+			"coord/routing/table.go", "config.Version <= g.current.Config.Version", "config.Version == g.current.Config.Version", "went back below configuration",
+		},
+		"two holders of one worker": {
+			"coord/quorum/machine.go", "max(0, c.vote.formerEnd+m.config.TurnGap-now)", "time.Duration(0)", "an order of",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			program := build(t, m.file, m.old, m.replacement)
+			for seed := range uint64(4) {
+				outcome, err := Run(t.Context(), DefaultConfig(program, seed+1))
+				require.NoError(t, err)
+				if strings.Contains(strings.Join(outcome.Broken, "\n"), m.finds) {
+					t.Logf("found by seed %d", seed+1)
+					return
+				}
+			}
+			t.Fatal("no seed found it")
+		})
+	}
+}
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"hash/fnv"
@@ -160,7 +161,7 @@
 	}
 	l.callers = open(i.settings.CallerAddress)
 	l.readiness = open(i.settings.ReadinessAddress)
-	l.control = open(i.settings.ControlAddress)
+	l.control = open(cmp.Or(i.settings.ControlListenAddress, i.settings.ControlAddress))
 	l.metrics = open(i.settings.MetricsAddress)
 	return l, errors.Join(errs...)
 }
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -26,6 +26,9 @@
 	ReadinessAddress string `json:"readinessAddress"`
 	// ControlAddress receives other instances' calls, IP:port.
 	ControlAddress string `json:"controlAddress"`
+	// ControlListenAddress is where they are received, IP:port, where a forwarder
+	// stands in between; empty for ControlAddress.
+	ControlListenAddress string `json:"controlListenAddress"`
 	// MetricsAddress serves metrics; empty for none.
 	MetricsAddress string `json:"metricsAddress"`
 	// Seeds are control addresses of some instances.
@@ -90,23 +93,7 @@
 			find(field, "is empty")
 		}
 	}
-	addresses := map[string]string{
-		"callerAddress": s.CallerAddress, "readinessAddress": s.ReadinessAddress,
-		"controlAddress": s.ControlAddress, "storeAddress": s.StoreAddress,
-	}
-	if s.MetricsAddress != "" {
-		addresses["metricsAddress"] = s.MetricsAddress
-	}
-	for field, value := range addresses {
-		if _, err := netip.ParseAddrPort(value); err != nil {
-			find(field, "%q is not an IP address and port", value)
-		}
-	}
-	for _, seed := range s.Seeds {
-		if _, err := netip.ParseAddrPort(seed); err != nil {
-			find("seeds", "%q is not an IP address and port", seed)
-		}
-	}
+	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
 		"orderTurnGap": s.OrderTurnGap, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
 	} {
@@ -125,6 +112,28 @@
 	}
 }
 
+func (s Settings) checkAddresses(find func(path, format string, args ...any)) {
+	addresses := map[string]string{
+		"callerAddress": s.CallerAddress, "readinessAddress": s.ReadinessAddress,
+		"controlAddress": s.ControlAddress, "storeAddress": s.StoreAddress,
+	}
+	for field, value := range map[string]string{"metricsAddress": s.MetricsAddress, "controlListenAddress": s.ControlListenAddress} {
+		if value != "" {
+			addresses[field] = value
+		}
+	}
+	for field, value := range addresses {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			find(field, "%q is not an IP address and port", value)
+		}
+	}
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			find("seeds", "%q is not an IP address and port", seed)
+		}
+	}
+}
+
 // maxFleetCluster is the number of data centres up to which all instances form
 // one cluster. With more of them each region has a cluster of its own, which
 // orders its own workers: most of its traffic stays where that is cheap.
--- a/standin/link.go
+++ b/standin/link.go
@@ -79,6 +79,15 @@
 	l.wake()
 }
 
+// Reset closes every connection that is open now; connections opened later work.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.close()
+	}
+}
+
 // SetFaults switches faults for all connections, open and new.
 func (l *Link) SetFaults(f LinkFaults) {
 	l.mu.Lock()
