Places by sorting, a home for each 40 requests, new instances ask peers before the store

Now an instance of a regional cluster waits 1.2 s for others' news, and fetches the whole listing at once while it knows nothing.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -4,6 +4,8 @@
 package balance
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -102,7 +104,7 @@
 		LoadingCost:   100 * time.Millisecond,
 		HomeCost:      80 * time.Millisecond,
 		SpreadCost:    10 * time.Second, // a rare adapter is loaded elsewhere only when its home is lost
-		CopyLoad:      12,               // a fifth of a batch
+		CopyLoad:      40,               // more than half of a batch
 		MaxSpreadCost: 20 * time.Second,
 		EvictionWait:  400 * time.Millisecond,
 		StepCost:      2 * time.Millisecond,
@@ -183,22 +185,24 @@
 	if r.Adapter == "" {
 		return places
 	}
-	scores, running := make([]uint64, len(candidates)), 0
+	type scored struct {
+		candidate int
+		score     uint64
+	}
+	order, running := make([]scored, 0, len(candidates)), 0
 	for i := range candidates {
 		running += candidates[i].AdapterRunning
 		if candidates[i].Usable && candidates[i].InScope {
-			scores[i] = xxhash.Sum64String(r.Adapter + "\x00" + candidates[i].ID)
+			order = append(order, scored{i, xxhash.Sum64String(r.Adapter + "\x00" + candidates[i].ID)})
 		}
 	}
+	slices.SortFunc(order, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	homes := 1 + int(float64(running)/c.CopyLoad)
-	for i := range candidates {
-		before := 0
-		for j := range candidates {
-			if scores[j] > scores[i] {
-				before++
-			}
-		}
-		places[i] = max(0, before-homes+1)
+	for i := range places {
+		places[i] = max(0, len(order)-homes+1)
+	}
+	for place, s := range order {
+		places[s.candidate] = max(0, place-homes+1)
 	}
 	return places
 }
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -118,14 +118,8 @@
 	if s, mine := f.mine[w.ID]; mine && s.born == w.Born {
 		return s, true
 	}
-	newest, found, newestAt := slotNews{}, false, time.Duration(0)
-	for _, p := range f.peers {
-		s, told := p.slots[w.ID]
-		if told && s.born == w.Born && at <= p.until && (!found || p.at > newestAt) {
-			newest, found, newestAt = s, true, p.at
-		}
-	}
-	return newest, found
+	s, told := f.told[w.ID]
+	return s, told && s.born == w.Born && at <= s.until
 }
 
 // entrySlots reads the adapters of a model from a worker's own entry.
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -22,6 +22,9 @@
 	// differsFor is how long a reader's digest must differ before its whole
 	// listing is fetched; the news may be on its way.
 	differsFor = 1500 * time.Millisecond
+	// joinWait is how long an instance of a regional cluster waits after its start
+	// for others' news before it reads the store itself: three beats.
+	joinWait = 1200 * time.Millisecond
 	// readerKeeps is how long an instance goes on reading after others suffice.
 	readerKeeps = 3 * time.Second
 )
@@ -122,8 +125,9 @@
 	}
 }
 
-// heard notes how a peer stands with the store, and tells whether the peer knows
-// other things for so long that its listing should be fetched.
+// heard notes how a peer stands with the store, and tells whether its listing
+// should be fetched: the peer has known other things for long, or this instance
+// knows nothing.
 func (s *shared) heard(at time.Duration, from string, news *clusterpb.News, own uint64) (fetch bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -136,7 +140,7 @@
 	since, known := s.differs[from]
 	if !known {
 		s.differs[from] = at
-		return false
+		return own == emptyDigest
 	}
 	if at-since < differsFor {
 		return false
@@ -145,6 +149,9 @@
 	return true
 }
 
+// emptyDigest is that of an instance that knows no worker and no version.
+const emptyDigest = 0
+
 // setAway notes whether the store answers this instance.
 func (s *shared) setAway(away bool) {
 	s.mu.Lock()
@@ -169,7 +176,8 @@
 // reader starts and stops the reading of the store. It is used by one goroutine.
 type reader struct {
 	*Instance
-	cancel context.CancelFunc
+	started time.Duration
+	cancel  context.CancelFunc
 	// surplus is since when others suffice; 0 while they don't.
 	surplus time.Duration
 }
@@ -177,6 +185,9 @@
 // refresh follows the cluster: where it spans the fleet every instance reads.
 func (r *reader) refresh(ctx context.Context) {
 	at := now()
+	if r.settings.regional() && at-r.started < joinWait {
+		return
+	}
 	if !r.settings.regional() || !r.shared.enough(r.settings.ControlAddress, r.cluster.Live()) {
 		r.surplus = 0
 		r.start(ctx)
--- a/entry/direct/directory_test.go
+++ b/entry/direct/directory_test.go
@@ -1,7 +1,9 @@
 package direct
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/decision"
 )
 
 // TestAFewInstancesReadTheStore counts the readers among the live instances, also
@@ -44,6 +47,38 @@
 	require.Equal(t, storeReaders, readers(away))
 }
 
+// TestANewInstanceFetchesAListingAtOnce covers one that starts among others: it
+// asks a reader instead of the store.
+func TestANewInstanceFetchesAListingAtOnce(t *testing.T) {
+	require.Equal(t, uint64(emptyDigest), newFleet(DefaultSettings()).digest())
+	s := newShared()
+	news := &clusterpb.News{DirectoryDigest: 5, ReadsStore: true}
+	require.True(t, s.heard(0, "r", news, emptyDigest))
+	require.False(t, s.heard(0, "other", &clusterpb.News{DirectoryDigest: 5}, emptyDigest), "it reads no store either")
+	for _, regional := range []bool{false, true} {
+		settings := DefaultSettings()
+		settings.DataCentres = map[string]string{"a": "n", "b": "n", "c": "n"}
+		if regional {
+			settings.DataCentres["d"] = "s"
+		}
+		store := &silentDirectory{}
+		i, err := New(settings, Ports{Directory: store}, decision.New(decision.DefaultConfig(), io.Discard, "e0"))
+		require.NoError(t, err)
+		r := &reader{Instance: i, started: now()}
+		r.refresh(t.Context())
+		require.Equal(t, !regional, r.cancel != nil, "only where all instances read does one begin at once")
+		r.started -= joinWait
+		r.refresh(t.Context())
+		require.NotNil(t, r.cancel, "nobody else reads")
+	}
+}
+
+// silentDirectory never tells anything.
+type silentDirectory struct{}
+
+func (*silentDirectory) Run(context.Context, DirectorySink) {}
+func (*silentDirectory) Calls() uint64                      { return 0 }
+
 func TestNewsGoesWithBeatsForAWhile(t *testing.T) {
 	s := newShared()
 	s.share(0, []worker.News{
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -43,7 +43,6 @@
 type peerNews struct {
 	at, until time.Duration
 	uses      map[string]use
-	slots     map[string]slotNews
 }
 
 // slotNews is what the instance that orders a worker says of it.
@@ -51,6 +50,8 @@
 	born   int64
 	usable bool
 	slots  []slots.Slot
+	// until is when the news of a peer counts no longer.
+	until time.Duration
 }
 
 // noted is this instance's own finding about an adapter at a worker.
@@ -78,6 +79,8 @@
 	own      map[string]*use
 	peers    map[string]peerNews
 	mine     map[string]slotNews
+	// told is the latest word of the peers that order workers.
+	told     map[string]slotNews
 	notes    map[adapterAt]noted
 	health   map[string]*balance.Health
 	versions map[string]int64
@@ -94,7 +97,7 @@
 	return &fleet{
 		settings: s, balance: balance.DefaultConfig(), registry: worker.NewRegistry(),
 		byID: make(map[string]worker.Worker), own: make(map[string]*use), peers: make(map[string]peerNews),
-		mine: make(map[string]slotNews), notes: make(map[adapterAt]noted), health: make(map[string]*balance.Health),
+		mine: make(map[string]slotNews), told: make(map[string]slotNews), notes: make(map[adapterAt]noted), health: make(map[string]*balance.Health),
 		versions: make(map[string]int64), budgets: make(map[string]*retry.Budget),
 		demand: balance.NewDemand(), instances: 1,
 	}
@@ -142,6 +145,7 @@
 		if n.Change == worker.Gone || n.Change == worker.Restarted {
 			delete(f.health, n.Worker.ID)
 			delete(f.mine, n.Worker.ID)
+			delete(f.told, n.Worker.ID)
 		}
 	}
 	return news
@@ -183,20 +187,20 @@
 // heard takes a peer's news.
 func (f *fleet) heard(at time.Duration, from string, news *clusterpb.News) {
 	lasts := max(peerNewsFor, peerNewsBeats*time.Duration(news.GetIntervalNs()))
-	decoded := peerNews{at: at, until: at + lasts, uses: make(map[string]use), slots: make(map[string]slotNews)}
+	decoded := peerNews{at: at, until: at + lasts, uses: make(map[string]use, len(news.GetUses()))}
 	for _, u := range news.GetUses() {
 		decoded.uses[u.GetWorker()] = decodeUse(u)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.peers[from] = decoded
 	for _, s := range news.GetSlots() {
-		held := slotNews{born: s.GetBorn(), usable: s.GetUsable()}
+		held := slotNews{born: s.GetBorn(), usable: s.GetUsable(), until: at + lasts}
 		for _, one := range s.GetSlots() {
 			held.slots = append(held.slots, slots.Slot{Adapter: one.GetAdapter(), Ready: one.GetReady()})
 		}
-		decoded.slots[s.GetWorker()] = held
+		f.told[s.GetWorker()] = held
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.peers[from] = decoded
 }
 
 func decodeUse(u *clusterpb.WorkerUse) use {
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -266,7 +266,7 @@
 	ticker := time.NewTicker(refreshEvery)
 	defer ticker.Stop()
 	summary, levels := now(), now()
-	store := &reader{Instance: i}
+	store := &reader{Instance: i, started: now()}
 	for {
 		store.refresh(ctx)
 		select {
