--- a/cmd/internal/soak/callers.go
+++ b/cmd/internal/soak/callers.go
@@ -79,10 +79,46 @@
 	}
 }
 
+// probe asks one instance for the newest configurations until ctx ends, so that
+// none is in force there unseen for long.
+func (c *callers) probe(ctx context.Context, i *instance, random *rand.Rand) {
+	for ctx.Err() == nil {
+		conn, err := net.DialTimeout("tcp", i.settings.CallerAddress, probeWait)
+		for reader := bufio.NewReader(conn); err == nil && ctx.Err() == nil; {
+			if !c.send(conn, reader, i, c.mark(random, 2, probeWait)) {
+				break
+			}
+			time.Sleep(probePause)
+		}
+		if conn != nil {
+			_ = conn.Close() // what was owed on it has been read or is counted as cut
+		}
+		time.Sleep(probePause)
+	}
+}
+
+// probeWait bounds a probe, and probePause is left between two.
+const (
+	probeWait  = 500 * time.Millisecond
+	probePause = 50 * time.Millisecond
+)
+
 // call is a request to send.
 type call struct {
 	result
 	text string
+	// wait is how long the caller waits.
+	wait time.Duration
+}
+
+// mark asks for the route of one of the newest configurations.
+func (c *callers) mark(random *rand.Rand, newest int, wait time.Duration) call {
+	c.mu.Lock()
+	c.count++
+	id := fmt.Sprintf("q%d", c.count)
+	c.mu.Unlock()
+	version := max(1, c.deployment.newest()-random.IntN(newest))
+	return call{result: result{id: id, kind: markKind, version: version}, text: standins.Call("GET", versionPrefix(version), id, "", wait), wait: wait}
 }
 
 // next draws a request.
@@ -90,7 +126,6 @@
 	c.mu.Lock()
 	c.count++
 	id := fmt.Sprintf("q%d", c.count)
-	version := c.deployment.version
 	c.mu.Unlock()
 	r := result{id: id}
 	var text string
@@ -99,20 +134,22 @@
 		r.kind, text = orderKind, standins.Call("POST", "/o/x", id, "", callerWait)
 	case draw < 5:
 		r.kind, text = readKind, standins.Call("GET", "/r/x", id, "", callerWait)
-	case draw < 7:
-		r.kind, r.version = markKind, max(1, version-random.IntN(3)) // the newest ones are what can be lost
-		text = standins.Call("GET", versionPrefix(r.version), id, "", callerWait)
+	case draw < 6:
+		return c.mark(random, markVersions, callerWait)
 	default:
 		r.kind, text = streamKind, standins.Call("POST", "/s/x", id, fmt.Sprintf("a%d", random.IntN(adapters)), callerWait)
 	}
-	return call{result: r, text: text}
+	return call{result: r, text: text, wait: callerWait}
 }
 
+// markVersions is the number of configurations that callers ask for.
+const markVersions = 3
+
 // send sends one request and tells whether the connection may be used again.
 func (c *callers) send(conn net.Conn, reader *bufio.Reader, i *instance, next call) bool {
 	r := next.result
 	r.instance, r.startsBefore, r.began = i.settings.Instance, i.starts(), time.Now()
-	_ = conn.SetDeadline(r.began.Add(2 * callerWait)) // a broken connection shows on the write
+	_ = conn.SetDeadline(r.began.Add(2 * next.wait)) // a broken connection shows on the write
 	keep := false
 	if _, err := io.WriteString(conn, next.text); err == nil {
 		if response, err := http.ReadResponse(reader, nil); err == nil {
--- a/cmd/internal/soak/deployment.go
+++ b/cmd/internal/soak/deployment.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/platform"
@@ -21,7 +22,7 @@
 	listeners []net.Listener
 	instances []*instance
 	seeds     []string
-	version   int
+	version   atomic.Int64
 }
 
 // deploy starts the stand-ins and the processes.
@@ -86,14 +87,17 @@
 // publish writes the next configuration. Each has one more route, so that an
 // instance that serves the newest one can't go back unseen.
 func (d *deployment) publish() {
-	d.version++
+	version := int(d.version.Add(1))
 	var marks []string
-	for v := 1; v <= d.version; v++ {
+	for v := 1; v <= version; v++ {
 		marks = append(marks, versionPrefix(v))
 	}
-	d.store.PutConfiguration(standins.WithVersion(d.version, marks...))
+	d.store.PutConfiguration(standins.WithVersion(version, marks...))
 }
 
+// newest is the version that was published last.
+func (d *deployment) newest() int { return int(d.version.Load()) }
+
 // versionPrefix is the route that came with a version.
 func versionPrefix(version int) string { return fmt.Sprintf("/v%d/", version) }
 
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -31,6 +31,10 @@
 	longestFault = 5 * time.Second
 )
 
+// publishedFor is how long a configuration is known before a stale listing hides
+// it: long enough for callers to be served by it.
+const publishedFor = 2 * time.Second
+
 var kinds = []fault{
 	{"kill", func(f *faults, lasts time.Duration) {
 		i := f.instance()
@@ -82,8 +86,8 @@
 	{"store stale without history", func(f *faults, lasts time.Duration) {
 		f.deployment.store.SetStale(true)
 		f.deployment.publish() // watches tell it, listings don't
-		f.later(lasts, func() { f.deployment.store.SetStale(false) })
-		f.later(lasts/2, func() { f.deployment.store.Compact() })
+		f.later(publishedFor, func() { f.deployment.store.Compact() })
+		f.later(publishedFor+lasts, func() { f.deployment.store.SetStale(false) })
 	}},
 	{"configuration", func(f *faults, _ time.Duration) { f.deployment.publish() }},
 	{"worker connections reset", func(f *faults, _ time.Duration) { f.link().Reset() }},
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -82,6 +82,10 @@
 		random := rand.New(rand.NewPCG(config.Seed, uint64(10+n))) //nolint:gosec // requests need no secrecy
 		wait.Go(func() { c.run(calling, random) })
 	}
+	for n, i := range c.deployment.instances {
+		random := rand.New(rand.NewPCG(config.Seed, uint64(100+n))) //nolint:gosec // requests need no secrecy
+		wait.Go(func() { c.probe(calling, i, random) })
+	}
 	striking, end := context.WithTimeout(ctx, config.Faults)
 	f.strike(striking)
 	end()
