Send configurations compressed between instances

Before: TestAConfigurationTravelsCompressed has nothing to unpack and the document goes whole. After: below a fifth.

--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/retry"
@@ -71,6 +72,8 @@
 	mu       sync.Mutex
 	register routing.Register
 	document []byte
+	// packed is the document compressed, once a peer has asked for it.
+	packed []byte
 	// configAt is when the configuration in force was taken.
 	configAt time.Duration
 	registry *worker.Registry
@@ -117,7 +120,7 @@
 	if !f.register.Offer(config) {
 		return false
 	}
-	f.document, f.configAt = document, now()
+	f.document, f.packed, f.configAt = document, nil, now()
 	return true
 }
 
@@ -128,6 +131,17 @@
 	return f.register.Version(), f.document
 }
 
+// packedDocument returns the configuration in force, compressed: many peers fetch
+// it at the same time from a few, and some have slow links.
+func (f *fleet) packedDocument() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.packed == nil && len(f.document) > 0 {
+		f.packed = fasthttp.AppendGzipBytes(nil, f.document)
+	}
+	return f.packed
+}
+
 // changeWorkers applies f to the registry.
 func (f *fleet) changeWorkers(change func(*worker.Registry) []worker.News) []worker.News {
 	f.mu.Lock()
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -1,10 +1,13 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -100,7 +103,7 @@
 		return
 	}
 	if len(state.GetConfig()) > 0 {
-		i.accept(state.GetConfig(), from)
+		i.acceptPacked(state.GetConfig(), from)
 	}
 	if directory {
 		i.adopt(state)
@@ -141,10 +144,10 @@
 
 // State implements cluster.Local.
 func (i *Instance) State(in *clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse {
-	own, document := i.fleet.published()
+	own := i.gateway.version()
 	response := &clusterpb.FetchStateResponse{ConfigVersion: own}
 	if own > in.GetConfigVersion() {
-		response.Config = document
+		response.Config = i.fleet.packedDocument()
 	}
 	if in.GetDirectory() {
 		response.Workers, response.Versions = i.fleet.directory()
@@ -170,6 +173,16 @@
 // Config implements DirectorySink.
 func (i *Instance) Config(document []byte) { i.accept(document, "store") }
 
+// acceptPacked takes a configuration as a peer sends it.
+func (i *Instance) acceptPacked(packed []byte, source string) {
+	var document bytes.Buffer
+	if _, err := fasthttp.WriteGunzip(&document, packed); err != nil {
+		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
+		return
+	}
+	i.accept(document.Bytes(), source)
+}
+
 func (i *Instance) accept(document []byte, source string) {
 	config, err := i.ports.Codec.DecodeConfig(document)
 	if err != nil {
--- /dev/null
+++ b/entry/direct/local_test.go
@@ -0,0 +1,46 @@
+package direct
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bulrushwick/bulrushwick/coord/routing"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/decision"
+)
+
+// lengthCodec decodes a document to a configuration whose version is its length.
+type lengthCodec struct{ Codec }
+
+func (lengthCodec) DecodeConfig(document []byte) (*routing.Config, error) {
+	return &routing.Config{Version: uint64(len(document))}, nil
+}
+
+// TestAConfigurationTravelsCompressed covers a large one that tens of instances
+// fetch at once: whole copies kept slow links busy for seconds.
+func TestAConfigurationTravelsCompressed(t *testing.T) {
+	instance := func() *Instance {
+		i, err := New(DefaultSettings(), Ports{Codec: lengthCodec{}, Directory: &silentDirectory{}},
+			decision.New(decision.DefaultConfig(), io.Discard, "e0"))
+		require.NoError(t, err)
+		return i
+	}
+	var document strings.Builder
+	for n := range 3000 {
+		fmt.Fprintf(&document, `{"name":"r-%d","hostname":"h%d.example","prefix":"/p%d/","routeType":"streaming","timeoutMs":3000},`, n, n%7, n)
+	}
+	from, to := instance(), instance()
+	from.Config([]byte(document.String()))
+	state := from.State(&clusterpb.FetchStateRequest{})
+	require.Less(t, len(state.GetConfig()), document.Len()/5)
+	to.acceptPacked(state.GetConfig(), "peer")
+	version, got := to.fleet.published()
+	require.EqualValues(t, document.Len(), version)
+	require.Equal(t, document.String(), string(got))
+	to.acceptPacked([]byte("no gzip"), "peer")
+	require.Equal(t, version, to.gateway.version(), "what can't be read changes nothing")
+}
