entry/direct: log how long the store was silent and how long a newer configuration was known

The log could not tell the hypotheses about late configurations apart: whether the store's connection was silent, whether a peer had told of the version long before, and how long a fetch that failed had taken. config_accepted now has silence_ms and behind_ms, config_rejected has took_ms, and config_behind_seconds is a gauge.

--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -60,6 +60,8 @@
 	FieldBorn          Field = "born"
 	FieldModels        Field = "models"
 	FieldSource        Field = "source"
+	FieldSilenceMS     Field = "silence_ms"
+	FieldBehindMS      Field = "behind_ms"
 	FieldRoutes        Field = "routes"
 	FieldServices      Field = "services"
 	FieldKey           Field = "key"
@@ -135,6 +137,8 @@
 	{name: FieldBorn, text: "Unix time of the worker's start, in milliseconds"},
 	{name: FieldModels, text: "models that the worker holds"},
 	{name: FieldSource, text: "origin of the configuration: store, or the address of an instance"},
+	{name: FieldSilenceMS, text: "time since the store's previous response, 0 if the configuration came from an instance"},
+	{name: FieldBehindMS, text: "time since another instance first reported a newer version, 0 if none did"},
 	{name: FieldRoutes, text: "number of routes in the configuration"},
 	{name: FieldServices, text: "number of services in the configuration"},
 	{name: FieldKey, text: "key of the entry in the store"},
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -47,6 +47,7 @@
 	cancelCalls context.CancelCauseFunc
 
 	directorySync *directorySync
+	versionLag    versionLag
 	fetchMu       sync.Mutex
 	fetching      bool
 }
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -7,6 +7,7 @@
 func (i *Instance) updateGauges(at time.Duration) {
 	m := i.metrics
 	m.setGauge("config_version", float64(i.gateway.configVersion()))
+	m.setGauge("config_behind_seconds", i.versionLag.behind(at).Seconds())
 	m.setGauge("members", float64(i.instanceCount()))
 	m.setGauge("rights_held", float64(len(i.cluster.HeldRights())))
 	m.setGauge("requests_in_progress", float64(i.gateway.activeRequests.Load()))
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -75,9 +75,11 @@
 // HandlePeerVersion implements cluster.Local. It fetches a configuration that is
 // newer than this instance's.
 func (i *Instance) HandlePeerVersion(peer string, version uint64) {
-	if version > i.gateway.configVersion() {
-		i.startFetch(peer, false)
+	if version <= i.gateway.configVersion() {
+		return
 	}
+	i.versionLag.observe(now(), version)
+	i.startFetch(peer, false)
 }
 
 // ConfigVersion implements cluster.Local: the version of the configuration in force.
@@ -101,10 +103,11 @@
 		defer i.fetchMu.Unlock()
 		i.fetching = false
 	}()
+	began := now()
 	request := &clusterpb.FetchStateRequest{ConfigVersion: i.gateway.configVersion(), Directory: directory}
 	state, err := i.cluster.FetchState(context.Background(), peer, request)
 	if err != nil {
-		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, peer).Send()
+		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, peer).Dur(decision.FieldTookMS, now()-began).Send()
 		return
 	}
 	if len(state.GetConfig()) > 0 {
@@ -179,7 +182,9 @@
 }
 
 // Config implements DirectorySink.
-func (i *Instance) Config(document []byte) { i.acceptConfig(document, "store") }
+func (i *Instance) Config(document []byte, silence time.Duration) {
+	i.acceptConfig(document, "store", silence)
+}
 
 // acceptCompressedConfig installs a configuration in the gzipped form that
 // peers send.
@@ -189,10 +194,12 @@
 		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
 		return
 	}
-	i.acceptConfig(document.Bytes(), source)
+	i.acceptConfig(document.Bytes(), source, 0)
 }
 
-func (i *Instance) acceptConfig(document []byte, source string) {
+// acceptConfig installs a configuration if it is newer than the one in force.
+// silence is how long the source had not responded before.
+func (i *Instance) acceptConfig(document []byte, source string, silence time.Duration) {
 	config, err := i.ports.Codec.DecodeConfig(document)
 	if err != nil {
 		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
@@ -201,8 +208,10 @@
 	if !i.fleet.installConfig(config, document) {
 		return
 	}
-	i.log.Line(decision.ConfigAccepted).Uint64(decision.FieldConfig, config.Version).Str(decision.FieldSource, source).Int(decision.FieldRoutes, len(config.Routes)).
-		Int(decision.FieldServices, len(config.Services)).Send()
+	behind := i.versionLag.installed(now(), config.Version)
+	i.log.Line(decision.ConfigAccepted).Uint64(decision.FieldConfig, config.Version).Str(decision.FieldSource, source).
+		Dur(decision.FieldSilenceMS, silence).Dur(decision.FieldBehindMS, behind).
+		Int(decision.FieldRoutes, len(config.Routes)).Int(decision.FieldServices, len(config.Services)).Send()
 }
 
 // Workers implements DirectorySink.
--- a/entry/direct/local_test.go
+++ b/entry/direct/local_test.go
@@ -36,7 +36,7 @@
 		fmt.Fprintf(&document, `{"name":"r-%d","hostname":"h%d.example","prefix":"/p%d/","routeType":"streaming","timeoutMs":3000},`, n, n%7, n)
 	}
 	from, to := instance(), instance()
-	from.Config([]byte(document.String()))
+	from.Config([]byte(document.String()), 0)
 	state := from.State(&clusterpb.FetchStateRequest{})
 	require.Less(t, len(state.GetConfig()), document.Len()/5)
 	to.acceptCompressedConfig(state.GetConfig(), "peer")
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -118,8 +118,9 @@
 // DirectorySink receives the contents of the metadata store, and changes to
 // them, from a Directory.
 type DirectorySink interface {
-	// Config takes a configuration document as published.
-	Config(document []byte)
+	// Config takes a configuration document as published. silence is the time
+	// since the store's previous response about what the operator publishes.
+	Config(document []byte, silence time.Duration)
 	// Workers replaces all workers by a listing as of revision at.
 	Workers(entries []worker.Entry, at uint64)
 	WorkerPut(w worker.Worker, revision uint64)
