--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -42,6 +42,9 @@
 	// OrderTurnGap is the least time between orders of two instances to one
 	// worker, as the operators require.
 	OrderTurnGap settings.Duration `json:"orderTurnGap"`
+	// ConfigApplyLimit is the time within which a published configuration must
+	// be in force on every instance, as the operators require.
+	ConfigApplyLimit settings.Duration `json:"configApplyLimit"`
 	// StopGrace is the time between the signal to stop and the kill.
 	StopGrace settings.Duration `json:"stopGrace"`
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the retries of all
@@ -54,13 +57,14 @@
 // DefaultSettings returns the defaults. Settings without a default are empty.
 func DefaultSettings() Settings {
 	return Settings{
-		MemoryLimitMB: 256,
-		CPUShare:      1,
-		OrderTurnGap:  settings.Duration(3 * time.Second),
-		StopGrace:     settings.Duration(8 * time.Second),
-		RepeatRatio:   0.2,
-		RepeatSlack:   10,
-		RepeatWindow:  settings.Duration(10 * time.Second),
+		MemoryLimitMB:    256,
+		CPUShare:         1,
+		OrderTurnGap:     settings.Duration(3 * time.Second),
+		ConfigApplyLimit: settings.Duration(2500 * time.Millisecond),
+		StopGrace:        settings.Duration(8 * time.Second),
+		RepeatRatio:      0.2,
+		RepeatSlack:      10,
+		RepeatWindow:     settings.Duration(10 * time.Second),
 	}
 }
 
@@ -96,7 +100,7 @@
 	}
 	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
-		"orderTurnGap": s.OrderTurnGap, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
+		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
 	} {
 		if value <= 0 {
 			find(field, "must be above zero")
