entry/direct: ask another peer when one does not send the configuration

What callers saw: nothing yet; an instance without the store stayed on an older configuration for up to 2.1 s after its peers had told of the newer one, which leaves 0.4 s of the 2.5 s in which a change is due.

Cause: one fetch of state ran at a time, for up to 2 s, and other peers were not asked while it hung at one that had been cut or frozen.

Change: another peer is asked when the latest fetch has taken 400 ms, three at most.

--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/samber/oops"
@@ -48,8 +47,7 @@
 
 	directorySync *directorySync
 	versionLag    versionLag
-	fetchMu       sync.Mutex
-	fetching      bool
+	fetches       *fetchLimiter
 }
 
 // orderInFlightTime is added to the operators' gap between the orders of two
@@ -59,7 +57,7 @@
 
 // New returns an instance; Run starts it.
 func New(s Settings, ports Ports, decisions *decision.Log) (*Instance, error) {
-	i := &Instance{settings: s, ports: ports, log: decisions, metrics: newMetrics(), fleet: newFleet(s), directorySync: newDirectorySync()}
+	i := &Instance{settings: s, ports: ports, log: decisions, metrics: newMetrics(), fleet: newFleet(s), directorySync: newDirectorySync(), fetches: newFetchLimiter()}
 	incarnation := uint64(time.Now().UnixMilli())
 	self := quorum.Member{
 		Address: s.ControlAddress, DataCentre: s.DataCentre, Region: s.Region, Weak: s.isWeak(),
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -85,55 +85,6 @@
 // ConfigVersion implements cluster.Local: the version of the configuration in force.
 func (i *Instance) ConfigVersion() uint64 { return i.gateway.configVersion() }
 
-// startFetch fetches a newer configuration, and the directory if asked to, from
-// a peer in the background. One fetch runs at a time; further ones are dropped.
-func (i *Instance) startFetch(peer string, directory bool) {
-	i.fetchMu.Lock()
-	defer i.fetchMu.Unlock()
-	if i.fetching {
-		return
-	}
-	i.fetching = true
-	go i.fetch(peer, directory)
-}
-
-func (i *Instance) fetch(peer string, directory bool) {
-	defer func() {
-		i.fetchMu.Lock()
-		defer i.fetchMu.Unlock()
-		i.fetching = false
-	}()
-	began := now()
-	request := &clusterpb.FetchStateRequest{ConfigVersion: i.gateway.configVersion(), Directory: directory}
-	state, err := i.cluster.FetchState(context.Background(), peer, request)
-	if err != nil {
-		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, peer).Dur(decision.FieldTookMS, now()-began).Send()
-		return
-	}
-	if len(state.GetConfig()) > 0 {
-		i.acceptCompressedConfig(state.GetConfig(), peer)
-	}
-	if directory {
-		i.replaceListing(state)
-	}
-}
-
-// replaceListing replaces the known workers by a reader's whole listing.
-func (i *Instance) replaceListing(state *clusterpb.FetchStateResponse) {
-	listed := make(map[string]bool)
-	newest := uint64(0)
-	for _, entry := range state.GetWorkers() {
-		listed[entry.GetId()] = true
-		newest = max(newest, entry.GetRevision())
-	}
-	i.applyEntries(state.GetWorkers(), state.GetVersions())
-	for _, w := range i.fleet.allWorkers() {
-		if !listed[w.ID] {
-			i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.DeleteFromPeer(w.ID, newest) }))
-		}
-	}
-}
-
 // LoadAdapter implements cluster.Local: it loads an adapter for another
 // instance.
 func (i *Instance) LoadAdapter(ctx context.Context, in *clusterpb.LoadAdapterRequest) (*clusterpb.LoadAdapterResponse, error) {
