--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -41,7 +41,7 @@
 	{name: Placed, text: "a worker was chosen for a request", fields: []Field{FieldRequest, FieldRoute, FieldWorker, FieldAdapter, FieldResidency, FieldRunning, FieldWaitingTokens, FieldNewsAgeMS, FieldCandidates, FieldEstimateMS, FieldLeftMS, FieldConfig}},
 	{name: LoadWaited, text: "a request waited for an adapter to be loaded", fields: []Field{FieldRequest, FieldWorker, FieldAdapter, FieldDenied, FieldReady, FieldReason, FieldTookMS}},
 	{name: LoadServed, text: "a request of another instance waited for an adapter at a worker that this instance controls", fields: []Field{FieldRequest, FieldWorker, FieldAdapter, FieldReady, FieldReason, FieldWaiting, FieldTookMS}},
-	{name: AttemptFailed, text: "an attempt got no usable response", fields: []Field{FieldRequest, FieldWorker, FieldSent, FieldNotRun, FieldCause, FieldStatus, FieldError, FieldCanceled, FieldResuming, FieldLastEvent, FieldHolder, FieldCall, FieldTookMS}},
+	{name: AttemptFailed, text: "an attempt got no usable response", fields: []Field{FieldRequest, FieldWorker, FieldParts, FieldSent, FieldNotRun, FieldCause, FieldStatus, FieldError, FieldCanceled, FieldResuming, FieldLastEvent, FieldHolder, FieldCall, FieldTookMS}},
 	{name: Repeated, text: "a request is retried after a worker's error", fields: []Field{FieldRequest, FieldWorker, FieldStatus}},
 	{name: Resumed, text: "a stream is resumed at another worker", fields: []Field{FieldRequest, FieldWorker, FieldLastEvent}},
 	{name: Refused, text: "the instance itself gave the final response", fields: []Field{FieldRequest, FieldRoute, FieldService, FieldStatus, FieldReason, FieldMayHaveRun, FieldSends, FieldWorker, FieldRetryAfterMS, FieldTookMS, FieldConfig, FieldHost, FieldPath}},
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -17,6 +17,7 @@
 	FieldWorker        Field = "worker"
 	FieldAdapter       Field = "adapter"
 	FieldModel         Field = "model"
+	FieldParts         Field = "parts"
 	FieldResidency     Field = "residency"
 	FieldRunning       Field = "running"
 	FieldWaitingTokens Field = "waiting_tokens"
@@ -94,6 +95,7 @@
 	{name: FieldWorker, text: "id of the worker"},
 	{name: FieldAdapter, text: "name of the adapter, or empty"},
 	{name: FieldModel, text: "name of the base model"},
+	{name: FieldParts, text: "ids of the prompt parts that requests share"},
 	{name: FieldResidency, text: "residency of the adapter at the worker: 0 absent, 1 loading, 2 held"},
 	{name: FieldRunning, text: "requests in progress at the worker, from all instances"},
 	{name: FieldWaitingTokens, text: "prompt tokens of those whose response has not begun"},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -90,7 +90,7 @@
 	at := now()
 	c.fleet.recordResult(at, c.workerID, false)
 	c.metrics.countRetry("broken")
-	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Bool(decision.FieldSent, true).
+	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Strs(decision.FieldParts, c.request.PromptParts).Bool(decision.FieldSent, true).
 		Dur(decision.FieldTookMS, at-c.attemptBegan).Send()
 	return actionRetry
 }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -413,7 +413,7 @@
 	at := now()
 	notSent := upstream.NotSent(err)
 	canceled := c.ctx.Err() != nil
-	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Bool(decision.FieldSent, !notSent).
+	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Strs(decision.FieldParts, c.request.PromptParts).Bool(decision.FieldSent, !notSent).
 		Dur(decision.FieldTookMS, at-c.attemptBegan).Bool(decision.FieldCanceled, canceled).Send()
 	if !canceled {
 		c.fleet.recordResult(at, c.workerID, false)
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -35,6 +35,9 @@
 	Wait time.Duration
 	// Model and Adapter are empty for plain services.
 	Model, Adapter string
+	// PromptParts identifies the parts of the prompt that other requests may
+	// share, in order. The part that belongs to the request itself is left out.
+	PromptParts []string
 	// PromptTokens and OutputTokens are the sizes that the caller states.
 	PromptTokens, OutputTokens int
 	// ResumeAfter is the id of the last event that the caller has received.
