platform: spare readers do not list a store that returns

Cause: while the store is down each instance of a region in turn finds that those before it can't read, and reads too. At its return all of them list all of it at once, also those that had read before and had missed nothing. A thundering herd on recovery.

--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -31,6 +31,9 @@
 	// surplusReaderGrace is how long an instance goes on reading the store
 	// after enough others do.
 	surplusReaderGrace = 3 * time.Second
+	// firstListingMargin is added to surplusReaderGrace for the heartbeats that
+	// tell that other readers are back.
+	firstListingMargin = 500 * time.Millisecond
 )
 
 // directorySync shares the store's contents with peers through heartbeats: the
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -225,3 +225,13 @@
 	i.directorySync.setStoreUnavailable(false)
 	i.log.Line(decision.StoreReturned).Send()
 }
+
+// FirstListingDelay implements DirectorySink. In an outage every instance tries to
+// read the store. Those that have its contents from their peers leave the listing to
+// the instances that read it before, and stop when these are back.
+func (i *Instance) FirstListingDelay() time.Duration {
+	if i.fleet.table() == nil || len(i.fleet.allWorkers()) == 0 {
+		return 0
+	}
+	return surplusReaderGrace + firstListingMargin
+}
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -135,4 +135,7 @@
 	StoreLost(err error)
 	// StoreReturned reports that the store responds again.
 	StoreReturned()
+	// FirstListingDelay is how long to wait, after an outage, before a first
+	// listing of the store.
+	FirstListingDelay() time.Duration
 }
