coord/quarantine: refuse prompts with a part that crashes workers

Cause: the crash of a worker was taken as the worker's fault alone. Nothing related it to the requests that the worker had not begun to answer, so a request that is fatal by its content was admitted, placed and repeated like any other. Repeats are a small part of it: 39 such requests made 45 attempts. A poison message without quarantine.

Change: instances exchange which parts were in requests that a crashed worker had not begun to answer. A response that begins clears its parts. Parts that are needed to explain three separate crashes are refused at once, with 503, the deepest in the prompt first; one request is tried a minute later, then after twice the time. A request whose parts were in two crashes is not repeated. A broken connection counts as a crash only if the worker refuses a new one. Quarantines go with every heartbeat, so that a restarted instance has them.

--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -22,6 +22,9 @@
 	RightLost        Event = "right_lost"
 	MemberChanged    Event = "member_changed"
 	WorkerChanged    Event = "worker_changed"
+	WorkerCrashed    Event = "worker_crashed"
+	PartQuarantined  Event = "part_quarantined"
+	PartReleased     Event = "part_released"
 	ConfigAccepted   Event = "config_accepted"
 	ConfigRejected   Event = "config_rejected"
 	EntryRejected    Event = "entry_rejected"
@@ -51,6 +54,9 @@
 	{name: RightLost, text: "this instance lost the right to control a part of the workers", fields: []Field{FieldRight}},
 	{name: MemberChanged, text: "an instance joined, restarted, left or was removed", fields: []Field{FieldMember, FieldChange, FieldIncarnation}},
 	{name: WorkerChanged, text: "a worker appeared, restarted, is draining, lapsed or is gone", fields: []Field{FieldWorker, FieldService, FieldChange, FieldAddress, FieldBorn, FieldModels}},
+	{name: WorkerCrashed, text: "connections to a worker broke before its responses began, and it accepts no new one", fields: []Field{FieldWorker, FieldBorn, FieldRequests, FieldTookMS}},
+	{name: PartQuarantined, text: "requests with a part of the prompt are refused because workers crashed under it", fields: []Field{FieldPart, FieldQuarantined}},
+	{name: PartReleased, text: "requests with a part of the prompt are admitted again", fields: []Field{FieldPart, FieldQuarantined}},
 	{name: ConfigAccepted, text: "a configuration took effect", fields: []Field{FieldConfig, FieldSource, FieldSilenceMS, FieldBehindMS, FieldRoutes, FieldServices}},
 	{name: ConfigRejected, text: "a configuration could not be read or fetched", fields: []Field{FieldSource, FieldTookMS, FieldError}},
 	{name: EntryRejected, text: "an entry of the metadata store is unusable", fields: []Field{FieldKey, FieldError}},
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -18,6 +18,8 @@
 	FieldAdapter       Field = "adapter"
 	FieldModel         Field = "model"
 	FieldParts         Field = "parts"
+	FieldPart          Field = "part"
+	FieldQuarantined   Field = "quarantined"
 	FieldResidency     Field = "residency"
 	FieldRunning       Field = "running"
 	FieldWaitingTokens Field = "waiting_tokens"
@@ -96,6 +98,8 @@
 	{name: FieldAdapter, text: "name of the adapter, or empty"},
 	{name: FieldModel, text: "name of the base model"},
 	{name: FieldParts, text: "ids of the prompt parts that requests share"},
+	{name: FieldPart, text: "hash of the id of a prompt part"},
+	{name: FieldQuarantined, text: "number of prompt parts in quarantine"},
 	{name: FieldResidency, text: "residency of the adapter at the worker: 0 absent, 1 loading, 2 held"},
 	{name: FieldRunning, text: "requests in progress at the worker, from all instances"},
 	{name: FieldWaitingTokens, text: "prompt tokens of those whose response has not begun"},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -89,6 +89,9 @@
 	c.mayHaveRun = true
 	at := now()
 	c.fleet.recordResult(at, c.workerID, false)
+	if !errors.Is(err, errUnusableResponse) {
+		c.guard.reportBroken(c.target, c.parts)
+	}
 	c.metrics.countRetry("broken")
 	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Strs(decision.FieldParts, c.request.PromptParts).Bool(decision.FieldSent, true).
 		Dur(decision.FieldTookMS, at-c.attemptBegan).Send()
@@ -108,6 +111,9 @@
 	}
 	at := now()
 	c.fleet.recordResult(at, c.workerID, response.Status < 500)
+	if response.Status < 300 {
+		c.guard.recordSuccess(c.parts)
+	}
 	c.finishExchange(x, response)
 	if response.Status >= 500 && c.route.Retryable() && len(c.attemptsByWorker) < c.route.MaxWorkers &&
 		c.timeLeft() > 0 && c.fleet.takeRetry(at, c.service.Name, c.loader.instanceCount()) {
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/quarantine"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -33,6 +34,7 @@
 	log       *decision.Log
 	metrics   *metrics
 	admission admission
+	guard     *promptGuard
 	draining  atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
@@ -129,6 +131,10 @@
 	// deniedBy is the worker that last reported that it does not hold the
 	// adapter.
 	deniedBy string
+	// parts identifies the parts of the prompt that other requests may share.
+	parts []quarantine.Part
+	// onTrial is set if the request was admitted though one of them is quarantined.
+	onTrial bool
 	// mayHaveRun is set once an attempt without a usable response may have run.
 	mayHaveRun bool
 	// sends counts the attempts at all workers.
@@ -145,6 +151,7 @@
 	// attemptUse and workerID belong to the latest attempt.
 	attemptUse *attemptUse
 	workerID   string
+	target     worker.Worker
 }
 
 // deadlineMargin is how long before the caller's or the route's deadline the
@@ -160,6 +167,7 @@
 		gateway: g, request: request, route: route, configVersion: table.Config.Version, arrivedAt: arrived,
 		deadline: arrived + limit - deadlineMargin, attemptsByWorker: make(map[string]int), skippedWorkers: make(map[string]bool),
 	}
+	c.parts = quarantine.PartsOf(request.PromptParts)
 	c.service = table.Config.Services[route.Service(request.ID)]
 	parent, cancel := context.WithCancelCause(g.baseContext)
 	timer := time.AfterFunc(c.deadline-arrived, func() { cancel(errTimeout) })
@@ -215,6 +223,8 @@
 		return &failure{reason: context.Cause(c.ctx).Error()}
 	case c.mayHaveRun && !c.route.Retryable():
 		return &failure{reason: "the worker gave no answer and the request may have run"}
+	case c.mayHaveRun && c.guard.suspect(c.parts):
+		return &failure{reason: "workers crashed under requests with a part of the prompt"}
 	case len(c.attemptsByWorker) >= max(c.route.MaxWorkers, 1):
 		return &failure{reason: "every worker that the route allows failed", retryAfter: busyRetryAfter}
 	case c.sends >= maxSends:
@@ -243,6 +253,9 @@
 func (c *call) prepareWorker() (worker.Worker, *failure) {
 	refusal := &failure{reason: "no instance orders the chosen workers", retryAfter: busyRetryAfter}
 	for range maxPlacements {
+		if quarantined := c.checkQuarantine(); quarantined != nil {
+			return worker.Worker{}, quarantined
+		}
 		choice, refused := c.pickWorker()
 		if refused != nil {
 			return worker.Worker{}, refused
@@ -254,7 +267,7 @@
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
-			return target, nil
+			return target, c.checkQuarantine() // it may have begun during the load
 		}
 		if c.ctx.Err() != nil {
 			return target, &failure{reason: context.Cause(c.ctx).Error()}
@@ -268,6 +281,24 @@
 	return worker.Worker{}, refusal
 }
 
+// checkQuarantine returns a failure if a part of the prompt is in quarantine.
+func (c *call) checkQuarantine() *failure {
+	if c.onTrial {
+		return nil
+	}
+	switch c.guard.admit(c.parts) {
+	case quarantine.Refused:
+		return &failure{reason: "a part of the prompt crashes workers", retryAfter: quarantineRetryAfter}
+	case quarantine.Trial:
+		c.onTrial = true
+	}
+	return nil
+}
+
+// quarantineRetryAfter is the Retry-After of a request with a quarantined part:
+// longer than callers wait, so that they do not come back in vain.
+const quarantineRetryAfter = time.Minute
+
 // maxQuickRefusal is how quickly a load must be refused for another worker to
 // be tried: a round trip between regions and a margin.
 const maxQuickRefusal = 100 * time.Millisecond
@@ -290,7 +321,7 @@
 // response. resumeAfter is the id of the last event that the caller has
 // received.
 func (c *call) dispatch(target worker.Worker, resumeAfter string) (*upstream.Exchange, error) {
-	c.workerID = target.ID
+	c.workerID, c.target = target.ID, target
 	c.sends++
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
@@ -420,6 +451,9 @@
 	}
 	if !notSent {
 		c.mayHaveRun = true
+		if !canceled {
+			c.guard.reportBroken(c.target, c.parts)
+		}
 	}
 	if canceled {
 		c.fail(ctx, failure{reason: context.Cause(c.ctx).Error()})
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -77,9 +77,10 @@
 	i.orders = newOrderDispatcher(i.fleet, c, i.instanceCount, ports.Orderer, decisions, i.metrics)
 	baseContext, cancelCalls := context.WithCancelCause(context.Background())
 	i.cancelCalls = cancelCalls
+	pool := upstream.NewPool(upstream.DefaultConfig())
 	i.gateway = &gateway{
-		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: upstream.NewPool(upstream.DefaultConfig()), loader: i,
-		log: decisions, metrics: i.metrics, admission: defaultAdmission(),
+		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
+		log: decisions, metrics: i.metrics, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
 	}
 	return i, nil
 }
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -19,6 +19,7 @@
 		storeUnavailable = 1
 	}
 	m.setGauge("store_away", storeUnavailable)
+	m.setGauge("quarantined_parts", float64(i.gateway.guard.quarantinedParts()))
 	waiting, inTransit := i.orders.countAdapters()
 	m.setGauge("adapters_waiting", float64(waiting))
 	m.setGauge("adapters_in_transit", float64(inTransit))
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -36,6 +36,7 @@
 	update := &clusterpb.News{DirectoryDigest: i.fleet.directoryDigest()}
 	i.fleet.appendOwnSlots(update)
 	i.directorySync.appendUpdates(now(), update)
+	i.gateway.guard.appendUpdate(now(), update)
 	return update
 }
 
@@ -50,6 +51,7 @@
 // ApplyUpdate implements cluster.Local: it applies a peer's update.
 func (i *Instance) ApplyUpdate(at time.Duration, peer string, update *clusterpb.News) {
 	i.fleet.applyPeerUpdate(at, peer, update)
+	i.gateway.guard.applyUpdate(at, update)
 	i.applyEntries(update.GetWorkers(), update.GetVersions())
 	if i.directorySync.observePeer(at, peer, update, i.fleet.directoryDigest()) {
 		i.startFetch(peer, true)
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -26,6 +26,7 @@
 	at := now()
 	c.attemptUse.responseStarted()
 	c.fleet.recordResult(at, c.workerID, true)
+	c.guard.recordSuccess(c.parts)
 	c.recordFirstByte(at)
 	s.lastForwardedAt = at
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -132,6 +132,17 @@
 	return newConn(address, raw, p.config.MaxHeaderBytes), nil
 }
 
+// CanConnect reports whether a connection to address can be opened, and keeps it for
+// the next request.
+func (p *Pool) CanConnect(ctx context.Context, address string) bool {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	p.putIdle(c, 0)
+	return true
+}
+
 // putIdle adds a connection whose last response is complete to the pool, or closes
 // it if the pool has enough for its address. An idleTimeout of 0 or less means
 // Config.IdleTimeout.
