entry/upstream: end an attempt whose worker writes without end

What callers saw: nothing yet; the users' page says that a worker in trouble may send bytes without end, in a head or a body.

Cause: three loops read until the worker stops: informational headers, the body of a response to another request, and the trailer behind the last chunk. A request at such a worker waited for its deadline, though another worker could have answered it. Reads without a limit.

Change: each has a limit; beyond it the bytes count as no response to the request.

Evidence: of the eleven cases of TestEndlessHeadEndsTheAttempt, TestEndlessResponseToAnotherRequestEndsTheAttempt and of TestEndlessTrailerEndsTheBody five ended only with their context before (informational, length, chunks, trailer, own trailer); all end now.

--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -20,6 +20,17 @@
 // are skipped before the one to this request.
 const maxSkippedResponses = 2
 
+// Limits on what a worker may send around the response to a request.
+const (
+	// maxInformational is the number of informational (1xx) headers before a final
+	// one.
+	maxInformational = 8
+	// maxSkippedBytes is the size of the body of a response to another request.
+	maxSkippedBytes = 1 << 20
+	// maxTrailerBytes is the size of the trailer behind the last chunk.
+	maxTrailerBytes = 16 << 10
+)
+
 // Exchange is a request whose response header has been read. Read returns the
 // body; a call of Finish or Discard ends the exchange. It is not safe for
 // concurrent use.
@@ -122,16 +133,16 @@
 // readHeader reads the next header that isn't informational (1xx) and prepares
 // the body reader.
 func (x *Exchange) readHeader() error {
-	for {
+	for range maxInformational + 1 {
 		if err := x.Header.Read(x.conn.reader); err != nil {
 			return fmt.Errorf("read response header: %w", err)
 		}
 		if x.Header.StatusCode() >= fasthttp.StatusOK {
-			break
+			x.setBodyReader()
+			return nil
 		}
 	}
-	x.setBodyReader()
-	return nil
+	return ErrUnexpectedResponse
 }
 
 // setBodyReader sets up the body reader for the framing that the header states.
@@ -150,15 +161,19 @@
 }
 
 // skipResponse reads the rest of a response to another request. It returns
-// ErrUnexpectedResponse if there were too many or this one ends with the
-// connection.
+// ErrUnexpectedResponse if there were too many, or this one is too long or ends with
+// the connection.
 func (x *Exchange) skipResponse() error {
 	if x.skippedResponses++; x.skippedResponses > maxSkippedResponses || x.framing == framingClose {
 		return ErrUnexpectedResponse
 	}
-	if _, err := io.Copy(io.Discard, x.body); err != nil {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(x.body, maxSkippedBytes+1))
+	if err != nil {
 		return err
 	}
+	if skipped > maxSkippedBytes {
+		return ErrUnexpectedResponse
+	}
 	return x.readTrailer()
 }
 
@@ -184,7 +199,7 @@
 	if x.framing != framingChunked {
 		return nil
 	}
-	for {
+	for size := 0; size <= maxTrailerBytes; {
 		line, err := x.conn.reader.ReadSlice('\n')
 		if err != nil {
 			return io.ErrUnexpectedEOF
@@ -192,7 +207,9 @@
 		if len(line) <= 2 {
 			return nil
 		}
+		size += len(line)
 	}
+	return ErrUnexpectedResponse
 }
 
 // Finish returns the connection to the pool if the complete response was read and
