entry/direct: a large answer is passed on whole, or visibly cut

What callers saw: an answer of more than 8 MiB ended there, with the worker's signature and as if it were whole; so did one without end.

Cause: the limit on what is read before forwarding was applied by a reader that ends at the limit as at the end of the body. A limit taken for the end.

Change: up to 256 KiB are read whole, so that a broken answer can be replaced by another worker's; a longer one is forwarded as it arrives, and the caller's connection is closed if it breaks off. Many endless answers at once now take 256 KiB each, not 8 MiB.

Evidence: before, TestEndlessAnswerNeverLooksComplete got 200 with a whole body in both framings, and TestLargeAnswerPassesWhole 8,388,608 of 12,582,912 bytes; both pass now. TestAnswersWithoutLengthOrChunks and TestStreamThatEndsInsideAnEventIsBrokenOff passed before as well: an answer without length or chunks is whole at the end of its connection and not after a reset, and a stream that ends inside an event is resumed.

--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -16,8 +16,9 @@
 )
 
 // maxBufferedBody bounds a response that is read whole before it is forwarded,
-// in bytes.
-const maxBufferedBody = 8 << 20
+// in bytes. Such a response can be replaced by that of another worker if it breaks
+// off.
+const maxBufferedBody = 256 << 10
 
 // handleResponse forwards or rejects a response whose header was read.
 func (c *call) handleResponse(ctx *fasthttp.RequestCtx, x *upstream.Exchange) nextAction {
@@ -98,11 +99,12 @@
 	return actionRetry
 }
 
-// forwardBuffered forwards a response after reading all of it. A server error
-// of an idempotent request is retried instead while the budget allows.
+// forwardBuffered forwards a response after reading all of it, unless it is too
+// large for that. A server error of an idempotent request is retried instead while
+// the budget allows.
 func (c *call) forwardBuffered(ctx *fasthttp.RequestCtx, x *upstream.Exchange, response ResponseInfo) nextAction {
 	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(x, maxBufferedBody)); err != nil {
+	if _, err := body.ReadFrom(io.LimitReader(x, maxBufferedBody+1)); err != nil {
 		c.discardExchange(x)
 		if c.ctx.Err() != nil {
 			return c.handleNoResponse(ctx, &upstream.SendError{Sent: true, Cause: err})
@@ -114,6 +116,9 @@
 	if response.Status < 300 {
 		c.guard.recordSuccess(c.parts)
 	}
+	if body.Len() > maxBufferedBody {
+		return c.forwardLarge(ctx, x, response, body.Bytes())
+	}
 	c.finishExchange(x, response)
 	if response.Status >= 500 && c.route.Retryable() && len(c.attemptsByWorker) < c.route.MaxWorkers &&
 		c.timeLeft() > 0 && c.fleet.takeRetry(at, c.service.Name, c.loader.instanceCount()) {
