coord/quarantine: one instance begins a trial, not all at once

A minute after the quarantine every instance would have admitted a request on trial before it heard of the others': up to a worker an instance. Each instance now waits a random part of the time longer. TestOneOfManyInstancesBeginsATrial counts three trials at most; with equal waits 90 are due in one step.

--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -54,6 +54,9 @@
 	// TrialAfter is the time until a first request with a quarantined part is
 	// admitted again; it doubles with each trial, up to MaxTrialAfter.
 	TrialAfter, MaxTrialAfter time.Duration
+	// TrialOffset is the fraction of that time by which this instance waits longer.
+	// It should differ between instances, so that one of them begins a trial.
+	TrialOffset float64
 	// RecentFor is how long successes are remembered for crashes that become known
 	// later, within two such periods.
 	RecentFor time.Duration
@@ -247,7 +250,8 @@
 		}
 		delay *= 2
 	}
-	return min(delay, d.config.MaxTrialAfter)
+	delay = min(delay, d.config.MaxTrialAfter)
+	return delay + time.Duration(d.config.TrialOffset*float64(delay))
 }
 
 func (d *Detector) isQuarantined(p Part) bool {
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -87,6 +87,32 @@
 	require.Equal(t, Admitted, d.Admit(at+2*second, []Part{deadly}))
 }
 
+// TestOneOfManyInstancesBeginsATrial guards against a worker lost to each instance when a trial is due.
+func TestOneOfManyInstancesBeginsATrial(t *testing.T) {
+	const instances = 90
+	var fleet []*Detector
+	for i := range instances {
+		c := DefaultConfig()
+		c.TrialOffset = float64(i) / instances
+		fleet = append(fleet, NewDetector(c))
+	}
+	crashWorkers(fleet[0], second, second, 3, deadly)
+	trials := 0
+	for at := 4 * second; at < 180*second; at += 250 * time.Millisecond {
+		for _, d := range fleet {
+			d.Merge(at, fleet[0].Update(at))
+			fleet[0].Merge(at, d.Update(at))
+		}
+		for _, d := range fleet {
+			if d.Admit(at, []Part{deadly}) == Trial {
+				trials++
+			}
+		}
+	}
+	require.Positive(t, trials)
+	require.LessOrEqual(t, trials, 3, "two are due, and another instance may not know yet")
+}
+
 // TestInstancesLearnFromEachOther guards against every instance losing workers until it has seen enough crashes itself.
 func TestInstancesLearnFromEachOther(t *testing.T) {
 	var fleet []*Detector
--- a/entry/direct/promptguard.go
+++ b/entry/direct/promptguard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -44,9 +45,10 @@
 )
 
 func newPromptGuard(log *decision.Log, canConnect func(context.Context, string) bool) *promptGuard {
+	config := quarantine.DefaultConfig()
+	config.TrialOffset = rand.Float64()
 	return &promptGuard{
-		log: log, canConnect: canConnect, checks: make(map[string]*crashCheck),
-		detector: quarantine.NewDetector(quarantine.DefaultConfig()),
+		log: log, canConnect: canConnect, checks: make(map[string]*crashCheck), detector: quarantine.NewDetector(config),
 	}
 }
 
