--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -98,7 +98,7 @@
 	Episode  int
 	Released bool
 	// Trials is the number of requests that were admitted on trial, and LastTrial
-	// the time of the latest, or of the begin of the quarantine.
+	// the time of the latest, or of the start of the quarantine.
 	Trials    int
 	LastTrial time.Duration
 }
