cmd/internal/soak: a configuration takes effect in time though the store is silent

The soak silenced connections to the store and published configurations, and checked only that none came back: a change that took effect seconds late passed.

--- a/cmd/bulrushctl/soak.go
+++ b/cmd/bulrushctl/soak.go
@@ -36,7 +36,8 @@
 			"faults chosen by a seed, and check what callers and workers see: nothing runs twice\n" +
 			"that must not, a refused request has not run, answers and events are complete and\n" +
 			"belong to their request, one instance at a time orders a worker, never to hold too\n" +
-			"much, no older configuration comes back, and all requests are served afterwards.\n\n" +
+			"much, no older configuration comes back, a new one takes effect in time though\n" +
+			"the connections to the store are silent, and all requests are served afterwards.\n\n" +
 			"Exit code 0: all guarantees held. Exit code 1: one was violated; the logs stay.",
 		Example: "  bulrushctl soak --program ./bulrushwick --first 1 --count 50",
 		Args:    cobra.NoArgs,
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/bulrushwick/bulrushwick/entry/direct"
 )
 
 // Outcome is the result of one run.
@@ -93,10 +95,61 @@
 	faultContext, end := context.WithTimeout(ctx, config.FaultDuration)
 	f.run(faultContext)
 	end()
-	recoveryErr := c.awaitServed(ctx, time.Now(), config.RecoveryTimeout)
+	err := c.awaitServed(ctx, time.Now(), config.RecoveryTimeout)
+	if err == nil {
+		err = c.changeInSilence(ctx)
+	}
 	stop()
 	wait.Wait()
-	return recoveryErr
+	return err
+}
+
+// errLateConfig means that a published configuration did not take effect in time.
+var errLateConfig = errors.New("the newest configuration is not in force in time")
+
+// probeDelay is the time until a probe shows that a configuration is in force.
+const probeDelay = 400 * time.Millisecond
+
+// changeInSilence publishes a configuration, which restarts the watches of all
+// instances, silences these, and checks that the next one takes effect in time.
+func (c *callers) changeInSilence(ctx context.Context) error {
+	d := c.deployment
+	d.publish()
+	time.Sleep(probeDelay)
+	for _, i := range d.instances {
+		i.store.Silence()
+	}
+	d.publish()
+	deadline := time.Now().Add(direct.DefaultSettings().ConfigApplyLimit.Std() + probeDelay)
+	for {
+		late := c.behind(d.newest())
+		if late == "" {
+			return nil
+		}
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return fmt.Errorf("%w: %s", errLateConfig, late)
+		}
+		time.Sleep(probePause)
+	}
+}
+
+// behind returns the name of an instance that has not served the route of a
+// version, or "" if all have.
+func (c *callers) behind(version int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	served := make(map[string]bool)
+	for _, r := range c.results {
+		if r.kind == markKind && r.version == version && r.status == okStatus {
+			served[r.instance] = true
+		}
+	}
+	for _, i := range c.deployment.instances {
+		if !served[i.settings.Instance] {
+			return i.settings.Instance
+		}
+	}
+	return ""
 }
 
 // awaitServed waits until every instance has served a request of every kind that
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -72,6 +72,9 @@
 		"an older configuration is accepted": {
 			"coord/routing/table.go", "config.Version <= g.current.Config.Version", "config.Version == g.current.Config.Version", "went back below configuration",
 		},
+		"a silent store hides changes": {
+			"platform/store.go", "watchWaitShare   = 0.5", "watchWaitShare   = 2.0", "not in force in time",
+		},
 		"two holders of one worker": {
 			"coord/quorum/machine.go", "max(0, state.promise.formerExpiry+m.config.TurnGap-now)", "time.Duration(0)", "an order of",
 		},
