--- a/coord/quarantine/play_test.go
+++ b/coord/quarantine/play_test.go
@@ -10,7 +10,7 @@
 const (
 	playStep       = 10 * time.Millisecond
 	playHeartbeat  = 250 * time.Millisecond
-	playStart      = 150 * time.Millisecond // from sending to the begin of a response
+	playStart      = 150 * time.Millisecond // from sending to the start of a response
 	playRestart    = 3 * time.Second
 	playPerSecond  = 40
 	playDeadlyRate = 0.05
