entry/direct: one type for each belief about the fleet

Cause: fleet.go held 15 maps under one lock, and the new headers of workers add more. A reader could not find what is believed of a worker. Change: configuration, knownWorkers, conditions, usage, residency, adapterVersions and demand own one belief each, with its lock and its rules of ageing; fleet combines them. Decisions are the same. Expired use of peers, expired observations and the use of workers that are gone are now dropped; they were kept for ever.

--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -66,7 +66,7 @@
 		cause = "misdirected"
 		c.markMisdirected()
 	} else {
-		c.fleet.recordResult(at, c.workerID, false)
+		c.fleet.conditions.recordResult(at, c.workerID, false)
 	}
 	c.metrics.countRetry(cause)
 	c.log.Line(decision.AttemptFailed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Int(decision.FieldStatus, response.Status).
@@ -78,7 +78,7 @@
 // adapter, or that it is not the worker the request was meant for.
 func (c *call) markMisdirected() {
 	if c.request.Adapter != "" {
-		c.fleet.recordAdapter(now(), c.workerID, c.request.Adapter, false)
+		c.fleet.residency.observe(now(), c.workerID, c.request.Adapter, false)
 	}
 	c.deniedBy = c.workerID
 	delete(c.attemptsByWorker, c.workerID) // it can be sent the request again once it holds the adapter
@@ -89,7 +89,7 @@
 func (c *call) handleUnusableResponse(err error) nextAction {
 	c.mayHaveRun = true
 	at := now()
-	c.fleet.recordResult(at, c.workerID, false)
+	c.fleet.conditions.recordResult(at, c.workerID, false)
 	if !errors.Is(err, errUnusableResponse) {
 		c.guard.reportBroken(c.target, c.parts)
 	}
@@ -112,7 +112,7 @@
 		return c.handleUnusableResponse(err)
 	}
 	at := now()
-	c.fleet.recordResult(at, c.workerID, response.Status < 500)
+	c.fleet.conditions.recordResult(at, c.workerID, response.Status < 500)
 	if response.Status < 300 {
 		c.guard.recordSuccess(c.parts)
 	}
@@ -121,7 +121,7 @@
 	}
 	c.finishExchange(x, response)
 	if response.Status >= 500 && c.route.Retryable() && len(c.attemptsByWorker) < c.route.MaxWorkers &&
-		c.timeLeft() > 0 && c.fleet.takeRetry(at, c.service.Name, c.loader.instanceCount()) {
+		c.timeLeft() > 0 && c.fleet.demand.takeRetry(at, c.service.Name, c.loader.instanceCount()) {
 		c.metrics.countRetry("server_error")
 		c.log.Line(decision.Repeated).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Int(decision.FieldStatus, response.Status).Send()
 		return retryPaid(c)
--- a/entry/direct/fetch.go
+++ b/entry/direct/fetch.go
@@ -87,7 +87,7 @@
 		newest = max(newest, entry.GetRevision())
 	}
 	i.applyEntries(state.GetWorkers(), state.GetVersions())
-	for _, w := range i.fleet.allWorkers() {
+	for _, w := range i.fleet.workers.all() {
 		if !listed[w.ID] {
 			i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.DeleteFromPeer(w.ID, newest) }))
 		}
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -55,7 +55,7 @@
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	table := g.fleet.table()
+	table := g.fleet.config.table()
 	if table == nil || g.closed.Load() {
 		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the instance is starting or stopping")
 		return
@@ -99,10 +99,7 @@
 // other instances serve meanwhile.
 const unavailableRetryAfter = 100 * time.Millisecond
 
-func (g *gateway) configVersion() uint64 {
-	version, _ := g.fleet.publishedConfig()
-	return version
-}
+func (g *gateway) configVersion() uint64 { return g.fleet.config.version() }
 
 func setRetryAfter(ctx *fasthttp.RequestCtx, after time.Duration) {
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
@@ -177,7 +174,7 @@
 		timer.Stop()
 		stop()
 	}
-	c.adapterDemand = g.fleet.countRequest(arrived, c.service.Name, request.Adapter) * float64(g.loader.instanceCount())
+	c.adapterDemand = g.fleet.demand.countRequest(arrived, c.service.Name, request.Adapter) * float64(g.loader.instanceCount())
 	return c
 }
 
@@ -229,7 +226,7 @@
 		return &failure{reason: "every worker that the route allows failed", retryAfter: busyRetryAfter}
 	case c.sends >= maxSends:
 		return &failure{reason: "every attempt failed", retryAfter: busyRetryAfter}
-	case !c.fleet.takeRetry(now(), c.service.Name, c.loader.instanceCount()):
+	case !c.fleet.demand.takeRetry(now(), c.service.Name, c.loader.instanceCount()):
 		return &failure{reason: "the budget for repeats is used up", retryAfter: busyRetryAfter}
 	}
 	return nil
@@ -260,7 +257,7 @@
 		if refused != nil {
 			return worker.Worker{}, refused
 		}
-		target, known := c.fleet.worker(choice.Candidate.ID)
+		target, known := c.fleet.workers.find(choice.Candidate.ID)
 		if !known {
 			continue
 		}
@@ -326,7 +323,7 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.beginAttempt(target.ID, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens)
+	c.attemptUse = c.fleet.usage.begin(target.ID, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens)
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
@@ -352,7 +349,7 @@
 	if c.request.Adapter == "" {
 		return 0
 	}
-	return c.fleet.adapterVersion(c.request.Model, c.request.Adapter)
+	return c.fleet.versions.get(c.request.Model, c.request.Adapter)
 }
 
 // waitLeft returns the time left as it is sent to the worker; at least 1 ms.
@@ -373,7 +370,7 @@
 	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
-		Dur(decision.FieldNewsAgeMS, c.fleet.peerStateAge(at)).
+		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
 		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
 		Uint64(decision.FieldConfig, c.configVersion).Send()
 	return choice, nil
@@ -434,7 +431,7 @@
 		Str(decision.FieldAdapter, c.request.Adapter).Bool(decision.FieldDenied, denied).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).Dur(decision.FieldTookMS, took).Send()
 	if ready {
 		c.deniedBy = ""
-		c.fleet.recordAdapter(now(), choice.Candidate.ID, c.request.Adapter, true)
+		c.fleet.residency.observe(now(), choice.Candidate.ID, c.request.Adapter, true)
 	}
 	return ready, reason
 }
@@ -447,7 +444,7 @@
 	c.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Strs(decision.FieldParts, c.request.PromptParts).Bool(decision.FieldSent, !notSent).
 		Dur(decision.FieldTookMS, at-c.attemptBegan).Bool(decision.FieldCanceled, canceled).Send()
 	if !canceled {
-		c.fleet.recordResult(at, c.workerID, false)
+		c.fleet.conditions.recordResult(at, c.workerID, false)
 	}
 	if !notSent {
 		c.mayHaveRun = true
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -200,7 +200,7 @@
 // callerIdleTimeout returns how long a caller's connection may be idle; 0 while
 // no configuration is in force.
 func (i *Instance) callerIdleTimeout() time.Duration {
-	table := i.fleet.table()
+	table := i.fleet.config.table()
 	if table == nil {
 		return 0
 	}
@@ -209,7 +209,7 @@
 
 // readiness serves the load balancer's health check.
 func (i *Instance) readiness(w http.ResponseWriter, _ *http.Request) {
-	if i.gateway.draining.Load() || i.fleet.table() == nil {
+	if i.gateway.draining.Load() || i.fleet.config.table() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -315,7 +315,7 @@
 // requestLoad implements adapterLoader. The load runs here if this instance
 // controls the worker, else at the instance that does.
 func (i *Instance) requestLoad(ctx context.Context, r *Request, load loadRequest) (bool, string) {
-	w, known := i.fleet.worker(load.worker)
+	w, known := i.fleet.workers.find(load.worker)
 	if !known {
 		return false, "the worker is gone"
 	}
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -56,43 +56,30 @@
 	stateSuspect  = "suspect"
 )
 
-// updateGauges sets the gauges of cached state.
+// updateGauges sets the gauges of what is believed of workers and peers.
 func (f *fleet) updateGauges(at time.Duration, m *metrics, instances int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	states := map[string]int{stateReady: 0, stateDraining: 0, stateLapsed: 0, stateSuspect: 0}
-	for i := range f.workers {
-		states[f.workerState(at, f.workers[i].ID, f.workers[i].Draining)]++
+	for _, w := range f.workers.all() {
+		states[f.workerState(at, w.ID, w.Draining)]++
 	}
 	for state, count := range states {
 		m.tagged("state", state).Gauge("workers").Update(float64(count))
 	}
-	if f.configInstalledAt > 0 {
-		m.setGauge("config_age_seconds", (at - f.configInstalledAt).Seconds())
+	if age := f.config.age(at); age > 0 {
+		m.setGauge("config_age_seconds", age.Seconds())
 	}
-	oldest := time.Duration(0)
-	for _, p := range f.peerStates {
-		if at <= p.expiresAt {
-			oldest = max(oldest, at-p.receivedAt)
-		}
-	}
-	m.setGauge("peer_news_age_seconds", oldest.Seconds())
-	retriesLeft := 0.0
-	for _, b := range f.budgets {
-		retriesLeft += b.Remaining(at, instances)
-	}
-	m.setGauge("repeats_left", retriesLeft)
+	m.setGauge("peer_news_age_seconds", f.usage.oldestAge(at).Seconds())
+	m.setGauge("repeats_left", f.demand.retriesLeft(at, instances))
 }
 
-// workerState returns the state label of a worker. f.mu must be held.
+// workerState returns the state label of a worker.
 func (f *fleet) workerState(at time.Duration, id string, draining bool) string {
-	health := f.health[id]
 	switch {
 	case draining:
 		return stateDraining
-	case f.registry.Missing(id):
+	case f.workers.isMissing(id):
 		return stateLapsed
-	case health != nil && health.Suspect(at):
+	case f.conditions.isSuspect(at, id):
 		return stateSuspect
 	}
 	return stateReady
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -17,7 +17,7 @@
 // HeartbeatUpdate implements cluster.Local: the update for the next heartbeat.
 func (i *Instance) HeartbeatUpdate() *clusterpb.News {
 	update := i.peerUpdate()
-	i.fleet.appendOwnUses(update)
+	i.fleet.usage.appendOwn(update)
 	return update
 }
 
@@ -26,7 +26,7 @@
 func (i *Instance) ReplyUpdate(at time.Duration, peer string) *clusterpb.News {
 	update := i.peerUpdate()
 	heldRights := toSet(i.cluster.HeldRights())
-	i.fleet.appendUsesExcept(at, update, peer, func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
+	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
 	return update
 }
 
@@ -34,7 +34,8 @@
 // have in common.
 func (i *Instance) peerUpdate() *clusterpb.News {
 	update := &clusterpb.News{DirectoryDigest: i.fleet.directoryDigest()}
-	i.fleet.appendOwnSlots(update)
+	update.ConfigVersion = i.fleet.config.version()
+	i.fleet.residency.appendOwn(update)
 	i.directorySync.appendUpdates(now(), update)
 	i.gateway.guard.appendUpdate(now(), update)
 	return update
@@ -70,7 +71,7 @@
 		}))
 	}
 	for _, v := range versions {
-		i.fleet.setAdapterVersion(v.GetModel(), v.GetAdapter(), v.GetVersion())
+		i.fleet.versions.set(v.GetModel(), v.GetAdapter(), v.GetVersion())
 	}
 }
 
@@ -110,10 +111,10 @@
 	own := i.gateway.configVersion()
 	response := &clusterpb.FetchStateResponse{ConfigVersion: own}
 	if own > in.GetConfigVersion() {
-		response.Config = i.fleet.compressedConfig()
+		response.Config = i.fleet.config.compressedDocument()
 	}
 	if in.GetDirectory() {
-		response.Workers, response.Versions = i.fleet.directoryEntries()
+		response.Workers, response.Versions = i.fleet.workers.entries(), i.fleet.versions.entries()
 	}
 	return response
 }
@@ -158,7 +159,7 @@
 		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
 		return
 	}
-	if !i.fleet.installConfig(config, document) {
+	if !i.fleet.config.install(config, document) {
 		return
 	}
 	behind := i.versionLag.installed(now(), config.Version)
@@ -202,7 +203,7 @@
 
 // AdapterVersion implements DirectorySink.
 func (i *Instance) AdapterVersion(model, adapter string, version int64) {
-	i.fleet.setAdapterVersion(model, adapter, version)
+	i.fleet.versions.set(model, adapter, version)
 	i.directorySync.addVersion(now(), &clusterpb.AdapterVersion{Model: model, Adapter: adapter, Version: version})
 }
 
@@ -232,7 +233,7 @@
 // read the store. Those that have its contents from their peers leave the listing to
 // the instances that read it before, and stop when these are back.
 func (i *Instance) FirstListingDelay() time.Duration {
-	if i.fleet.table() == nil || len(i.fleet.allWorkers()) == 0 {
+	if i.fleet.config.table() == nil || len(i.fleet.workers.all()) == 0 {
 		return 0
 	}
 	return surplusReaderGrace + firstListingMargin
--- a/entry/direct/local_test.go
+++ b/entry/direct/local_test.go
@@ -40,7 +40,7 @@
 	state := from.State(&clusterpb.FetchStateRequest{})
 	require.Less(t, len(state.GetConfig()), document.Len()/5)
 	to.acceptCompressedConfig(state.GetConfig(), "peer")
-	version, got := to.fleet.publishedConfig()
+	version, got := to.fleet.config.version(), to.fleet.config.document
 	require.EqualValues(t, document.Len(), version)
 	require.Equal(t, document.String(), string(got))
 	to.acceptCompressedConfig([]byte("no gzip"), "peer")
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -109,8 +109,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	controlled := make(map[string]bool)
-	for _, w := range o.fleet.allWorkers() {
-		service, known := o.fleet.service(w.Service)
+	for _, w := range o.fleet.workers.all() {
+		service, known := o.fleet.config.service(w.Service)
 		if !known || service.Engine == nil || len(service.Engine.Models) == 0 || w.Draining {
 			continue
 		}
@@ -132,7 +132,7 @@
 		if !controlled[id] {
 			running.cancel()
 			delete(o.workers, id)
-			o.fleet.deleteOwnSlots(id)
+			o.fleet.residency.deleteOwn(id)
 		}
 	}
 }
@@ -292,7 +292,7 @@
 // whether there may be another.
 func (w *controlledWorker) runOnce(ctx context.Context) bool {
 	w.readReport(ctx)
-	adapterUse := w.fleet.adapterUse(now(), w.worker.ID)
+	adapterUse := w.fleet.usage.adapters(now(), w.worker.ID)
 	w.mu.Lock()
 	at := now()
 	w.planner.SetRunning(at, adapterUse)
@@ -319,7 +319,7 @@
 		delete(w.waiters, adapter)
 	}
 	if w.planner.Synced() {
-		w.fleet.setOwnSlots(w.worker.ID, slotState{born: w.worker.Born, usable: w.planner.Usable(), slots: w.planner.Slots()})
+		w.fleet.residency.setOwn(w.worker.ID, slotState{born: w.worker.Born, usable: w.planner.Usable(), slots: w.planner.Slots()})
 	}
 }
 
@@ -368,7 +368,7 @@
 	if !order.FromStore {
 		return true
 	}
-	service, known := w.fleet.service(w.worker.Service)
+	service, known := w.fleet.config.service(w.worker.Service)
 	if !known || service.Engine == nil {
 		return false
 	}
@@ -397,7 +397,7 @@
 	line.Send()
 	w.metrics.recordOrder(order, result, at-began)
 	if result == slots.Unreachable {
-		w.fleet.recordResult(at, w.worker.ID, false)
+		w.fleet.conditions.recordResult(at, w.worker.ID, false)
 		defer w.failWaiters()
 	}
 	w.mu.Lock()
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -25,7 +25,7 @@
 	}
 	at := now()
 	c.attemptUse.responseStarted()
-	c.fleet.recordResult(at, c.workerID, true)
+	c.fleet.conditions.recordResult(at, c.workerID, true)
 	c.guard.recordSuccess(c.parts)
 	c.recordFirstByte(at)
 	s.lastForwardedAt = at
@@ -152,7 +152,7 @@
 	if canceled {
 		return context.Cause(s.ctx)
 	}
-	s.fleet.recordResult(at, s.workerID, false)
+	s.fleet.conditions.recordResult(at, s.workerID, false)
 	if !s.route.Resumable || s.lastEventID == "" {
 		return cause
 	}
@@ -187,7 +187,7 @@
 	if refusal != nil {
 		return errors.New(refusal.reason)
 	}
-	if !s.fleet.takeRetry(now(), s.service.Name, s.loader.instanceCount()) {
+	if !s.fleet.demand.takeRetry(now(), s.service.Name, s.loader.instanceCount()) {
 		return errRetryBudgetEmpty
 	}
 	x, err := s.dispatch(target, s.lastEventID)
--- /dev/null
+++ b/entry/direct/usage.go
@@ -0,0 +1,271 @@
+package direct
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/worker"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+)
+
+// A peer's state is valid for peerStateHeartbeats of its heartbeat intervals,
+// but for at least minPeerStateTTL.
+const (
+	peerStateHeartbeats = 4
+	minPeerStateTTL     = 1600 * time.Millisecond
+)
+
+// peerStateTTL returns how long a peer's update is valid.
+func peerStateTTL(update *clusterpb.News) time.Duration {
+	return max(minPeerStateTTL, peerStateHeartbeats*time.Duration(update.GetIntervalNs()))
+}
+
+// peerUsesTTL is how long the sum over the peers is cached; peers send their
+// state a few times per second.
+const peerUsesTTL = 50 * time.Millisecond
+
+// workerUse sums the requests in progress at a worker.
+type workerUse struct {
+	running, waitingTokens, cacheTokens int
+	adapters                            map[string]int
+}
+
+// add adds the use that another instance reports for the same worker.
+func (u *workerUse) add(other workerUse) {
+	u.running += other.running
+	u.waitingTokens += other.waitingTokens
+	u.cacheTokens += other.cacheTokens
+	for adapter, n := range other.adapters {
+		u.adapters[adapter] += n
+	}
+}
+
+// peerUse is the latest use received from a peer.
+type peerUse struct {
+	receivedAt, expiresAt time.Duration
+	workers               map[string]workerUse
+}
+
+// usage holds the requests in progress at workers: this instance's own, and those
+// of its peers as of their latest heartbeats. It is safe for concurrent use.
+type usage struct {
+	mu sync.Mutex
+	// own holds this instance's own use, by worker.
+	own map[string]*workerUse
+	// peers holds the latest use of every peer, by control address.
+	peers map[string]peerUse
+	// peerSum caches sumPeers, as of peerSumAt.
+	peerSum   map[string]workerUse
+	peerSumAt time.Duration
+}
+
+func newUsage() *usage {
+	return &usage{own: make(map[string]*workerUse), peers: make(map[string]peerUse)}
+}
+
+// apply stores the use that a peer sent with a heartbeat.
+func (u *usage) apply(at time.Duration, peer string, update *clusterpb.News) {
+	received := peerUse{receivedAt: at, expiresAt: at + peerStateTTL(update), workers: make(map[string]workerUse, len(update.GetUses()))}
+	for _, use := range update.GetUses() {
+		received.workers[use.GetWorker()] = decodeUse(use)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.peers[peer] = received
+}
+
+func decodeUse(u *clusterpb.WorkerUse) workerUse {
+	decoded := workerUse{
+		running: int(u.GetRunning()), waitingTokens: int(u.GetWaitingTokens()), cacheTokens: int(u.GetCacheTokens()),
+		adapters: make(map[string]int, len(u.GetAdapters())),
+	}
+	for _, a := range u.GetAdapters() {
+		decoded.adapters[a.GetAdapter()] = int(a.GetRunning())
+	}
+	return decoded
+}
+
+func encodeUse(id string, u *workerUse) *clusterpb.WorkerUse {
+	encoded := &clusterpb.WorkerUse{
+		Worker: id, Running: uint32(u.running), WaitingTokens: uint32(max(u.waitingTokens, 0)), CacheTokens: uint32(max(u.cacheTokens, 0)),
+	}
+	for adapter, running := range u.adapters {
+		encoded.Adapters = append(encoded.Adapters, &clusterpb.AdapterUse{Adapter: adapter, Running: uint32(running)})
+	}
+	return encoded
+}
+
+// sumPeers sums the peers' use by worker, and drops what has expired. u.mu must be
+// held.
+func (u *usage) sumPeers(at time.Duration) map[string]workerUse {
+	if u.peerSum != nil && at-u.peerSumAt < peerUsesTTL {
+		return u.peerSum
+	}
+	u.peerSum, u.peerSumAt = make(map[string]workerUse), at
+	for peer, p := range u.peers {
+		if at > p.expiresAt {
+			delete(u.peers, peer)
+			continue
+		}
+		for id, use := range p.workers {
+			total, known := u.peerSum[id]
+			if !known {
+				total.adapters = make(map[string]int, len(use.adapters))
+			}
+			total.add(use)
+			u.peerSum[id] = total
+		}
+	}
+	return u.peerSum
+}
+
+// at calls read with the use of a worker by the peers and by this instance, which
+// may be nil. read must not keep them.
+func (u *usage) at(at time.Duration, id string, read func(peers workerUse, own *workerUse)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	read(u.sumPeers(at)[id], u.own[id])
+}
+
+// appendOwn appends this instance's own use to an update.
+func (u *usage) appendOwn(update *clusterpb.News) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, use := range u.own {
+		if use.running > 0 {
+			update.Uses = append(update.Uses, encodeUse(id, use))
+		}
+	}
+}
+
+// appendExcept appends the use by all instances but the excluded one, for the
+// selected workers.
+func (u *usage) appendExcept(at time.Duration, update *clusterpb.News, excluded string, workers []worker.Worker, selected func(*worker.Worker) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for i := range workers {
+		w := &workers[i]
+		if !selected(w) {
+			continue
+		}
+		total := workerUse{adapters: make(map[string]int)}
+		if use := u.own[w.ID]; use != nil {
+			total.add(*use)
+		}
+		for peer, p := range u.peers {
+			if use, uses := p.workers[w.ID]; uses && peer != excluded && at <= p.expiresAt {
+				total.add(use)
+			}
+		}
+		if total.running > 0 {
+			update.Uses = append(update.Uses, encodeUse(w.ID, &total))
+		}
+	}
+}
+
+// adapters returns the number of requests in progress for each adapter of a worker,
+// over all instances.
+func (u *usage) adapters(at time.Duration, id string) map[string]int {
+	total := workerUse{adapters: make(map[string]int)}
+	u.at(at, id, func(peers workerUse, own *workerUse) {
+		total.add(peers)
+		if own != nil {
+			total.add(*own)
+		}
+	})
+	return total.adapters
+}
+
+// newestAge and oldestAge return the age of the latest state of the peer that was
+// heard last, and of the one heard longest ago; 0 if there is none.
+func (u *usage) newestAge(at time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	latest := time.Duration(0)
+	for _, p := range u.peers {
+		latest = max(latest, p.receivedAt)
+	}
+	if latest == 0 {
+		return 0
+	}
+	return at - latest
+}
+
+func (u *usage) oldestAge(at time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, p := range u.peers {
+		if at <= p.expiresAt {
+			oldest = max(oldest, at-p.receivedAt)
+		}
+	}
+	return oldest
+}
+
+// forget drops this instance's use of a worker that is gone, unless requests are
+// still in progress there.
+func (u *usage) forget(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if use := u.own[id]; use != nil && use.running == 0 {
+		delete(u.own, id)
+	}
+}
+
+// begin counts an attempt as in progress at a worker until end is called on the
+// result.
+func (u *usage) begin(id, adapter string, promptTokens, cacheTokens int) *attemptUse {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	use := u.own[id]
+	if use == nil {
+		use = &workerUse{adapters: make(map[string]int)}
+		u.own[id] = use
+	}
+	use.running++
+	use.waitingTokens += promptTokens
+	use.cacheTokens += cacheTokens
+	if adapter != "" {
+		use.adapters[adapter]++
+	}
+	return &attemptUse{usage: u, worker: use, adapter: adapter, waitingTokens: promptTokens, cacheTokens: cacheTokens}
+}
+
+// attemptUse is what one attempt adds to the use of its worker.
+type attemptUse struct {
+	usage         *usage
+	worker        *workerUse
+	adapter       string
+	waitingTokens int
+	cacheTokens   int
+	ended         bool
+}
+
+// responseStarted records that the worker has begun to respond: the prompt no
+// longer waits.
+func (a *attemptUse) responseStarted() {
+	a.usage.mu.Lock()
+	defer a.usage.mu.Unlock()
+	a.worker.waitingTokens -= a.waitingTokens
+	a.waitingTokens = 0
+}
+
+// end removes the attempt from its worker's use. Further calls do nothing.
+func (a *attemptUse) end() {
+	a.usage.mu.Lock()
+	defer a.usage.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.worker.running--
+	a.worker.waitingTokens -= a.waitingTokens
+	a.worker.cacheTokens -= a.cacheTokens
+	if a.adapter == "" {
+		return
+	}
+	if a.worker.adapters[a.adapter]--; a.worker.adapters[a.adapter] <= 0 {
+		delete(a.worker.adapters, a.adapter)
+	}
+}
--- /dev/null
+++ b/entry/direct/workers.go
@@ -0,0 +1,84 @@
+package direct
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bulrushwick/bulrushwick/coord/worker"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+)
+
+// knownWorkers holds the workers that the store, peers and the workers themselves
+// have told of. It is safe for concurrent use.
+type knownWorkers struct {
+	mu       sync.Mutex
+	registry *worker.Registry
+	// list and byID are copies of the registry's contents, replaced when it
+	// changes.
+	list []worker.Worker
+	byID map[string]worker.Worker
+}
+
+func newKnownWorkers() *knownWorkers {
+	return &knownWorkers{registry: worker.NewRegistry(), byID: make(map[string]worker.Worker)}
+}
+
+// change applies a change to the registry.
+func (k *knownWorkers) change(change func(*worker.Registry) []worker.Event) []worker.Event {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	events := change(k.registry)
+	if len(events) == 0 {
+		return nil
+	}
+	k.list = k.registry.Workers()
+	clear(k.byID)
+	for _, w := range k.list {
+		k.byID[w.ID] = w
+	}
+	return events
+}
+
+// find returns a worker by id.
+func (k *knownWorkers) find(id string) (worker.Worker, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	w, known := k.byID[id]
+	return w, known
+}
+
+// all returns every worker that is not gone. Callers must not modify the result.
+func (k *knownWorkers) all() []worker.Worker {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.list
+}
+
+// isMissing reports whether the worker's entry lapsed during an outage of the store.
+func (k *knownWorkers) isMissing(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registry.Missing(id)
+}
+
+// entries returns every worker in the form sent to peers.
+func (k *knownWorkers) entries() []*clusterpb.WorkerEntry {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var encoded []*clusterpb.WorkerEntry
+	for _, e := range k.registry.Entries() {
+		encoded = append(encoded, encodeWorker(e.Worker, e.Revision, false))
+	}
+	return encoded
+}
+
+// digest returns a hash of the workers. Their adapters and slot counts are left out.
+func (k *knownWorkers) digest() uint64 {
+	sum := uint64(0)
+	for _, w := range k.all() {
+		sum ^= xxhash.Sum64String(fmt.Sprintf("%s %s %t %d %d", w.ID, w.Address, w.Draining, w.Born, len(w.Models)))
+	}
+	return sum
+}
