Workers say in answers that they leave, how loaded they are, and when to come back

Cause: no code read X-Server-Load, Server-Leaving or the Retry-After of a worker. A leaving worker got requests until the store said so, and a worker that turned a request away got the next one at once. Change: platform/ decodes the three headers into direct.ResponseInfo. coord/condition (new) holds what own attempts showed of a worker process: Health (moved from coord/balance), Load with its age and own requests since, Pace, which is believed for as long as it has lasted, and HoldOff, which ends with one probe and is spread by a quarter so that instances do not return together. coord/worker keeps that a process leaves, by its start time: entries of the store do not take it back, a restarted worker is free of it. Peers learn both with heartbeats (WorkerEntry.leaving, WorkerUse.hold_off_ms). A request that waited for its adapter is checked again before it is sent. Where every worker asked for a pause callers are refused at once, with the time of the first that may be asked again.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -35,6 +35,15 @@
 	Avoid bool
 	// Suspect workers failed recently; see Health.
 	Suspect bool
+	// HoldOff is how long the worker wants no request from this instance, which it
+	// turned away; 0 if it may be sent one.
+	HoldOff time.Duration
+	// HeldOffFromPeers is set while the worker wants no request from some other
+	// instances.
+	HeldOffFromPeers bool
+	// Pace is the expected time that work takes relative to the usual time; 0 counts
+	// as 1.
+	Pace float64
 	// BatchSize is the number of requests that the worker runs at once.
 	BatchSize int
 	// Running is the known number of requests in progress from all instances.
@@ -150,9 +159,25 @@
 	return best, best.Candidate != nil
 }
 
+// ShortestHoldOff returns how long it takes until the first candidate that could serve
+// the request otherwise may be sent one; false if none is only held off.
+func ShortestHoldOff(candidates []Candidate) (time.Duration, bool) {
+	shortest, found := time.Duration(0), false
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Usable || c.Avoid || c.HoldOff <= 0 {
+			continue
+		}
+		if !found || c.HoldOff < shortest {
+			shortest, found = c.HoldOff, true
+		}
+	}
+	return shortest, found
+}
+
 // isEligible reports whether a worker can serve the request.
 func isEligible(r Request, c *Candidate) bool {
-	if !c.Usable || c.Avoid {
+	if !c.Usable || c.Avoid || c.HoldOff > 0 {
 		return false
 	}
 	return r.Adapter == "" || c.Residency != Absent || c.Orderable
@@ -160,10 +185,14 @@
 
 // estimate returns the expected time until the response begins.
 func (c Config) estimate(r Request, w *Candidate, position int) time.Duration {
-	total := w.RTT + time.Duration(w.Running)*c.StepCost
+	work := time.Duration(w.Running) * c.StepCost
 	if w.CacheCapacity > 0 {
-		total += time.Duration(float64(w.WaitingTokens+r.Tokens) / c.TokensPerMS * float64(time.Millisecond))
+		work += time.Duration(float64(w.WaitingTokens+r.Tokens) / c.TokensPerMS * float64(time.Millisecond))
+	}
+	if w.Pace > 0 {
+		work = time.Duration(w.Pace * float64(work))
 	}
+	total := w.RTT + work
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
 		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
@@ -173,6 +202,9 @@
 	if w.Suspect {
 		total += c.SuspectCost
 	}
+	if w.HeldOffFromPeers {
+		total += c.FullCost
+	}
 	return total + c.loadCost(r, w, position)
 }
 
--- a/coord/balance/balance_test.go
+++ b/coord/balance/balance_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -106,29 +105,6 @@
 	require.False(t, found)
 }
 
-func TestSuspicionExpires(t *testing.T) {
-	var h Health
-	for range suspectConsecutive {
-		h.Observe(time.Second, false)
-	}
-	require.True(t, h.Suspect(time.Second))
-	require.False(t, h.Suspect(time.Second+suspectDuration+1))
-}
-
-// TestAFailureRateOfOneSeventhIsNotSuspect covers plain services that fail that
-// often in normal operation.
-func TestAFailureRateOfOneSeventhIsNotSuspect(t *testing.T) {
-	var h Health
-	for i := range 70 {
-		h.Observe(time.Second, i%7 != 0)
-		require.False(t, h.Suspect(time.Second))
-	}
-	for i := range 30 {
-		h.Observe(time.Second, i%2 == 0)
-	}
-	require.True(t, h.Suspect(time.Second), "half of them fail")
-}
-
 func TestDemandDecays(t *testing.T) {
 	d := NewDemand()
 	require.Zero(t, d.Add(0, "a"))
--- a/coord/balance/health.go
+++ b/coord/condition/health.go
@@ -1,4 +1,4 @@
-package balance
+package condition
 
 import "time"
 
--- a/coord/worker/registry.go
+++ b/coord/worker/registry.go
@@ -53,8 +53,15 @@
 	// tombstones holds the revisions at which workers were removed, so that updates
 	// with an older revision don't restore them.
 	tombstones map[string]uint64
+	// leaving holds the start time of the processes that said that they leave, by
+	// worker. It outlives the entry, which may lapse and be listed again.
+	leaving map[string]int64
 }
 
+// leavingSweepSize is the number of processes in Registry.leaving beyond which those
+// without an entry are dropped.
+const leavingSweepSize = 4096
+
 // entryState is the last known entry of a worker.
 type entryState struct {
 	worker   Worker
@@ -65,7 +72,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{workers: make(map[string]*entryState), tombstones: make(map[string]uint64)}
+	return &Registry{workers: make(map[string]*entryState), tombstones: make(map[string]uint64), leaving: make(map[string]int64)}
 }
 
 // Missing reports whether a worker's entry is lapsed: missing from the store but
@@ -93,6 +100,9 @@
 	if !exists && revision <= r.tombstones[w.ID] {
 		return nil
 	}
+	if r.isLeaving(w.ID, w.Born) {
+		w.Leaving, w.Draining = true, true
+	}
 	if !exists {
 		r.workers[w.ID] = &entryState{worker: w, revision: revision}
 		return []Event{{Worker: w, Change: Appeared, Revision: revision}}
@@ -102,7 +112,7 @@
 	}
 	change := Updated
 	switch {
-	case k.worker.Born != w.Born && w.Born != 0 && k.worker.Born != 0:
+	case !isSameProcess(k.worker.Born, w.Born):
 		change = Restarted
 	case w.Draining && !k.worker.Draining:
 		change = StartedDraining
@@ -114,12 +124,59 @@
 
 // PutFromPeer applies an entry that another instance read at revision. Such an entry
 // lacks the adapters, so it replaces the known one only if it is newer and differs in
-// more than adapters, or if the known one is lapsed.
+// more than adapters, or if the known one is lapsed. That a process leaves is taken
+// from an older entry too.
 func (r *Registry) PutFromPeer(w Worker, revision uint64) []Event {
+	var events []Event
+	if w.Leaving {
+		events = r.MarkLeaving(w.ID, w.Born)
+	}
 	if k, exists := r.workers[w.ID]; exists && !k.missing && (revision <= k.revision || k.worker.hasSameStructure(w)) {
+		return events
+	}
+	return append(events, r.Put(w, revision)...)
+}
+
+// MarkLeaving records that the process of a worker that started at born, or at an
+// unknown time if born is 0, said itself that it leaves. Entries of that process count
+// as draining from then on; those of a process that started at another time do not.
+func (r *Registry) MarkLeaving(id string, born int64) []Event {
+	k, exists := r.workers[id]
+	if exists && !isSameProcess(k.worker.Born, born) {
+		return nil // the worker was restarted since
+	}
+	r.leaving[id] = born
+	r.sweepLeaving()
+	if !exists || k.worker.Leaving {
 		return nil
 	}
-	return r.Put(w, revision)
+	change := StartedDraining
+	if k.worker.Draining {
+		change = Updated
+	}
+	k.worker.Leaving, k.worker.Draining = true, true
+	return []Event{{Worker: k.worker, Change: change, Revision: k.revision, Structural: true}}
+}
+
+// isLeaving reports whether the process that started at born said that it leaves.
+func (r *Registry) isLeaving(id string, born int64) bool {
+	leaving, known := r.leaving[id]
+	return known && isSameProcess(leaving, born)
+}
+
+// isSameProcess reports whether two start times may be those of one process. An
+// unknown time is 0.
+func isSameProcess(born, other int64) bool { return born == other || born == 0 || other == 0 }
+
+func (r *Registry) sweepLeaving() {
+	if len(r.leaving) <= leavingSweepSize {
+		return
+	}
+	for id := range r.leaving {
+		if r.workers[id] == nil {
+			delete(r.leaving, id)
+		}
+	}
 }
 
 // Delete applies the deletion of an entry at revision. While the store is
--- a/coord/worker/registry_test.go
+++ b/coord/worker/registry_test.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,3 +68,47 @@
 	require.Equal(t, []Change{Gone}, changesOf(r.Delete(0, "w", 8)))
 	require.Empty(t, r.PutFromPeer(bare, 7), "an older revision does not restore it")
 }
+
+// TestAWorkerThatSaidThatItLeavesStaysLeaving covers a worker whose entry goes on to
+// say that it is ready: it is written late, or the store does not respond.
+func TestAWorkerThatSaidThatItLeavesStaysLeaving(t *testing.T) {
+	r := NewRegistry()
+	ready := Worker{ID: "w", Born: 7}
+	r.Put(ready, 1)
+	events := r.MarkLeaving("w", 7)
+	require.Equal(t, []Change{StartedDraining}, changesOf(events))
+	require.True(t, events[0].Structural, "peers are told")
+	require.Empty(t, r.MarkLeaving("w", 7))
+	require.NotContains(t, changesOf(r.Put(ready, 2)), Restarted)
+	require.True(t, r.Workers()[0].Draining)
+	r.Delete(0, "w", 3)
+	r.Put(ready, 4)
+	require.True(t, r.Workers()[0].Draining, "an entry that is listed again is of the same process")
+	require.Equal(t, []Change{Restarted}, changesOf(r.Put(Worker{ID: "w", Born: 8}, 5)))
+	require.False(t, r.Workers()[0].Draining, "a restarted worker is not bound by it")
+	require.Empty(t, r.MarkLeaving("w", 7), "a response of the former process arrives late")
+	require.False(t, r.Workers()[0].Draining)
+}
+
+func TestThatAWorkerLeavesIsTakenFromAnOlderEntryOfAPeer(t *testing.T) {
+	r := NewRegistry()
+	r.Put(Worker{ID: "w", Born: 7, Models: []ModelState{{Name: "m", Adapters: []string{"a@1"}}}}, 9)
+	told := Worker{ID: "w", Born: 7, Draining: true, Leaving: true, Models: []ModelState{{Name: "m"}}}
+	require.Equal(t, []Change{StartedDraining}, changesOf(r.PutFromPeer(told, 4)))
+	require.NotEmpty(t, r.Workers()[0].Models[0].Adapters)
+	require.Empty(t, r.PutFromPeer(told, 4))
+	told.ID = "unknown"
+	require.Equal(t, []Change{Appeared}, changesOf(r.PutFromPeer(told, 4)))
+	require.True(t, r.Workers()[0].Draining)
+}
+
+func TestProcessesThatLeftAreForgotten(t *testing.T) {
+	r := NewRegistry()
+	r.Put(Worker{ID: "kept", Born: 1}, 1)
+	r.MarkLeaving("kept", 1)
+	for i := range leavingSweepSize + 1 {
+		r.MarkLeaving(fmt.Sprintf("gone-%d", i), 1)
+	}
+	require.LessOrEqual(t, len(r.leaving), 2)
+	require.True(t, r.isLeaving("kept", 1))
+}
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -22,6 +22,9 @@
 	Slots int
 	// Draining workers finish their requests and take no new ones.
 	Draining bool
+	// Leaving is set once the worker process itself has said in a response that it
+	// leaves. It is Draining then, whatever its entry says.
+	Leaving bool
 	// Born is the start time of the worker's process in Unix milliseconds, or 0 if
 	// unknown. A changed value means a new process without the state of the old one.
 	Born   int64
@@ -47,7 +50,7 @@
 // versions of models.
 func (w *Worker) hasSameStructure(other Worker) bool {
 	same := w.Service == other.Service && w.Address == other.Address && w.DataCentre == other.DataCentre &&
-		w.Slots == other.Slots && w.Draining == other.Draining && w.Born == other.Born && len(w.Models) == len(other.Models)
+		w.Slots == other.Slots && w.Draining == other.Draining && w.Leaving == other.Leaving && w.Born == other.Born && len(w.Models) == len(other.Models)
 	for i := range w.Models {
 		same = same && w.Models[i].Name == other.Models[i].Name
 	}
--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -22,6 +22,7 @@
 	RightLost        Event = "right_lost"
 	MemberChanged    Event = "member_changed"
 	WorkerChanged    Event = "worker_changed"
+	WorkerLeaves     Event = "worker_leaves"
 	WorkerCrashed    Event = "worker_crashed"
 	PartQuarantined  Event = "part_quarantined"
 	PartReleased     Event = "part_released"
@@ -54,6 +55,7 @@
 	{name: RightLost, text: "this instance lost the right to control a part of the workers", fields: []Field{FieldRight}},
 	{name: MemberChanged, text: "an instance joined, restarted, left or was removed", fields: []Field{FieldMember, FieldChange, FieldIncarnation}},
 	{name: WorkerChanged, text: "a worker appeared, restarted, is draining, lapsed or is gone", fields: []Field{FieldWorker, FieldService, FieldChange, FieldAddress, FieldBorn, FieldModels}},
+	{name: WorkerLeaves, text: "a worker said in a response that it leaves", fields: []Field{FieldWorker, FieldBorn, FieldRequest}},
 	{name: WorkerCrashed, text: "connections to a worker broke before its responses began, and it accepts no new one", fields: []Field{FieldWorker, FieldBorn, FieldRequests, FieldTookMS}},
 	{name: PartQuarantined, text: "requests with a part of the prompt are refused because workers crashed under it", fields: []Field{FieldPart, FieldQuarantined}},
 	{name: PartReleased, text: "requests with a part of the prompt are admitted again", fields: []Field{FieldPart, FieldQuarantined}},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -22,7 +22,7 @@
 
 // handleResponse forwards or rejects a response whose header was read.
 func (c *call) handleResponse(ctx *fasthttp.RequestCtx, x *upstream.Exchange) nextAction {
-	response := c.codec.ParseResponse(&x.Header)
+	response := c.parseResponse(x)
 	switch {
 	case response.NotRun:
 		return c.handleNotRun(ctx, x, response)
@@ -35,6 +35,19 @@
 	return c.forwardBuffered(ctx, x, response)
 }
 
+// parseResponse parses the header of a worker's response and records what it says of
+// the worker.
+func (c *call) parseResponse(x *upstream.Exchange) ResponseInfo {
+	response := c.codec.ParseResponse(&x.Header)
+	if response.Leaving {
+		c.workerLeaves(c.target, c.request.ID)
+	}
+	if !response.Misdirected { // it may come from another worker at the same address
+		c.fleet.conditions.recordResponse(now(), c.workerID, response)
+	}
+	return response
+}
+
 var errUnusableResponse = errors.New("unusable response: unsigned, encoded on the way, or refused")
 
 // discardExchange ends an attempt whose response is not used, and closes its
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -27,13 +27,18 @@
 }
 
 func (f *fleet) candidate(at time.Duration, w *worker.Worker, service routing.Service, r *Request) balance.Candidate {
+	condition := f.conditions.at(at, w.ID)
 	c := balance.Candidate{
 		ID: w.ID, Usable: !w.Draining, InScope: f.settings.controlsWorkersOf(w.DataCentre), BatchSize: w.Slots,
-		RTT: f.roundTripTo(w.DataCentre), Suspect: f.conditions.isSuspect(at, w.ID),
+		RTT: f.roundTripTo(w.DataCentre), Suspect: condition.suspect, Pace: condition.pace, HoldOff: condition.holdOff,
 	}
 	f.usage.at(at, w.ID, func(peers workerUse, own *workerUse) {
 		addWorkerUse(&c, &peers, r.Adapter)
 		addWorkerUse(&c, own, r.Adapter)
+		c.HeldOffFromPeers = peers.holdOffUntil > at
+		if condition.reported {
+			c.Running = max(c.Running, condition.inProgress)
+		}
 		c.Usable = c.Usable && (own == nil || own.running < f.connectionLimit(service, w))
 		if service.Engine != nil {
 			c.CacheCapacity = service.Engine.CacheTokens
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -75,7 +75,7 @@
 func encodeWorker(w worker.Worker, revision uint64, gone bool) *clusterpb.WorkerEntry {
 	entry := &clusterpb.WorkerEntry{
 		Id: w.ID, Revision: revision, Gone: gone, Service: w.Service, Address: w.Address, DataCentre: w.DataCentre,
-		Slots: uint32(w.Slots), Draining: w.Draining, Born: w.Born,
+		Slots: uint32(w.Slots), Draining: w.Draining, Leaving: w.Leaving, Born: w.Born,
 	}
 	for _, m := range w.Models {
 		entry.Models = append(entry.Models, m.Name)
@@ -86,7 +86,7 @@
 func decodeWorker(entry *clusterpb.WorkerEntry) worker.Worker {
 	w := worker.Worker{
 		ID: entry.GetId(), Service: entry.GetService(), Address: entry.GetAddress(), DataCentre: entry.GetDataCentre(),
-		Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), Born: entry.GetBorn(),
+		Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), Leaving: entry.GetLeaving(), Born: entry.GetBorn(),
 	}
 	for _, name := range entry.GetModels() {
 		w.Models = append(w.Models, worker.ModelState{Name: name})
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -66,6 +66,20 @@
 // setInstanceCount sets the number of instances in the cluster, at least 1.
 func (f *fleet) setInstanceCount(count int) { f.instanceCount.Store(int64(max(count, 1))) }
 
+// beginAttempt counts an attempt as in progress at a worker until end is called on
+// the result.
+func (f *fleet) beginAttempt(id string, r *Request) *attemptUse {
+	f.conditions.sent(id)
+	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() { f.conditions.ended(id) })
+}
+
+// claim reports whether a worker process may be sent a request at this moment. What
+// is known of it may have changed since it was chosen.
+func (f *fleet) claim(at time.Duration, w worker.Worker) bool {
+	current, known := f.workers.find(w.ID)
+	return known && !current.Draining && f.conditions.claim(at, w.ID)
+}
+
 // applyPeerUpdate stores the worker use and slots that a peer sent with a
 // heartbeat.
 func (f *fleet) applyPeerUpdate(at time.Duration, peer string, update *clusterpb.News) {
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -27,15 +28,18 @@
 // gateway receives callers' requests and dispatches them to workers. Its fields
 // are safe for concurrent use once it serves.
 type gateway struct {
-	fleet     *fleet
-	codec     Codec
-	pool      *upstream.Pool
-	loader    adapterLoader
-	log       *decision.Log
-	metrics   *metrics
-	admission admission
-	guard     *promptGuard
-	draining  atomic.Bool
+	fleet   *fleet
+	codec   Codec
+	pool    *upstream.Pool
+	loader  adapterLoader
+	log     *decision.Log
+	metrics *metrics
+	// workerLeaves is called when a worker process says in a response to a request
+	// that it leaves.
+	workerLeaves func(w worker.Worker, request string)
+	admission    admission
+	guard        *promptGuard
+	draining     atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed         atomic.Bool
@@ -264,7 +268,13 @@
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
-			return target, c.checkQuarantine() // it may have begun during the load
+			if quarantined := c.checkQuarantine(); quarantined != nil { // it may have begun during the load
+				return target, quarantined
+			}
+			if c.fleet.claim(now(), target) {
+				return target, nil
+			}
+			reason = "the chosen worker leaves or asked for a pause"
 		}
 		if c.ctx.Err() != nil {
 			return target, &failure{reason: context.Cause(c.ctx).Error()}
@@ -323,7 +333,7 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.usage.begin(target.ID, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens)
+	c.attemptUse = c.fleet.beginAttempt(target.ID, r)
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
@@ -362,7 +372,7 @@
 	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank, Demand: c.adapterDemand}
 	choice, found := c.fleet.balance.Pick(request, candidates)
 	if !found {
-		return choice, &failure{reason: "no worker of the service can take the request", retryAfter: noWorkerRetryAfter}
+		return choice, noWorkerFailure(candidates)
 	}
 	if refusal := c.admission.refuse(c, choice); refusal != nil {
 		return choice, refusal
@@ -380,6 +390,21 @@
 // takes seconds.
 const noWorkerRetryAfter = 500 * time.Millisecond
 
+// returnSpread is the largest fraction by which a Retry-After is extended at random
+// where many callers are refused for one reason, so that they do not return together.
+const returnSpread = 0.25
+
+// noWorkerFailure returns why no candidate can take the request. Where workers asked
+// for a pause, the caller may return when the first one ends.
+func noWorkerFailure(candidates []balance.Candidate) *failure {
+	left, found := balance.ShortestHoldOff(candidates)
+	if !found {
+		return &failure{reason: "no worker of the service can take the request", retryAfter: noWorkerRetryAfter}
+	}
+	spread := time.Duration(returnSpread * rand.Float64() * float64(left))
+	return &failure{reason: "every worker asked for a pause", retryAfter: left + spread}
+}
+
 // minLoadWait is the least time that a request waits for its adapter, about the
 // time of a load from a busy weight store.
 const minLoadWait = 400 * time.Millisecond
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -75,12 +75,13 @@
 	}
 	i.cluster = c
 	i.orders = newOrderDispatcher(i.fleet, c, i.instanceCount, ports.Orderer, decisions, i.metrics)
+	i.orders.workerLeaves = i.workerLeaves
 	baseContext, cancelCalls := context.WithCancelCause(context.Background())
 	i.cancelCalls = cancelCalls
 	pool := upstream.NewPool(upstream.DefaultConfig())
 	i.gateway = &gateway{
 		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
-		log: decisions, metrics: i.metrics, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
+		log: decisions, metrics: i.metrics, workerLeaves: i.workerLeaves, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
 	}
 	return i, nil
 }
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -17,7 +17,8 @@
 // HeartbeatUpdate implements cluster.Local: the update for the next heartbeat.
 func (i *Instance) HeartbeatUpdate() *clusterpb.News {
 	update := i.peerUpdate()
-	i.fleet.usage.appendOwn(update)
+	at := now()
+	i.fleet.usage.appendOwn(at, update, i.fleet.conditions.holdOffs(at))
 	return update
 }
 
@@ -26,7 +27,7 @@
 func (i *Instance) ReplyUpdate(at time.Duration, peer string) *clusterpb.News {
 	update := i.peerUpdate()
 	heldRights := toSet(i.cluster.HeldRights())
-	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
+	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), i.fleet.conditions.holdOffs(at), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
 	return update
 }
 
@@ -201,6 +202,18 @@
 	}
 }
 
+// workerLeaves records that a worker process said in a response that it leaves, and
+// tells peers with the next heartbeats. request is empty for a response to a control
+// call.
+func (i *Instance) workerLeaves(w worker.Worker, request string) {
+	changes := i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.MarkLeaving(w.ID, w.Born) })
+	if len(changes) == 0 {
+		return
+	}
+	i.log.Line(decision.WorkerLeaves).Str(decision.FieldWorker, w.ID).Int64(decision.FieldBorn, w.Born).Str(decision.FieldRequest, request).Send()
+	i.handleWorkerChanges(changes)
+}
+
 // AdapterVersion implements DirectorySink.
 func (i *Instance) AdapterVersion(model, adapter string, version int64) {
 	i.fleet.versions.set(model, adapter, version)
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -70,6 +70,8 @@
 	orderer       Orderer
 	log           *decision.Log
 	metrics       *metrics
+	// workerLeaves is called when a worker process says in a report that it leaves.
+	workerLeaves func(w worker.Worker, request string)
 
 	mu sync.Mutex
 	// workers holds the control loops by worker.
@@ -359,6 +361,9 @@
 	if report.Born != 0 && w.worker.Born != 0 && report.Born != w.worker.Born {
 		return // the registry will report the restart
 	}
+	if report.Leaving {
+		w.workerLeaves(w.worker, "")
+	}
 	w.planner.HandleReport(at, report.Held)
 }
 
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/condition"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
@@ -71,6 +72,13 @@
 	// Encoded is set if the body was encoded on the way; it is not the worker's
 	// then.
 	Encoded bool
+	// Load is the load that the worker states; nil if it does not.
+	Load *condition.Report
+	// Leaving is set if the worker says that it leaves.
+	Leaving bool
+	// HoldOff is how long a worker that turned the request away wants no further
+	// request from this instance; 0 if it does not say.
+	HoldOff time.Duration
 	// KeepFor is how long the worker keeps the connection open: 0 if it does
 	// not say, negative if it must not be reused.
 	KeepFor time.Duration
@@ -97,6 +105,8 @@
 // Report is the state that a worker reports.
 type Report struct {
 	Held slots.WorkerState
+	// Leaving is set if the worker says that it leaves.
+	Leaving bool
 	// Born is when the worker's process started, in Unix milliseconds.
 	Born int64
 }
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return err
 	}
-	response := s.codec.ParseResponse(&x.Header)
+	response := s.parseResponse(x)
 	if response.NotRun || !response.Signed || response.Encoded || response.Status >= 300 {
 		s.discardExchange(x)
 		if response.Misdirected {
--- a/entry/direct/usage.go
+++ b/entry/direct/usage.go
@@ -28,6 +28,8 @@
 type workerUse struct {
 	running, waitingTokens, cacheTokens int
 	adapters                            map[string]int
+	// holdOffUntil is when the last hold-off that the worker asked for ends.
+	holdOffUntil time.Duration
 }
 
 // add adds the use that another instance reports for the same worker.
@@ -35,6 +37,7 @@
 	u.running += other.running
 	u.waitingTokens += other.waitingTokens
 	u.cacheTokens += other.cacheTokens
+	u.holdOffUntil = max(u.holdOffUntil, other.holdOffUntil)
 	for adapter, n := range other.adapters {
 		u.adapters[adapter] += n
 	}
@@ -67,27 +70,31 @@
 func (u *usage) apply(at time.Duration, peer string, update *clusterpb.News) {
 	received := peerUse{receivedAt: at, expiresAt: at + peerStateTTL(update), workers: make(map[string]workerUse, len(update.GetUses()))}
 	for _, use := range update.GetUses() {
-		received.workers[use.GetWorker()] = decodeUse(use)
+		received.workers[use.GetWorker()] = decodeUse(at, use)
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.peers[peer] = received
 }
 
-func decodeUse(u *clusterpb.WorkerUse) workerUse {
+func decodeUse(at time.Duration, u *clusterpb.WorkerUse) workerUse {
 	decoded := workerUse{
 		running: int(u.GetRunning()), waitingTokens: int(u.GetWaitingTokens()), cacheTokens: int(u.GetCacheTokens()),
 		adapters: make(map[string]int, len(u.GetAdapters())),
 	}
+	if holdOff := u.GetHoldOffMs(); holdOff > 0 {
+		decoded.holdOffUntil = at + time.Duration(holdOff)*time.Millisecond
+	}
 	for _, a := range u.GetAdapters() {
 		decoded.adapters[a.GetAdapter()] = int(a.GetRunning())
 	}
 	return decoded
 }
 
-func encodeUse(id string, u *workerUse) *clusterpb.WorkerUse {
+func encodeUse(at time.Duration, id string, u *workerUse) *clusterpb.WorkerUse {
 	encoded := &clusterpb.WorkerUse{
 		Worker: id, Running: uint32(u.running), WaitingTokens: uint32(max(u.waitingTokens, 0)), CacheTokens: uint32(max(u.cacheTokens, 0)),
+		HoldOffMs: uint32(max(u.holdOffUntil-at, 0).Milliseconds()),
 	}
 	for adapter, running := range u.adapters {
 		encoded.Adapters = append(encoded.Adapters, &clusterpb.AdapterUse{Adapter: adapter, Running: uint32(running)})
@@ -127,20 +134,36 @@
 	read(u.sumPeers(at)[id], u.own[id])
 }
 
-// appendOwn appends this instance's own use to an update.
-func (u *usage) appendOwn(update *clusterpb.News) {
+// appendOwn appends this instance's own use to an update, and the hold-offs that
+// workers asked it for.
+func (u *usage) appendOwn(at time.Duration, update *clusterpb.News, holdOffs map[string]time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for id, use := range u.own {
 		if use.running > 0 {
-			update.Uses = append(update.Uses, encodeUse(id, use))
+			update.Uses = append(update.Uses, encodeUse(at, id, use.heldOff(at, holdOffs[id])))
+		}
+	}
+	for id, left := range holdOffs {
+		if use := u.own[id]; use == nil || use.running == 0 {
+			update.Uses = append(update.Uses, encodeUse(at, id, (&workerUse{}).heldOff(at, left)))
 		}
 	}
 }
 
+// heldOff returns a copy of the use with the hold-off that the worker asked this
+// instance for; left may be 0.
+func (u *workerUse) heldOff(at, left time.Duration) *workerUse {
+	copied := *u
+	if left > 0 {
+		copied.holdOffUntil = max(copied.holdOffUntil, at+left)
+	}
+	return &copied
+}
+
 // appendExcept appends the use by all instances but the excluded one, for the
 // selected workers.
-func (u *usage) appendExcept(at time.Duration, update *clusterpb.News, excluded string, workers []worker.Worker, selected func(*worker.Worker) bool) {
+func (u *usage) appendExcept(at time.Duration, update *clusterpb.News, excluded string, workers []worker.Worker, holdOffs map[string]time.Duration, selected func(*worker.Worker) bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for i := range workers {
@@ -157,8 +180,11 @@
 				total.add(use)
 			}
 		}
-		if total.running > 0 {
-			update.Uses = append(update.Uses, encodeUse(w.ID, &total))
+		if left := holdOffs[w.ID]; left > 0 {
+			total.holdOffUntil = max(total.holdOffUntil, at+left)
+		}
+		if total.running > 0 || total.holdOffUntil > at {
+			update.Uses = append(update.Uses, encodeUse(at, w.ID, &total))
 		}
 	}
 }
@@ -214,8 +240,8 @@
 }
 
 // begin counts an attempt as in progress at a worker until end is called on the
-// result.
-func (u *usage) begin(id, adapter string, promptTokens, cacheTokens int) *attemptUse {
+// result, which calls onEnd.
+func (u *usage) begin(id, adapter string, promptTokens, cacheTokens int, onEnd func()) *attemptUse {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	use := u.own[id]
@@ -229,7 +255,7 @@
 	if adapter != "" {
 		use.adapters[adapter]++
 	}
-	return &attemptUse{usage: u, worker: use, adapter: adapter, waitingTokens: promptTokens, cacheTokens: cacheTokens}
+	return &attemptUse{usage: u, worker: use, adapter: adapter, waitingTokens: promptTokens, cacheTokens: cacheTokens, onEnd: onEnd}
 }
 
 // attemptUse is what one attempt adds to the use of its worker.
@@ -240,6 +266,8 @@
 	waitingTokens int
 	cacheTokens   int
 	ended         bool
+	// onEnd is called once when the attempt ends.
+	onEnd func()
 }
 
 // responseStarted records that the worker has begun to respond: the prompt no
@@ -259,6 +287,7 @@
 		return
 	}
 	a.ended = true
+	a.onEnd()
 	a.worker.running--
 	a.worker.waitingTokens -= a.waitingTokens
 	a.worker.cacheTokens -= a.cacheTokens
