Odd entries among the workers are left out one by one

Cause here: the decoder resolved host names, and took port 0, an empty port or host and 2^63-1 slots; an id with a line end went into a header of requests; a page of the store was decoded in one piece, so an item of an odd shape lost the list; an entry that was overwritten by an odd one went on naming its worker until the next listing; each reading logged it again. Change: worker.Validate checks what the store and peers tell (IP:port, names that can stand in a header, bounded figures). It is logged once with its key. Ruled out: depth, 400 digits and 65,536 were rejected before.

--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -83,7 +83,9 @@
 	return entry
 }
 
-func decodeWorker(entry *clusterpb.WorkerEntry) worker.Worker {
+// decodeWorker decodes an entry and returns what is wrong with it: a peer of another
+// release may pass on what this one rejects.
+func decodeWorker(entry *clusterpb.WorkerEntry) (worker.Worker, error) {
 	w := worker.Worker{
 		ID: entry.GetId(), Service: entry.GetService(), Address: entry.GetAddress(), DataCentre: entry.GetDataCentre(),
 		Slots: int(entry.GetSlots()), Draining: entry.GetDraining(), Leaving: entry.GetLeaving(), Born: entry.GetBorn(),
@@ -91,7 +93,7 @@
 	for _, name := range entry.GetModels() {
 		w.Models = append(w.Models, worker.ModelState{Name: name})
 	}
-	return w
+	return w, w.Validate()
 }
 
 // addWorkerChanges adds changes of workers to the updates sent to peers. Lapsed
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -48,6 +48,7 @@
 	directorySync *directorySync
 	versionLag    versionLag
 	fetches       *fetchLimiter
+	rejected      rejectedEntries
 }
 
 // orderInFlightTime is added to the operators' gap between the orders of two
@@ -57,7 +58,7 @@
 
 // New returns an instance; Run starts it.
 func New(s Settings, ports Ports, decisions *decision.Log) (*Instance, error) {
-	i := &Instance{settings: s, ports: ports, log: decisions, metrics: newMetrics(), fleet: newFleet(s), directorySync: newDirectorySync(), fetches: newFetchLimiter()}
+	i := &Instance{settings: s, ports: ports, log: decisions, metrics: newMetrics(), fleet: newFleet(s), directorySync: newDirectorySync(), fetches: newFetchLimiter(), rejected: rejectedEntries{reasons: make(map[string]string)}}
 	incarnation := uint64(time.Now().UnixMilli())
 	self := quorum.Member{
 		Address: s.ControlAddress, DataCentre: s.DataCentre, Region: s.Region, Weak: s.isWeak(),
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -64,11 +65,16 @@
 // passed on.
 func (i *Instance) applyEntries(workers []*clusterpb.WorkerEntry, versions []*clusterpb.AdapterVersion) {
 	for _, entry := range workers {
+		w, err := decodeWorker(entry)
+		if err != nil && !entry.GetGone() {
+			i.EntryRejected(entry.GetId(), err)
+			continue
+		}
 		i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
 			if entry.GetGone() {
 				return r.DeleteFromPeer(entry.GetId(), entry.GetRevision())
 			}
-			return r.PutFromPeer(decodeWorker(entry), entry.GetRevision())
+			return r.PutFromPeer(w, entry.GetRevision())
 		}))
 	}
 	for _, v := range versions {
@@ -220,9 +226,42 @@
 	i.directorySync.addVersion(now(), &clusterpb.AdapterVersion{Model: model, Adapter: adapter, Version: version})
 }
 
-// EntryRejected implements DirectorySink.
+// maxLoggedError bounds the text of an error that quotes what others wrote, in bytes.
+const maxLoggedError = 300
+
+// EntryRejected implements DirectorySink. An entry is logged once until it is rejected
+// for another reason: it is read again with each listing, and may be written again
+// many times.
 func (i *Instance) EntryRejected(key string, err error) {
-	i.log.Warn(decision.EntryRejected, err).Str(decision.FieldKey, key).Send()
+	text := err.Error()
+	text = text[:min(len(text), maxLoggedError)]
+	if i.rejected.isNew(key, text) {
+		i.log.Warn(decision.EntryRejected, errors.New(text)).Str(decision.FieldKey, key).Send()
+	}
+}
+
+// maxRejectedEntries is the number of rejected entries that are remembered. Further
+// ones are logged each time, within the rate limit of the log.
+const maxRejectedEntries = 1024
+
+// rejectedEntries remembers why entries were rejected. It is safe for concurrent use.
+type rejectedEntries struct {
+	mu      sync.Mutex
+	reasons map[string]string
+}
+
+// isNew reports whether the entry was not rejected for this reason before.
+func (r *rejectedEntries) isNew(key, reason string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known, found := r.reasons[key]
+	if found && known == reason {
+		return false
+	}
+	if found || len(r.reasons) < maxRejectedEntries {
+		r.reasons[key] = reason
+	}
+	return true
 }
 
 // StoreLost implements DirectorySink. Entries of workers that vanish while the
