A refusal or an answer written once more on a kept connection reaches nobody

Cause here: (1) a response without an id and signature was taken as that of the running request, so a stale 503, 409 or 421 without an id was believed. (2) A request that a worker refuses with 421 is sent to it again, mostly on the same connection, where a copy of the first refusal has the right id. (3) The same for two requests of a caller with one id. Change: upstream.Attribution tells this request, another and none apart. A connection to a worker never carries the same id twice within 32 requests. Cannot be told apart: a copy of a refusal that bears the id of the request in progress; a connection carries an id once, so only a worker that makes ids up can write it.

--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -337,7 +337,10 @@
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
-	exchange, err := c.pool.Send(c.ctx, target.Address, c.codec.AppendRequest(nil, r, attempt), c.codec.Matches(r))
+	exchange, err := c.pool.Send(c.ctx, target.Address, upstream.Request{
+		ID: r.ID, Bytes: c.codec.AppendRequest(nil, r, attempt),
+		Attribute: func(h *fasthttp.ResponseHeader) upstream.Attribution { return c.codec.Attribute(r, h) },
+	})
 	if err != nil {
 		c.attemptUse.end()
 	}
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -91,8 +91,9 @@
 	ParseRequest(*fasthttp.RequestCtx) (*Request, error)
 	// AppendRequest appends the request of one attempt to dst.
 	AppendRequest(dst []byte, r *Request, a Attempt) []byte
-	// Matches returns the check whether a response belongs to r.
-	Matches(r *Request) upstream.Matches
+	// Attribute returns the request that a response to r, or to an earlier request on
+	// the same connection, belongs to.
+	Attribute(r *Request, response *fasthttp.ResponseHeader) upstream.Attribution
 	ParseResponse(*fasthttp.ResponseHeader) ResponseInfo
 	// CopyHeader copies the header lines of a worker's response that the caller
 	// may see.
--- a/entry/upstream/conn.go
+++ b/entry/upstream/conn.go
@@ -3,8 +3,11 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // conn is a connection to a worker, used by one request at a time. An idle one
@@ -14,6 +17,25 @@
 	net       net.Conn
 	reader    *bufio.Reader
 	expiresAt time.Time
+	// carried holds a hash of the IDs of the last requests; carriedCount is their
+	// number so far.
+	carried      [carriedIDs]uint64
+	carriedCount int
+}
+
+// carriedIDs is the number of requests after whose responses a worker may still
+// write a late copy of one.
+const carriedIDs = 32
+
+// addRequest records that the connection carries a request.
+func (c *conn) addRequest(id string) {
+	c.carried[c.carriedCount%carriedIDs] = xxhash.Sum64String(id)
+	c.carriedCount++
+}
+
+// hasCarried reports whether one of the last requests had the ID.
+func (c *conn) hasCarried(id string) bool {
+	return slices.Contains(c.carried[:min(c.carriedCount, carriedIDs)], xxhash.Sum64String(id))
 }
 
 func newConn(address string, raw net.Conn, headerBytes int) *conn {
--- a/entry/upstream/endless_test.go
+++ b/entry/upstream/endless_test.go
@@ -65,9 +65,10 @@
 
 const requestText = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
-func matchesAll(*fasthttp.ResponseHeader) bool { return true }
-
-func matchesNone(*fasthttp.ResponseHeader) bool { return false }
+// attribute returns a function that attributes every response alike.
+func attribute(a Attribution) func(*fasthttp.ResponseHeader) Attribution {
+	return func(*fasthttp.ResponseHeader) Attribution { return a }
+}
 
 // TestEndlessHeadEndsTheAttempt guards against waiting for the end of a response head that never ends.
 func TestEndlessHeadEndsTheAttempt(t *testing.T) {
@@ -84,7 +85,7 @@
 			s := startEndlessServer(t, response[0], response[1])
 			ctx, cancel := context.WithTimeout(context.Background(), 2*maxEndlessTime)
 			defer cancel()
-			_, err := NewPool(DefaultConfig()).Send(ctx, s.address, []byte(requestText), matchesAll)
+			_, err := NewPool(DefaultConfig()).Send(ctx, s.address, Request{Bytes: []byte(requestText), Attribute: attribute(ThisRequest)})
 			require.Error(t, err)
 			require.NoError(t, ctx.Err(), "the attempt ended only with its context")
 			s.requireClosed(t)
@@ -106,7 +107,7 @@
 			s := startEndlessServer(t, response[0], response[1])
 			ctx, cancel := context.WithTimeout(context.Background(), 2*maxEndlessTime)
 			defer cancel()
-			_, err := NewPool(DefaultConfig()).Send(ctx, s.address, []byte(requestText), matchesNone)
+			_, err := NewPool(DefaultConfig()).Send(ctx, s.address, Request{Bytes: []byte(requestText), Attribute: attribute(OtherRequest)})
 			require.Error(t, err)
 			require.NoError(t, ctx.Err(), "the attempt ended only with its context")
 			s.requireClosed(t)
@@ -119,7 +120,7 @@
 	s := startEndlessServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X-A: b\r\n")
 	ctx, cancel := context.WithTimeout(context.Background(), 2*maxEndlessTime)
 	defer cancel()
-	x, err := NewPool(DefaultConfig()).Send(ctx, s.address, []byte(requestText), matchesAll)
+	x, err := NewPool(DefaultConfig()).Send(ctx, s.address, Request{Bytes: []byte(requestText), Attribute: attribute(ThisRequest)})
 	require.NoError(t, err)
 	_, err = io.ReadAll(x)
 	require.Error(t, err)
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -63,14 +63,36 @@
 	framingClose
 )
 
-// Matches reports whether a response header belongs to the request that was sent.
-type Matches func(*fasthttp.ResponseHeader) bool
+// Attribution is the request that a response belongs to.
+type Attribution uint8
+
+const (
+	// Unattributed responses do not say to which request they belong. They may come
+	// from something between this process and the worker, or be a late copy of a
+	// response to an earlier request.
+	Unattributed Attribution = iota
+	// ThisRequest is the request that was sent.
+	ThisRequest
+	// OtherRequest is any other one.
+	OtherRequest
+)
+
+// Request is a request to a worker.
+type Request struct {
+	// ID identifies the request. A connection never carries the same ID twice, since
+	// a late copy of the response to the earlier one could not be told apart.
+	ID string
+	// Bytes is the encoded request.
+	Bytes []byte
+	// Attribute returns the request that a response belongs to.
+	Attribute func(*fasthttp.ResponseHeader) Attribution
+}
 
 // Send writes a request and waits for the header of its response. Its errors are
 // of type *SendError. When ctx ends before Finish or Discard, the connection is
 // closed, which tells the worker that nobody waits for the response.
-func (p *Pool) Send(ctx context.Context, address string, request []byte, matches Matches) (*Exchange, error) {
-	c := p.takeIdle(address, time.Now())
+func (p *Pool) Send(ctx context.Context, address string, request Request) (*Exchange, error) {
+	c := p.takeIdle(address, request.ID, time.Now())
 	if c == nil {
 		dialed, err := p.dial(ctx, address)
 		if err != nil {
@@ -88,7 +110,8 @@
 		discardUnsentOnClose(c.net)
 		_ = c.net.Close() // unblocks the reader, which reports the end of ctx
 	})
-	if err := x.roundTrip(request, matches); err != nil {
+	c.addRequest(request.ID)
+	if err := x.roundTrip(request); err != nil {
 		x.Discard()
 		if ctx.Err() != nil {
 			err = context.Cause(ctx)
@@ -103,17 +126,19 @@
 // respond before it has read the whole request.
 const maxSyncWriteBytes = 16 << 10
 
-// roundTrip writes the request and reads the header of the response that matches.
-func (x *Exchange) roundTrip(request []byte, matches Matches) error {
-	if len(request) <= maxSyncWriteBytes {
-		_, err := x.conn.net.Write(request)
+// roundTrip writes the request and reads the header of its response. It skips
+// responses to other requests. One that belongs to no known request ends the attempt:
+// it proves nothing about this one.
+func (x *Exchange) roundTrip(request Request) error {
+	if len(request.Bytes) <= maxSyncWriteBytes {
+		_, err := x.conn.net.Write(request.Bytes)
 		x.writeResult <- err
 		if err != nil {
 			return err
 		}
 	} else {
 		go func() {
-			_, err := x.conn.net.Write(request)
+			_, err := x.conn.net.Write(request.Bytes)
 			x.writeResult <- err
 		}()
 	}
@@ -121,8 +146,11 @@
 		if err := x.readHeader(); err != nil {
 			return err
 		}
-		if matches(&x.Header) {
+		switch request.Attribute(&x.Header) {
+		case ThisRequest:
 			return nil
+		case Unattributed:
+			return ErrUnexpectedResponse
 		}
 		if err := x.skipResponse(); err != nil {
 			return err
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -91,11 +92,11 @@
 	}
 }
 
-// takeIdle removes and returns an idle connection that can be reused, or nil if
-// there is none. It closes those that can't be.
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
+// takeIdle removes and returns an idle connection that can be reused for a request
+// with an ID, or nil if there is none. It closes those that can't be reused at all.
+func (p *Pool) takeIdle(address, id string, now time.Time) *conn {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, id)
 		if c == nil {
 			return nil
 		}
@@ -106,17 +107,19 @@
 	}
 }
 
-// popIdle removes and returns the idle connection that was used last, or nil.
-func (p *Pool) popIdle(address string) *conn {
+// popIdle removes and returns the idle connection that was used last and did not carry
+// the ID, or nil.
+func (p *Pool) popIdle(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i, c := range slices.Backward(conns) {
+		if !c.hasCarried(id) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // dial opens a connection. Its error means that no byte was sent.
