entry/direct: a stream to an HTTP/1.0 caller goes with its length, or not at all

Report of other operators: an answer that broke off halfway looked complete. Cause here: HTTP/1.0 callers got chunks that they do not know, and the end of the connection ended a cut stream like a whole one. Before: TestCutAnswersNeverLookCompleteToOldCallers (two of four cases) and TestWholeAnswersReachOldCallers fail. After: they pass. Held before: bodies with a length, and all cases of HTTP/1.1 callers.

--- a/entry/direct/largebody.go
+++ b/entry/direct/largebody.go
@@ -22,14 +22,20 @@
 
 // forwardLarge forwards a response of which only the first bytes have been read.
 func (c *call) forwardLarge(ctx *fasthttp.RequestCtx, x *upstream.Exchange, response ResponseInfo, buffered []byte) nextAction {
-	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
-	ctx.SetStatusCode(response.Status)
-	c.recordFirstByte(now())
 	length := -1
 	if !x.Unframed {
 		length = max(x.Header.ContentLength(), -1)
 	}
-	ctx.SetBodyStream(&largeBody{call: c, exchange: x, response: response, buffered: buffered}, length)
+	body := &largeBody{call: c, exchange: x, response: response, buffered: buffered}
+	if length < 0 && !ctx.Request.Header.IsHTTP11() {
+		refuseWhole(ctx)
+		_ = body.Close() // never fails
+		return actionDone
+	}
+	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
+	ctx.SetStatusCode(response.Status)
+	c.recordFirstByte(now())
+	ctx.SetBodyStream(body, length)
 	return actionDone
 }
 
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -31,11 +31,34 @@
 	s.lastForwardedAt = at
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(response.Status)
+	if !ctx.Request.Header.IsHTTP11() {
+		s.sendWhole(ctx)
+		return actionDone
+	}
 	ctx.Response.ImmediateHeaderFlush = true
 	ctx.SetBodyStream(s, -1)
 	return actionDone
 }
 
+// sendWhole reads the whole stream before it is sent, with its length. HTTP/1.0 has no
+// chunks, and the end of the connection does not tell a cut stream from a complete one.
+func (s *eventStream) sendWhole(ctx *fasthttp.RequestCtx) {
+	body, err := io.ReadAll(io.LimitReader(s, maxBufferedBody+1))
+	if closeErr := s.Close(); err != nil || closeErr != nil || len(body) > maxBufferedBody {
+		refuseWhole(ctx)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+// refuseWhole sends an error in place of a response that can't be sent with its length.
+// The request has run or may have run.
+func refuseWhole(ctx *fasthttp.RequestCtx) {
+	ctx.Response.Reset()
+	ctx.SetStatusCode(fasthttp.StatusBadGateway)
+	ctx.SetBodyString("the response broke off, or is too long for HTTP/1.0\n")
+}
+
 // eventStream reads whole events from a worker's response, and resumes at
 // another worker if the route allows it. It is used by one goroutine at a time.
 type eventStream struct {
