A panic ends one request or one round of a background task, not the process

Report of other operators: one unexpected error took a whole process down. Cause here: nothing outside generated code recovered; fasthttp does not. Change: entry/recovery (new). A panic in a request ends it with 500, closes the worker's connection and frees its use; one in a body that is streamed closes the caller's connection without its end; background loops start again after half a second, the control loop of a worker with a new planner. Each is logged with its stack (panicked) and counted (bulrushwick_panics). bulrushwick serve: the same for handlers and background loops; a body that it streams is not covered.

--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -172,10 +172,10 @@
 func (c *Cluster) Run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	defer c.pool.Release()
 	for {
 		select {
 		case <-ctx.Done():
+			c.pool.Release()
 			return
 		case <-timer.C:
 		}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -166,7 +166,7 @@
 // bodies of at most bodyLimit bytes.
 func newServer(handler fasthttp.RequestHandler, bodyLimit int, log zerolog.Logger) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                      handler,
+		Handler:                      confinePanics(log, handler),
 		ErrorHandler:                 ingress.HandleReadError,
 		Logger:                       serverLog{log: sampled(log)},
 		NoDefaultServerHeader:        true,
@@ -215,13 +215,13 @@
 	if len(d.listeners) > operatorListener {
 		go func() { failed <- d.operator.Serve(d.listeners[operatorListener]) }()
 	}
-	go d.reader.Run(background)
-	go d.follower.Run(background)
-	go d.exchange.Run(background)
-	go d.keeper.Run(background)
-	go d.exchange.RunLoans(background, d.owner)
-	go d.tick(background)
-	go d.observeState(background)
+	go d.loop(background, "platform", d.reader.Run)
+	go d.loop(background, "tables", d.follower.Run)
+	go d.loop(background, "heartbeats", d.exchange.Run)
+	go d.loop(background, "leases", d.keeper.Run)
+	go d.loop(background, "loans", func(ctx context.Context) { d.exchange.RunLoans(ctx, d.owner) })
+	go d.loop(background, "tick", d.tick)
+	go d.loop(background, "state", d.observeState)
 	select {
 	case <-ctx.Done():
 		return d.drain()
--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -33,6 +33,7 @@
 	StoreReturned    Event = "store_returned"
 	ReportFailed     Event = "report_failed"
 	ConnectionFailed Event = "connection_failed"
+	Panicked         Event = "panicked"
 	LinesDropped     Event = "lines_dropped"
 )
 
@@ -66,5 +67,6 @@
 	{name: StoreReturned, text: "the metadata store is available again", fields: []Field{}},
 	{name: ReportFailed, text: "a worker's report could not be read", fields: []Field{FieldWorker, FieldError}},
 	{name: ConnectionFailed, text: "a connection failed, or carried no valid HTTP", fields: []Field{FieldError}},
+	{name: Panicked, text: "a request or a background task hit a programming error; the rest goes on", fields: []Field{FieldTask, FieldStack, FieldError}},
 	{name: LinesDropped, text: "lines were dropped; limited_EVENT counts those over an event's rate limit", fields: []Field{FieldReplaced}},
 }
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -68,6 +68,8 @@
 	FieldRoutes        Field = "routes"
 	FieldServices      Field = "services"
 	FieldKey           Field = "key"
+	FieldTask          Field = "task"
+	FieldStack         Field = "stack"
 	FieldDataCentre    Field = "data_centre"
 	FieldCallers       Field = "callers"
 	FieldSeeds         Field = "seeds"
@@ -120,7 +122,7 @@
 	{name: FieldResuming, text: "the attempt was to resume a broken stream"},
 	{name: FieldLastEvent, text: "id of the last event that the caller received"},
 	{name: FieldSends, text: "number of attempts for the request"},
-	{name: FieldOutcome, text: "answered, failed, cut or hung_up"},
+	{name: FieldOutcome, text: "answered, failed, cut, hung_up or panicked"},
 	{name: FieldRetryAfterMS, text: "time after which the caller may retry"},
 	{name: FieldFirstByteMS, text: "time until the response began"},
 	{name: FieldLoadingMS, text: "time spent waiting for adapters"},
@@ -148,6 +150,8 @@
 	{name: FieldRoutes, text: "number of routes in the configuration"},
 	{name: FieldServices, text: "number of services in the configuration"},
 	{name: FieldKey, text: "key of the entry in the store"},
+	{name: FieldTask, text: "the task that hit a programming error: request, response, or a background task"},
+	{name: FieldStack, text: "stack at the error"},
 	{name: FieldDataCentre, text: "data centre of the instance"},
 	{name: FieldCallers, text: "address on which callers are served"},
 	{name: FieldSeeds, text: "addresses of instances that are always contacted"},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -182,8 +182,13 @@
 // minRetryAfter keeps callers from retrying within one round trip.
 const minRetryAfter = crossRegionRTT
 
-// finish releases a request's context, and counts and logs its outcome.
+// finish releases a request's context, and counts and logs its outcome. Further calls do
+// nothing.
 func (c *call) finish(outcome string, status int) {
+	if c.finished {
+		return
+	}
+	c.finished = true
 	if errors.Is(context.Cause(c.ctx), httpx.ErrCallerDisconnected) {
 		outcome = "hung_up"
 	}
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // Bounds for sharing the store's contents within a cluster.
@@ -225,7 +226,14 @@
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.setReading(true)
-	go r.ports.Directory.Run(ctx, r.Instance)
+	go recovery.Loop(ctx, r.gateway.reportPanic, "store", func(ctx context.Context) { r.ports.Directory.Run(ctx, r.Instance) })
+}
+
+// close stops reading.
+func (r *storeReader) close() {
+	if r.cancel != nil {
+		r.cancel()
+	}
 }
 
 func (r *storeReader) setReading(reading bool) {
--- a/entry/direct/fetch.go
+++ b/entry/direct/fetch.go
@@ -8,6 +8,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // Limits on fetches of state from peers.
@@ -58,7 +59,7 @@
 	}
 	go func() {
 		defer i.fetches.end(peer)
-		i.fetch(peer, directory)
+		recovery.Run(i.gateway.reportPanic, "fetch", func() { i.fetch(peer, directory) })
 	}()
 }
 
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -56,6 +57,12 @@
 func (g *gateway) handle(ctx *fasthttp.RequestCtx) {
 	arrived := now()
 	g.activeRequests.Add(1)
+	var c *call
+	defer func() {
+		if value := recover(); value != nil {
+			g.failPanicked(ctx, c, recovery.New("request", value))
+		}
+	}()
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -83,7 +90,29 @@
 		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
 		return
 	}
-	g.serve(ctx, g.newCall(ctx, table, route, request, arrived))
+	c = g.newCall(ctx, table, route, request, arrived)
+	g.serve(ctx, c)
+}
+
+// failPanicked ends a request in which this process hit a programming error. c is nil
+// if the request was not routed yet. The status promises nothing.
+func (g *gateway) failPanicked(ctx *fasthttp.RequestCtx, c *call, cause *recovery.Panic) {
+	g.reportPanic(cause)
+	if c == nil {
+		g.activeRequests.Add(-1)
+	} else {
+		c.abort(cause)
+	}
+	ctx.Response.Reset()
+	ctx.SetConnectionClose()
+	ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	ctx.SetBodyString("internal error\n")
+}
+
+// reportPanic logs and counts a panic that was confined to a request or a task.
+func (g *gateway) reportPanic(p *recovery.Panic) {
+	g.metrics.countPanic(p.Task)
+	g.log.Warn(decision.Panicked, p).Str(decision.FieldTask, p.Task).Str(decision.FieldStack, p.Stack).Send()
 }
 
 // refuseEarly sends the error response of a request that was not routed.
@@ -153,6 +182,18 @@
 	attemptUse *attemptUse
 	workerID   string
 	target     worker.Worker
+	finished   bool
+}
+
+// abort ends a request whose state may be inconsistent: the connection to its worker
+// is closed, and its use of the worker ends.
+func (c *call) abort(cause error) {
+	c.cancel(cause)
+	c.stopWatch()
+	if c.attemptUse != nil {
+		c.attemptUse.end()
+	}
+	c.finish("panicked", fasthttp.StatusInternalServerError)
 }
 
 // deadlineMargin is how long before the caller's or the route's deadline the
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -76,7 +77,7 @@
 	}
 	i.cluster = c
 	i.orders = newOrderDispatcher(i.fleet, c, i.instanceCount, ports.Orderer, decisions, i.metrics)
-	i.orders.workerLeaves = i.workerLeaves
+	i.orders.workerLeaves, i.orders.reportPanic = i.workerLeaves, func(p *recovery.Panic) { i.gateway.reportPanic(p) }
 	baseContext, cancelCalls := context.WithCancelCause(context.Background())
 	i.cancelCalls = cancelCalls
 	pool := upstream.NewPool(upstream.DefaultConfig())
@@ -84,6 +85,7 @@
 		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
 		log: decisions, metrics: i.metrics, workerLeaves: i.workerLeaves, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
 	}
+	i.gateway.guard.reportPanic = i.gateway.reportPanic
 	return i, nil
 }
 
@@ -144,8 +146,8 @@
 	i.serveAll(listeners, failed)
 	i.log.Line(decision.Started).Str(decision.FieldDataCentre, i.settings.DataCentre).Str(decision.FieldCallers, i.settings.CallerAddress).
 		Strs(decision.FieldSeeds, i.settings.Seeds).Send()
-	go i.cluster.Run(background)
-	go i.runHousekeeping(background)
+	go recovery.Loop(background, i.gateway.reportPanic, "cluster", i.cluster.Run)
+	go recovery.Loop(background, i.gateway.reportPanic, "housekeeping", i.runHousekeeping)
 	select {
 	case <-ctx.Done():
 		return i.stop()
@@ -284,6 +286,7 @@
 	defer ticker.Stop()
 	summaryAt, gaugesAt := now(), now()
 	store := &storeReader{Instance: i, startedAt: now()}
+	defer store.close() // a panic starts housekeeping, and with it the reader, again
 	for {
 		store.refresh(ctx)
 		select {
--- a/entry/direct/largebody.go
+++ b/entry/direct/largebody.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -42,20 +43,32 @@
 // Read implements io.Reader; the server reads the caller's response from it. An
 // error other than io.EOF closes the caller's connection without the end of the
 // body, so that a truncated response never looks complete.
-func (b *largeBody) Read(p []byte) (int, error) {
+func (b *largeBody) Read(p []byte) (n int, err error) {
+	defer b.confinePanic(&n, &err)
 	if len(b.buffered) > 0 {
-		n := copy(p, b.buffered)
+		n = copy(p, b.buffered)
 		b.buffered = b.buffered[n:]
 		return n, nil
 	}
 	if b.complete {
 		return 0, io.EOF
 	}
-	n, err := b.exchange.Read(p)
+	n, err = b.exchange.Read(p)
 	b.complete = errors.Is(err, io.EOF)
 	return n, err
 }
 
+// confinePanic turns a panic of a Read into its error, which closes the caller's
+// connection without the end of the body. It must be deferred.
+func (c *call) confinePanic(n *int, err *error) {
+	if value := recover(); value != nil {
+		cause := recovery.New("response", value)
+		c.reportPanic(cause)
+		c.cancel(cause)
+		*n, *err = 0, cause
+	}
+}
+
 // Close implements io.Closer; the server calls it at the end of the response,
 // complete or not.
 func (b *largeBody) Close() error {
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -13,6 +13,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // HeartbeatUpdate implements cluster.Local: the update for the next heartbeat.
@@ -220,6 +221,9 @@
 	i.handleWorkerChanges(changes)
 }
 
+// Panicked implements DirectorySink.
+func (i *Instance) Panicked(p *recovery.Panic) { i.gateway.reportPanic(p) }
+
 // AdapterVersion implements DirectorySink.
 func (i *Instance) AdapterVersion(model, adapter string, version int64) {
 	i.fleet.versions.set(model, adapter, version)
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -34,7 +34,9 @@
 		Prefix: "bulrushwick", CachedReporter: reporter, Separator: prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsReportInterval)
-	return &metrics{scope: scope, reporter: reporter}
+	m := &metrics{scope: scope, reporter: reporter}
+	m.tagged("task", "request").Counter("panics").Inc(0) // exported from the start, so that an alarm sees the first one
+	return m
 }
 
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
@@ -69,6 +71,9 @@
 	m.tagged("ready", strconv.FormatBool(ready)).Histogram("load_wait_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// countPanic counts a panic by the task that it was confined to.
+func (m *metrics) countPanic(task string) { m.tagged("task", task).Counter("panics").Inc(1) }
+
 // countRetry counts a retried request by the cause of the retry.
 func (m *metrics) countRetry(cause string) { m.tagged("cause", cause).Counter("repeats").Inc(1) }
 
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // rightsPerDataCentre is the number of rights into which control of a data
@@ -72,6 +73,7 @@
 	metrics       *metrics
 	// workerLeaves is called when a worker process says in a report that it leaves.
 	workerLeaves func(w worker.Worker, request string)
+	reportPanic  recovery.Reporter
 
 	mu sync.Mutex
 	// workers holds the control loops by worker.
@@ -148,7 +150,23 @@
 		waiters: make(map[string][]chan bool),
 	}
 	o.workers[w.ID] = controlled
-	go controlled.run(ctx)
+	go func() {
+		if recovery.Run(o.reportPanic, "orders to a worker", func() { controlled.run(ctx) }) {
+			o.discard(controlled)
+		}
+	}()
+}
+
+// discard removes a control loop that ended with a panic, so that refresh starts
+// another one, whose planner learns the worker's state anew.
+func (o *orderDispatcher) discard(ended *controlledWorker) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ended.cancel()
+	if o.workers[ended.worker.ID] == ended {
+		delete(o.workers, ended.worker.ID)
+		o.fleet.residency.deleteOwn(ended.worker.ID)
+	}
 }
 
 // adapterCapacity returns the number of adapters that fit beside a model.
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -18,6 +18,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -146,6 +147,8 @@
 	StoreLost(err error)
 	// StoreReturned reports that the store responds again.
 	StoreReturned()
+	// Panicked reports a panic in a background task of the Directory.
+	Panicked(p *recovery.Panic)
 	// FirstListingDelay is how long to wait, after an outage, before a first
 	// listing of the store.
 	FirstListingDelay() time.Duration
--- a/entry/direct/promptguard.go
+++ b/entry/direct/promptguard.go
@@ -11,6 +11,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // promptGuard keeps requests away from workers if a part of their prompt crashes
@@ -19,6 +20,8 @@
 	log *decision.Log
 	// canConnect reports whether a worker accepts connections.
 	canConnect func(ctx context.Context, address string) bool
+	// reportPanic is set before the first request.
+	reportPanic recovery.Reporter
 
 	mu       sync.Mutex
 	detector *quarantine.Detector
@@ -95,7 +98,7 @@
 	case check == nil || check.done && at >= check.expiresAt:
 		check = &crashCheck{waiting: [][]quarantine.Part{parts}}
 		g.checks[process] = check
-		go g.check(check, process, w)
+		go recovery.Run(g.reportPanic, "crash check", func() { g.check(check, process, w) })
 	case !check.done:
 		check.waiting = append(check.waiting, parts)
 	case check.crashed:
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -131,7 +131,8 @@
 // Read implements io.Reader; the server reads the caller's response from it. An
 // error other than io.EOF closes the caller's connection without the end of the
 // body, so that a truncated response never looks complete.
-func (s *eventStream) Read(p []byte) (int, error) {
+func (s *eventStream) Read(p []byte) (n int, err error) {
+	defer s.confinePanic(&n, &err)
 	for s.readyBytes == 0 {
 		if s.eof {
 			return 0, io.EOF
@@ -148,7 +149,7 @@
 		at := now()
 		s.longestPause, s.lastForwardedAt = max(s.longestPause, at-s.lastForwardedAt), at
 	}
-	n := copy(p, s.buffered[:s.readyBytes])
+	n = copy(p, s.buffered[:s.readyBytes])
 	s.scannedBytes -= n
 	s.buffered = s.buffered[n:]
 	s.readyBytes -= n
--- a/entry/peer/exchange.go
+++ b/entry/peer/exchange.go
@@ -75,13 +75,13 @@
 // Run sends heartbeats at once and then every HeartbeatEvery until ctx is done.
 // It then releases the pool, after which no heartbeat or loan call can be sent.
 func (e *Exchange) Run(ctx context.Context) {
-	defer e.pool.Release()
 	ticker := time.NewTicker(e.config.HeartbeatEvery)
 	defer ticker.Stop()
 	for {
 		e.SendHeartbeats(ctx)
 		select {
 		case <-ctx.Done():
+			e.pool.Release()
 			return
 		case <-ticker.C:
 		}
--- a/entry/platform/reader.go
+++ b/entry/platform/reader.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // retryDelay is the delay after a failed read.
@@ -35,9 +36,10 @@
 
 // Run watches both lists until ctx is done.
 func (r *Reader) Run(ctx context.Context) {
-	go r.watch(ctx, InstancesKey, r.applyInstances)
-	go r.confirmInstances(ctx)
-	r.watch(ctx, EndpointsKey, r.applyEndpoints)
+	report := recovery.Log(r.log)
+	go recovery.Loop(ctx, report, "instances", func(ctx context.Context) { r.watch(ctx, InstancesKey, r.applyInstances) })
+	go recovery.Loop(ctx, report, "list of instances", r.confirmInstances)
+	recovery.Loop(ctx, report, "endpoints", func(ctx context.Context) { r.watch(ctx, EndpointsKey, r.applyEndpoints) })
 }
 
 // watch reads key with blocking queries, applies each new value, and logs failures.
