--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -151,12 +152,28 @@
 // acceptCompressedConfig installs a configuration in the gzipped form that
 // peers send.
 func (i *Instance) acceptCompressedConfig(compressed []byte, source string) {
-	var document bytes.Buffer
-	if _, err := fasthttp.WriteGunzip(&document, compressed); err != nil {
+	document, err := gunzip(compressed)
+	if err != nil {
 		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
 		return
 	}
-	i.acceptConfig(document.Bytes(), source, 0)
+	i.acceptConfig(document, source, 0)
+}
+
+// maxDocumentBytes bounds a configuration document: the store holds values of up to a
+// megabyte.
+const maxDocumentBytes = 16 << 20
+
+func gunzip(compressed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(compressed))
+	if err != nil {
+		return nil, err
+	}
+	document, err := io.ReadAll(io.LimitReader(reader, maxDocumentBytes+1))
+	if err == nil && len(document) > maxDocumentBytes {
+		err = fmt.Errorf("the document is over %d bytes", maxDocumentBytes)
+	}
+	return document, err
 }
 
 // acceptConfig installs a configuration if it is newer than the one in force.
