entry/direct: log the longest pause of each stream

Cause: a stream that is late by a pause between events could not be told from one that began late: only a histogram had the pauses. Change: ended has pause_ms.

--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -50,7 +50,7 @@
 	{name: Repeated, text: "a request is retried after a worker's error", fields: []Field{FieldRequest, FieldWorker, FieldStatus}},
 	{name: Resumed, text: "a stream is resumed at another worker", fields: []Field{FieldRequest, FieldWorker, FieldLastEvent}},
 	{name: Refused, text: "the instance itself gave the final response", fields: []Field{FieldRequest, FieldRoute, FieldService, FieldStatus, FieldReason, FieldMayHaveRun, FieldSends, FieldWorker, FieldRetryAfterMS, FieldTookMS, FieldConfig, FieldHost, FieldPath}},
-	{name: Ended, text: "a request is finished", fields: []Field{FieldRequest, FieldRoute, FieldOutcome, FieldStatus, FieldWorker, FieldSends, FieldFirstByteMS, FieldLoadingMS, FieldPromptTokens, FieldTookMS}},
+	{name: Ended, text: "a request is finished", fields: []Field{FieldRequest, FieldRoute, FieldOutcome, FieldStatus, FieldWorker, FieldSends, FieldFirstByteMS, FieldPauseMS, FieldLoadingMS, FieldPromptTokens, FieldTookMS}},
 	{name: OrderSent, text: "a control command to a worker was due", fields: []Field{FieldWorker, FieldUnload, FieldModel, FieldAdapter, FieldFence, FieldHeld, FieldResult, FieldTookMS, FieldError}},
 	{name: RightAcquired, text: "this instance acquired the right to control a part of the workers", fields: []Field{FieldRight, FieldFence, FieldClearInMS}},
 	{name: RightLost, text: "this instance lost the right to control a part of the workers", fields: []Field{FieldRight}},
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -44,6 +44,7 @@
 	FieldRetryAfterMS  Field = "retry_after_ms"
 	FieldFirstByteMS   Field = "first_byte_ms"
 	FieldLoadingMS     Field = "loading_ms"
+	FieldPauseMS       Field = "pause_ms"
 	FieldTookMS        Field = "took_ms"
 	FieldPromptTokens  Field = "prompt_tokens"
 	FieldHost          Field = "host"
@@ -125,6 +126,7 @@
 	{name: FieldOutcome, text: "answered, failed, cut, hung_up or panicked"},
 	{name: FieldRetryAfterMS, text: "time after which the caller may retry"},
 	{name: FieldFirstByteMS, text: "time until the response began"},
+	{name: FieldPauseMS, text: "longest pause between two events that were passed on"},
 	{name: FieldLoadingMS, text: "time spent waiting for adapters"},
 	{name: FieldTookMS, text: "duration"},
 	{name: FieldPromptTokens, text: "prompt tokens, as stated by the caller"},
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -178,6 +178,8 @@
 	// firstByteAfter is the time from the request's arrival to the first byte
 	// of the response.
 	firstByteAfter time.Duration
+	// longestPause is the longest time between two events that were passed on.
+	longestPause time.Duration
 	// attemptUse and workerID belong to the latest attempt.
 	attemptUse *attemptUse
 	workerID   string
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -79,9 +79,8 @@
 	// forwarded first.
 	deferredErr error
 	closed      bool
-	// lastForwardedAt is when events were last forwarded, longestPause the
-	// longest time between two.
-	lastForwardedAt, longestPause time.Duration
+	// lastForwardedAt is when events were last forwarded.
+	lastForwardedAt time.Duration
 }
 
 // errTruncatedEvent is returned if a response ends in the middle of an event.
