entry/direct: followers leave the store to the voters

Cause: three readers a region are the design, but instances ranked themselves by hash among the live voters, and a follower knows only those. Every follower before the third voter in hash order, three in ten, watched the store as well: about 29 of a region of 100. Change: voters rank among voters; a follower reads the store only if it hears no voter, or while fewer than three voters reach the store, and then at most eight followers do. TestFollowersLeaveTheStoreToTheVoters plays a region of 100; the function it calls is new.

--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -279,6 +279,19 @@
 	return c.machine.LiveVoters(c.now())
 }
 
+// Followers lists the addresses of the other members that do not vote.
+func (c *Cluster) Followers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var addresses []string
+	for _, m := range c.machine.Members() {
+		if m.Address != c.machine.Self().Address && !c.machine.IsVoter(m.Address) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 // Leave releases all rights and announces the departure in a last heartbeat to
 // each peer that has none in progress. It doesn't wait for these calls, which end
 // with ctx at the latest.
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -18,6 +18,10 @@
 	// store; the other instances learn from them. More readers tolerate more
 	// failures at once, but cost the store more calls.
 	storeReaders = 3
+	// maxSpareReaders is the number of followers that read the store while too few
+	// voters reach it. Where it turns a third of all instances away, some of these
+	// reach it; more cost the store more calls in an outage.
+	maxSpareReaders = 8
 	// updateTTL is how long an update is sent with every heartbeat: four
 	// heartbeats of 400 ms.
 	updateTTL = 1700 * time.Millisecond
@@ -172,18 +176,45 @@
 	s.storeUnavailable = unavailable
 }
 
-// hasEnoughReaders reports whether at least storeReaders peers precede this
-// instance in hash order and do not report the store as unavailable.
-func (s *directorySync) hasEnoughReaders(self string, live []string) bool {
+// hasEnoughReaders reports whether a voter leaves the store to others: at least
+// storeReaders live voters precede it in hash order and do not report the store as
+// unavailable.
+func (s *directorySync) hasEnoughReaders(self string, voters []string) bool {
+	return precedingCount(self, s.withStore(voters)) >= storeReaders
+}
+
+// isSpareReader reports whether a follower, which hears of voters only, reads the store
+// itself: if it hears no voter, or if fewer than storeReaders of them reach the store
+// and at most maxSpareReaders followers precede it in hash order.
+func (s *directorySync) isSpareReader(self string, voters []string, followers func() []string) bool {
+	if len(voters) == 0 {
+		return true
+	}
+	return len(s.withStore(voters)) < storeReaders && precedingCount(self, followers()) < maxSpareReaders
+}
+
+// withStore returns the peers that do not report the store as unavailable.
+func (s *directorySync) withStore(peers []string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	earlierReaders := 0
-	for _, peer := range live {
-		if !s.peersWithoutStore[peer] && xxhash.Sum64String(peer) < xxhash.Sum64String(self) {
-			earlierReaders++
+	var reached []string
+	for _, peer := range peers {
+		if !s.peersWithoutStore[peer] {
+			reached = append(reached, peer)
+		}
+	}
+	return reached
+}
+
+// precedingCount returns the number of peers before self in hash order.
+func precedingCount(self string, peers []string) int {
+	count := 0
+	for _, peer := range peers {
+		if xxhash.Sum64String(peer) < xxhash.Sum64String(self) {
+			count++
 		}
 	}
-	return earlierReaders >= storeReaders
+	return count
 }
 
 // storeReader decides whether this instance reads the store. It must be used by
@@ -204,7 +235,7 @@
 	if r.settings.isRegional() && at-r.startedAt < joinGrace {
 		return
 	}
-	if !r.settings.isRegional() || !r.directorySync.hasEnoughReaders(r.settings.ControlAddress, r.cluster.Live()) {
+	if r.isNeeded() {
 		r.surplusSince = 0
 		r.start(ctx)
 		return
@@ -220,6 +251,18 @@
 	}
 }
 
+// isNeeded reports whether this instance has to read the store.
+func (r *storeReader) isNeeded() bool {
+	self := r.settings.ControlAddress
+	switch {
+	case !r.settings.isRegional():
+		return true
+	case r.cluster.Voting():
+		return !r.directorySync.hasEnoughReaders(self, r.cluster.Live())
+	}
+	return r.directorySync.isSpareReader(self, r.cluster.Live(), r.cluster.Followers)
+}
+
 func (r *storeReader) start(ctx context.Context) {
 	if r.cancel != nil {
 		return
--- a/entry/direct/directory_test.go
+++ b/entry/direct/directory_test.go
@@ -47,6 +47,38 @@
 	require.Equal(t, storeReaders, countReaders(withoutStore))
 }
 
+// TestFollowersLeaveTheStoreToTheVoters covers a region of a hundred instances with nine
+// voters, of which each follower hears only the voters.
+func TestFollowersLeaveTheStoreToTheVoters(t *testing.T) {
+	var voters, followers []string
+	for i := range 100 {
+		address := fmt.Sprintf("10.0.%d.1:1", i)
+		if i < 9 {
+			voters = append(voters, address)
+		} else {
+			followers = append(followers, address)
+		}
+	}
+	countReaders := func(heard []string, withoutStore int) int {
+		count := 0
+		for _, self := range followers {
+			s := newDirectorySync()
+			for _, voter := range heard[:withoutStore] {
+				s.observePeer(0, voter, &clusterpb.News{StoreAway: true}, 0)
+			}
+			if s.isSpareReader(self, heard, func() []string { return followers }) {
+				count++
+			}
+		}
+		return count
+	}
+	require.Zero(t, countReaders(voters, 0))
+	require.Zero(t, countReaders(voters, 6), "three voters reach the store")
+	require.Equal(t, maxSpareReaders, countReaders(voters, 7))
+	require.Equal(t, maxSpareReaders, countReaders(voters, 9))
+	require.Equal(t, len(followers), countReaders(nil, 0), "each is cut off from all voters")
+}
+
 // TestANewInstanceFetchesAListingAtOnce checks that an instance that starts
 // among others fetches the listing from a reader, and reads the store itself
 // only if there is none.
