coord/balance: charge a long prompt for the streams that it delays

While an engine reads prompts each of its steps takes 0.1 s and more (4,096 tokens at 38.4 a ms), an event takes four, and the engines on slower machines (pace 1.3) pause for over 0.6 s. The estimate counted only the new request's own wait. Change: InterferenceShare adds 0.3 of the time for reading the prompt for each request in progress. Pace keeps the usual pace of each machine, so that one that is always slower counts as such.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -111,6 +111,11 @@
 	EvictionWait time.Duration
 	// StepCost is the time that each running request adds to a complete response.
 	StepCost time.Duration
+	// InterferenceShare is the fraction of the time for reading a prompt that is added
+	// for each request in progress at the worker, whose events pause meanwhile. A
+	// higher one keeps long prompts away from busy workers, at the expense of more
+	// copies of adapters.
+	InterferenceShare float64
 	// FullCost is added if the batch is full, and again if the cache is full. For the
 	// batch it grows with the number of requests beyond the batch size.
 	FullCost time.Duration
@@ -121,16 +126,17 @@
 // DefaultConfig returns the costs for engines as the operators specify them.
 func DefaultConfig() Config {
 	return Config{
-		TokensPerMS:     25,
-		LoadingCost:     100 * time.Millisecond,
-		PreferredCost:   80 * time.Millisecond,
-		SpreadCost:      10 * time.Second, // a rare adapter is loaded elsewhere only if its preferred worker is lost
-		RequestsPerCopy: 40,               // more than half of a batch
-		MaxSpreadCost:   20 * time.Second,
-		EvictionWait:    400 * time.Millisecond,
-		StepCost:        2 * time.Millisecond,
-		FullCost:        600 * time.Millisecond,
-		SuspectCost:     2 * time.Second,
+		TokensPerMS:       25,
+		LoadingCost:       100 * time.Millisecond,
+		PreferredCost:     80 * time.Millisecond,
+		SpreadCost:        10 * time.Second, // a rare adapter is loaded elsewhere only if its preferred worker is lost
+		RequestsPerCopy:   40,               // more than half of a batch
+		MaxSpreadCost:     20 * time.Second,
+		EvictionWait:      400 * time.Millisecond,
+		StepCost:          2 * time.Millisecond,
+		InterferenceShare: 0.3,
+		FullCost:          600 * time.Millisecond,
+		SuspectCost:       2 * time.Second,
 	}
 }
 
@@ -187,7 +193,8 @@
 func (c Config) estimate(r Request, w *Candidate, position int) time.Duration {
 	work := time.Duration(w.Running) * c.StepCost
 	if w.CacheCapacity > 0 {
-		work += time.Duration(float64(w.WaitingTokens+r.Tokens) / c.TokensPerMS * float64(time.Millisecond))
+		work += c.prefillTime(w.WaitingTokens + r.Tokens)
+		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
 	}
 	if w.Pace > 0 {
 		work = time.Duration(w.Pace * float64(work))
@@ -208,6 +215,11 @@
 	return total + c.loadCost(r, w, position)
 }
 
+// prefillTime returns the time that reading prompt tokens takes at the usual pace.
+func (c Config) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / c.TokensPerMS * float64(time.Millisecond))
+}
+
 // loadCost returns the expected wait for the adapter.
 func (c Config) loadCost(r Request, w *Candidate, position int) time.Duration {
 	switch {
--- a/coord/condition/condition_test.go
+++ b/coord/condition/condition_test.go
@@ -73,6 +73,20 @@
 	require.InDelta(t, 1, p.Expected(1100*time.Millisecond), 0.01)
 }
 
+// TestMachinesThatAreAlwaysSlowerAreNotInASlowPhase covers machines of one service that
+// differ by a third, with phases in which each is 2.5 times slower.
+func TestMachinesThatAreAlwaysSlowerAreNotInASlowPhase(t *testing.T) {
+	var p Pace
+	for i := range 100 {
+		reading := 1.3
+		if i%7 == 6 {
+			reading = 3.25
+		}
+		p.Observe(time.Duration(i)*20*time.Millisecond, reading)
+	}
+	require.InDelta(t, 1.3, p.Expected(2*time.Second), 0.01)
+}
+
 func TestAWorkerThatTurnedARequestAwayIsLeftAlone(t *testing.T) {
 	var h HoldOff
 	require.Zero(t, h.Remaining(0))
--- a/coord/condition/load.go
+++ b/coord/condition/load.go
@@ -54,10 +54,13 @@
 // Pace returns the time that work is expected to take relative to the usual time.
 func (l *Load) Pace(now time.Duration) float64 { return l.pace.Expected(now) }
 
-// slowPace is the pace from which a worker counts as slow: half as fast again as the
-// variation between the steps of an undisturbed engine.
+// slowPace is the pace from which a worker counts as slow, relative to its usual pace:
+// above the differences between machines of one service.
 const slowPace = 1.5
 
+// usualPaceWeight is the weight of the newest reading in the usual pace.
+const usualPaceWeight = 0.1
+
 // maxPaceTrust is the longest time for which a slow phase is expected to go on.
 const maxPaceTrust = 2 * time.Second
 
@@ -65,6 +68,9 @@
 // moment, since it changes many times a second; a slow phase is expected to last as
 // long again as it has already lasted. The zero value is ready for use.
 type Pace struct {
+	// usual is the moving average of the readings outside slow phases, since machines
+	// of one service differ; 0 before the first one.
+	usual float64
 	// slowSince and lastAt are the first and the last reading of the current slow
 	// phase; weighted sums its readings times the seconds for which each was the
 	// latest, and latest is the last one.
@@ -76,22 +82,31 @@
 // Observe records a reading, 1 being the usual pace.
 func (p *Pace) Observe(now time.Duration, reading float64) {
 	switch {
-	case reading < slowPace:
-		*p = Pace{}
+	case reading < slowPace*p.usualOr(1):
+		*p = Pace{usual: p.usualOr(reading) + usualPaceWeight*(reading-p.usualOr(reading))}
 		return
 	case !p.slow:
-		*p = Pace{slow: true, slowSince: now}
+		*p = Pace{usual: p.usual, slow: true, slowSince: now}
 	default:
 		p.weighted += p.latest * (now - p.lastAt).Seconds()
 	}
 	p.lastAt, p.latest = now, reading
 }
 
-// Expected returns the pace to expect; 1 without a slow phase that is known to last.
+// usualOr returns the usual pace, or unknown if there is no reading of it yet.
+func (p *Pace) usualOr(unknown float64) float64 {
+	if p.usual == 0 {
+		return unknown
+	}
+	return p.usual
+}
+
+// Expected returns the pace to expect: the usual one, or that of a slow phase that is
+// known to last.
 func (p *Pace) Expected(now time.Duration) float64 {
 	lasted := p.lastAt - p.slowSince
 	if !p.slow || lasted <= 0 || now-p.lastAt > min(lasted, maxPaceTrust) {
-		return 1
+		return p.usualOr(1)
 	}
 	return p.weighted / lasted.Seconds()
 }
