--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -42,6 +42,7 @@
 	FieldSends         Field = "sends"
 	FieldOutcome       Field = "outcome"
 	FieldRetryAfterMS  Field = "retry_after_ms"
+	FieldHoldOffMS     Field = "hold_off_ms"
 	FieldFirstByteMS   Field = "first_byte_ms"
 	FieldLoadingMS     Field = "loading_ms"
 	FieldPauseMS       Field = "pause_ms"
@@ -125,6 +126,7 @@
 	{name: FieldSends, text: "number of attempts for the request"},
 	{name: FieldOutcome, text: "answered, failed, cut, hung_up or panicked"},
 	{name: FieldRetryAfterMS, text: "time after which the caller may retry"},
+	{name: FieldHoldOffMS, text: "time for which the worker wants no request from this instance"},
 	{name: FieldFirstByteMS, text: "time until the response began"},
 	{name: FieldPauseMS, text: "longest pause between two events that were passed on"},
 	{name: FieldLoadingMS, text: "time spent waiting for adapters"},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -83,7 +83,7 @@
 	}
 	c.metrics.countRetry(cause)
 	c.log.Line(decision.AttemptFailed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, c.workerID).Int(decision.FieldStatus, response.Status).
-		Bool(decision.FieldNotRun, true).Str(decision.FieldCause, cause).Dur(decision.FieldTookMS, at-c.attemptBegan).Send()
+		Bool(decision.FieldNotRun, true).Str(decision.FieldCause, cause).Dur(decision.FieldHoldOffMS, response.HoldOff).Dur(decision.FieldTookMS, at-c.attemptBegan).Send()
 	return actionRetry
 }
 
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -12,10 +12,8 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
-	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
-	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
@@ -138,96 +136,6 @@
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 }
 
-// call is the state of one caller's request while it is served. It must be used
-// by one goroutine at a time.
-type call struct {
-	*gateway
-	request       *Request
-	route         *routing.Route
-	service       routing.Service
-	configVersion uint64
-	arrivedAt     time.Duration
-	// deadline is when the final response is due.
-	deadline  time.Duration
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	stopWatch func()
-	// attemptsByWorker counts the attempts at each worker.
-	attemptsByWorker map[string]int
-	// skippedWorkers holds the workers that did not load the adapter in time.
-	skippedWorkers map[string]bool
-	// resuming is set while a broken stream is resumed.
-	resuming bool
-	// deniedBy is the worker that last reported that it does not hold the
-	// adapter.
-	deniedBy string
-	// parts identifies the parts of the prompt that other requests may share.
-	parts []quarantine.Part
-	// onTrial is set if the request was admitted though one of them is quarantined.
-	onTrial bool
-	// mayHaveRun is set once an attempt without a usable response may have run.
-	mayHaveRun bool
-	// sends counts the attempts at all workers.
-	sends int
-	// adapterDemand estimates the recent number of requests for the adapter
-	// over all instances.
-	adapterDemand float64
-	attemptBegan  time.Duration
-	// loadWaitTotal is the time spent waiting for adapters to load.
-	loadWaitTotal time.Duration
-	// firstByteAfter is the time from the request's arrival to the first byte
-	// of the response.
-	firstByteAfter time.Duration
-	// longestPause is the longest time between two events that were passed on.
-	longestPause time.Duration
-	// attemptUse and workerID belong to the latest attempt.
-	attemptUse *attemptUse
-	workerID   string
-	target     worker.Worker
-	finished   bool
-}
-
-// abort ends a request whose state may be inconsistent: the connection to its worker
-// is closed, and its use of the worker ends.
-func (c *call) abort(cause error) {
-	c.cancel(cause)
-	c.stopWatch()
-	if c.attemptUse != nil {
-		c.attemptUse.end()
-	}
-	c.finish("panicked", fasthttp.StatusInternalServerError)
-}
-
-// deadlineMargin is how long before the caller's or the route's deadline the
-// final response is sent.
-const deadlineMargin = 20 * time.Millisecond
-
-func (g *gateway) newCall(ctx *fasthttp.RequestCtx, table *routing.Table, route *routing.Route, request *Request, arrived time.Duration) *call {
-	limit := route.Timeout
-	if request.Wait > 0 && (limit <= 0 || request.Wait < limit) {
-		limit = request.Wait
-	}
-	c := &call{
-		gateway: g, request: request, route: route, configVersion: table.Config.Version, arrivedAt: arrived,
-		deadline: arrived + limit - deadlineMargin, attemptsByWorker: make(map[string]int), skippedWorkers: make(map[string]bool),
-	}
-	c.parts = quarantine.PartsOf(request.PromptParts)
-	c.service = table.Config.Services[route.Service(request.ID)]
-	parent, cancel := context.WithCancelCause(g.baseContext)
-	timer := time.AfterFunc(c.deadline-arrived, func() { cancel(errTimeout) })
-	watchedContext, cancelWatched, stop := httpx.Watch(parent, ctx)
-	c.ctx, c.cancel = watchedContext, cancelWatched
-	c.stopWatch = func() {
-		timer.Stop()
-		stop()
-	}
-	c.adapterDemand = g.fleet.demand.countRequest(arrived, c.service.Name, request.Adapter) * float64(g.loader.instanceCount())
-	return c
-}
-
-// timeLeft returns the time until the deadline.
-func (c *call) timeLeft() time.Duration { return c.deadline - now() }
-
 // serve makes attempts until the request has a final response.
 func (g *gateway) serve(ctx *fasthttp.RequestCtx, c *call) {
 	for {
@@ -311,12 +219,10 @@
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
-			if quarantined := c.checkQuarantine(); quarantined != nil { // it may have begun during the load
+			claimed, quarantined := c.claim(target)
+			if claimed || quarantined != nil {
 				return target, quarantined
 			}
-			if c.fleet.claim(now(), target) {
-				return target, nil
-			}
 			reason = "the chosen worker leaves or asked for a pause"
 		}
 		if c.ctx.Err() != nil {
@@ -331,6 +237,15 @@
 	return worker.Worker{}, refusal
 }
 
+// claim reports whether the request may be sent to a worker that has its adapter. What
+// is known of the worker and of the prompt may have changed during the load.
+func (c *call) claim(target worker.Worker) (bool, *failure) {
+	if quarantined := c.checkQuarantine(); quarantined != nil {
+		return false, quarantined
+	}
+	return c.fleet.claim(now(), target), nil
+}
+
 // checkQuarantine returns a failure if a part of the prompt is in quarantine.
 func (c *call) checkQuarantine() *failure {
 	if c.onTrial {
--- a/entry/recovery/recovery_test.go
+++ b/entry/recovery/recovery_test.go
@@ -8,13 +8,14 @@
 	"github.com/stretchr/testify/require"
 )
 
+func count(words map[string]int) { words["x"]++ }
+
 func TestALoopGoesOnAfterAPanic(t *testing.T) {
 	var reported []*Panic
 	runs := 0
 	Loop(context.Background(), func(p *Panic) { reported = append(reported, p) }, "loop", func(context.Context) {
 		if runs++; runs == 1 {
-			var none map[string]int
-			none["x"]++
+			count(nil)
 		}
 	})
 	require.Equal(t, 2, runs)
