cmd/e2e: freeze waits until a process has stopped

A trial of 300 SIGSTOP to an instance of a started system at load 13: 106 times its threads had not all stopped when the signal had been sent, for up to 9.1 ms, long enough to serve an order. Cause: the test took the sent signal for the stop. The program was right. Change: freeze waits until every thread is stopped; the assertions are the same.

--- a/cmd/e2e/keys_test.go
+++ b/cmd/e2e/keys_test.go
@@ -201,7 +201,7 @@
 			}
 		}
 	}
-	s.instances[owner].signal(syscall.SIGSTOP)
+	s.instances[owner].freeze(t)
 	firstResponse, err := sendOrder(s.callerAddresses[successor], earlyKey, time.Second)
 	require.NoError(t, err)
 	require.Equal(t, attempt.Unknown, firstResponse.outcome, "the order must still be in the paused owner's socket")
--- a/cmd/e2e/owner_test.go
+++ b/cmd/e2e/owner_test.go
@@ -103,7 +103,7 @@
 	stopFlood := s.startFlood(s.callerAddresses[successor])
 	fenceBefore := s.checkEngineHistories(t)[worker]
 
-	s.instances[owner].signal(syscall.SIGSTOP)
+	s.instances[owner].freeze(t)
 	s.awaitRightEvent(t, successor, "acquired", worker)
 	s.instances[owner].signal(syscall.SIGCONT)
 	s.awaitRightEvent(t, owner, "lost", worker)
--- a/cmd/e2e/process_test.go
+++ b/cmd/e2e/process_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -127,6 +129,36 @@
 // signal sends a signal to this process only.
 func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
 
+// freezeTimeout bounds how long a process may take to stop after SIGSTOP.
+const freezeTimeout = 5 * time.Second
+
+// freeze pauses the process with SIGSTOP, and returns when all of its threads have
+// stopped. The signal takes effect when one thread is scheduled to handle it; until
+// then the other threads go on, and may serve a request.
+func (p *process) freeze(t testing.TB) {
+	t.Helper()
+	p.signal(syscall.SIGSTOP)
+	require.Eventually(t, func() bool { return p.isFrozen(t) }, freezeTimeout, time.Millisecond)
+}
+
+// isFrozen reports whether all threads of the process have stopped.
+func (p *process) isFrozen(t testing.TB) bool {
+	t.Helper()
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	require.NoError(t, err)
+	for _, file := range threads {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			return false // the thread has ended since
+		}
+		_, state, found := strings.Cut(string(stat), ") ")
+		if !found || !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // kill kills the process and returns when it has exited.
 func (p *process) kill() {
 	_ = p.command.Process.Kill()
