entry/fleet: change the owners only of workers whose instances changed

Its bound was on the machine's clock, for 81 instances that share one process and a busy machine. Change: updateOwners looks only at the instances that were added or removed. The test's bound is processor time now, 3.9% of a core for each instance, the users' bound for control: 1.58 s a round.

--- a/cmd/internal/capacity/peers_test.go
+++ b/cmd/internal/capacity/peers_test.go
@@ -14,12 +14,13 @@
 
 // TestADataCentreRecoversFromACommonPause covers 81 instances that hear nothing of each
 // other for 3.5 s, longer than the time after which each takes the others as silent. If
-// the heartbeats after it cost more time than that, they never count as live again.
+// the heartbeats after it cost more time than that, they never count as live again. An
+// instance may spend 3.9% of a core on control.
 func TestADataCentreRecoversFromACommonPause(t *testing.T) {
 	const (
 		instances    = 81
 		pause        = 3500 * time.Millisecond
-		maxRoundTime = 3 * time.Second // the time after which an instance is silent, for all in one process
+		maxRoundTime = 39 * heartbeatInterval / 1000 * instances // processor time of all instances, whose process they share
 	)
 	f, err := startPeers(peerSpec{instances: instances, workers: 8, slots: 8, simulatedTime: true})
 	require.NoError(t, err)
@@ -29,9 +30,11 @@
 	}
 	f.passed.Add(int64(pause))
 	for range heartbeatRounds {
-		began := time.Now()
+		before := cpuTime()
 		f.exchangeHeartbeats()
-		require.Less(t, time.Since(began), maxRoundTime)
+		took := cpuTime() - before
+		t.Logf("%s of processor time", took)
+		require.Less(t, took, maxRoundTime)
 	}
 	for _, p := range f.peers {
 		require.Len(t, p.fleet.Usable(), instances, "%s takes others as silent", p.fleet.Self())
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/member"
-	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/coord/placement"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 )
@@ -192,36 +191,9 @@
 	if slices.Equal(usable, f.usable) {
 		return
 	}
+	former := f.usable
 	f.usable = usable
-	f.assignOwners()
-}
-
-// assignOwners computes the owner of every endpoint, from the usable instances of its
-// data centre, or from all usable instances where that data centre has none. Its
-// callers hold f.mu.
-func (f *Fleet) assignOwners() {
-	t := f.register.Current()
-	if t == nil {
-		return
-	}
-	byDataCentre := make(map[string][]string)
-	var all []string
-	for _, instance := range f.usable {
-		byDataCentre[instance.DataCentre] = append(byDataCentre[instance.DataCentre], instance.Name)
-		all = append(all, instance.Name)
-	}
-	f.owners = make(map[string]member.Instance)
-	for _, pool := range t.Pools {
-		for _, endpoint := range pool.Endpoints {
-			candidates := byDataCentre[endpoint.DataCentre]
-			if len(candidates) == 0 {
-				candidates = all
-			}
-			if first := ownership.First(string(ownership.WorkerRight(endpoint.Name)), candidates); first != "" {
-				f.owners[endpoint.Name], _ = f.members.Instance(first)
-			}
-		}
-	}
+	f.updateOwners(former)
 }
 
 // Candidates returns the workers of a pool with their known state: whether the
