--- a/coord/condition/load.go
+++ b/coord/condition/load.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Report is the load that a worker states in a response.
-type Report struct {
+// LoadReport is the load that a worker states in a response.
+type LoadReport struct {
 	// Running and Waiting are the numbers of requests in progress and queued, from
 	// all instances. Slots is the number that the worker runs at once.
 	Running, Waiting, Slots int
@@ -20,7 +20,7 @@
 // Load estimates a worker's load from its last report and this instance's requests
 // since then. The zero value is ready for use. It is not safe for concurrent use.
 type Load struct {
-	last       Report
+	last       LoadReport
 	reportedAt time.Duration
 	reported   bool
 	// sent and ended count this instance's requests since the last report.
@@ -29,7 +29,7 @@
 }
 
 // Observe records a report. Reports must be observed in the order of their arrival.
-func (l *Load) Observe(now time.Duration, r Report) {
+func (l *Load) Observe(now time.Duration, r LoadReport) {
 	l.last, l.reportedAt, l.reported, l.sent, l.ended = r, now, true, 0, 0
 	if r.Pace > 0 {
 		l.pace.Observe(now, r.Pace)
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -27,12 +27,12 @@
 }
 
 func (f *fleet) candidate(at time.Duration, w *worker.Worker, service routing.Service, r *Request) balance.Candidate {
-	condition := f.conditions.at(at, w.ID)
+	condition := f.conditions.get(at, w.ID)
 	c := balance.Candidate{
 		ID: w.ID, Usable: !w.Draining, InScope: f.settings.controlsWorkersOf(w.DataCentre), BatchSize: w.Slots,
 		RTT: f.roundTripTo(w.DataCentre), Suspect: condition.suspect, Pace: condition.pace, HoldOff: condition.holdOff,
 	}
-	f.usage.at(at, w.ID, func(peers workerUse, own *workerUse) {
+	f.usage.read(at, w.ID, func(peers workerUse, own *workerUse) {
 		addWorkerUse(&c, &peers, r.Adapter)
 		addWorkerUse(&c, own, r.Adapter)
 		c.HeldOffFromPeers = peers.holdOffUntil > at
--- a/entry/direct/conditions.go
+++ b/entry/direct/conditions.go
@@ -17,8 +17,8 @@
 
 func newConditions() *conditions { return &conditions{byWorker: make(map[string]*condition.Condition)} }
 
-// of returns the condition of a worker. c.mu must be held.
-func (c *conditions) of(id string) *condition.Condition {
+// entry returns the condition of a worker, a new one if none is known. c.mu must be held.
+func (c *conditions) entry(id string) *condition.Condition {
 	known := c.byWorker[id]
 	if known == nil {
 		known = &condition.Condition{}
@@ -31,14 +31,14 @@
 func (c *conditions) recordResult(at time.Duration, id string, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.of(id).Health.Observe(at, ok)
+	c.entry(id).Health.Observe(at, ok)
 }
 
 // recordResponse records what the header of a response says of its worker.
 func (c *conditions) recordResponse(at time.Duration, id string, response ResponseInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known := c.of(id)
+	known := c.entry(id)
 	if response.Load != nil {
 		known.Load.Observe(at, *response.Load)
 	}
@@ -53,7 +53,7 @@
 func (c *conditions) sent(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.of(id).Load.Sent()
+	c.entry(id).Load.Sent()
 }
 
 // ended records that a request is no longer in progress at a worker.
@@ -92,8 +92,8 @@
 	holdOff    time.Duration
 }
 
-// at returns the condition of a worker.
-func (c *conditions) at(at time.Duration, id string) workerCondition {
+// get returns the condition of a worker.
+func (c *conditions) get(at time.Duration, id string) workerCondition {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.byWorker[id]
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -79,7 +79,7 @@
 		return stateDraining
 	case f.workers.isMissing(id):
 		return stateLapsed
-	case f.conditions.at(at, id).suspect:
+	case f.conditions.get(at, id).suspect:
 		return stateSuspect
 	}
 	return stateReady
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -74,7 +74,7 @@
 	// then.
 	Encoded bool
 	// Load is the load that the worker states; nil if it does not.
-	Load *condition.Report
+	Load *condition.LoadReport
 	// Leaving is set if the worker says that it leaves.
 	Leaving bool
 	// HoldOff is how long a worker that turned the request away wants no further
--- a/entry/direct/usage.go
+++ b/entry/direct/usage.go
@@ -126,12 +126,12 @@
 	return u.peerSum
 }
 
-// at calls read with the use of a worker by the peers and by this instance, which
-// may be nil. read must not keep them.
-func (u *usage) at(at time.Duration, id string, read func(peers workerUse, own *workerUse)) {
+// read calls use with the use of a worker by the peers and by this instance, which may
+// be nil. use must not keep them.
+func (u *usage) read(at time.Duration, id string, use func(peers workerUse, own *workerUse)) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	read(u.sumPeers(at)[id], u.own[id])
+	use(u.sumPeers(at)[id], u.own[id])
 }
 
 // appendOwn appends this instance's own use to an update, and the hold-offs that
@@ -193,7 +193,7 @@
 // over all instances.
 func (u *usage) adapters(at time.Duration, id string) map[string]int {
 	total := workerUse{adapters: make(map[string]int)}
-	u.at(at, id, func(peers workerUse, own *workerUse) {
+	u.read(at, id, func(peers workerUse, own *workerUse) {
 		total.add(peers)
 		if own != nil {
 			total.add(*own)
