coord/attempt: the mint time of a key does not overflow

A UUIDv7 has room for 8,900 years, a Duration since the Unix epoch for 292, so a key minted after 2262 by its own word counted as minted in the past: its caller was told unknown in place of key_from_future. Change: the time is bounded.

--- a/coord/attempt/key.go
+++ b/coord/attempt/key.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -57,12 +58,16 @@
 	return err
 }
 
+// maxMinted is the latest time that a Duration since the Unix epoch can hold, in
+// milliseconds: the year 2262. A key has room for 8,900 years.
+const maxMinted = math.MaxInt64 / uint64(time.Millisecond)
+
 // Minted returns when the key was minted by its caller's clock, as the time
-// since the Unix epoch with millisecond precision.
+// since the Unix epoch with millisecond precision, at most maxMinted.
 func (k Key) Minted() time.Duration {
 	const timeBytes, timestampShift = 8, 16
 	milliseconds := binary.BigEndian.Uint64(k[:timeBytes]) >> timestampShift
-	return time.Duration(milliseconds) * time.Millisecond
+	return time.Duration(min(milliseconds, maxMinted)) * time.Millisecond
 }
 
 // Shard returns the key's shard, from 0 to Shards-1.
