Review: two holders after a rolling restart and a cut

Members that stop leave the list at once, so those that remain are a quorum of themselves; those that come back behind a cut are another one.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec ../../target/reviewkit holders .
+cd "$(dirname "$0")" && exec ../../target/reviewkit rolling .
--- a/review/kit/main.go
+++ b/review/kit/main.go
@@ -21,7 +21,7 @@
 // scenario plays one case. An error means that the case could not run.
 type scenario func(root string, r *record, trouble bool) error
 
-var scenarios = map[string]scenario{"holders": playHolders, "reborn": playReborn}
+var scenarios = map[string]scenario{"holders": playHolders, "reborn": playReborn, "rolling": playRolling}
 
 // longest is the limit of one run.
 const longest = 115 * time.Second
