--- a/review/kit/reborn.go
+++ b/review/kit/reborn.go
@@ -2,18 +2,18 @@
 
 import "time"
 
-// Figures of the case: srv_crash with a share of 0.17 and for_s of at most 4.5.
+// Figures of the case: srv_crash with a share of 0.25 and for_s of at most 2.0.
 const (
-	crashes      = 8
+	crashes      = 11
 	crashDownFor = 500 * time.Millisecond
 	crashPause   = 7 * time.Second
 )
 
-// playReborn crashes one of six workers at a time. Each starts again after a second under the
-// id that it had, holding nothing.
+// playReborn crashes one of four workers at a time. Each starts again half a second later under
+// the id that it had, holding nothing.
 func playReborn(root string, r *record, trouble bool) error {
 	zones := map[string]string{"za": "ra", "zb": "rb", "zc": "ra"}
-	d, err := deploy(root, r, zones, []string{"za", "zb", "zc"}, 6, 6)
+	d, err := deploy(root, r, zones, []string{"za", "zb", "zc"}, 6, 4)
 	if d != nil {
 		use(d)
 	}
