coord/quorum: voters agree on the set of voters, one change at a time

Cause: the voters were whoever an instance's member list showed, so that leaves and joins changed the set by any number at once. Two that remained of six were a majority of themselves, the four that came back behind a cut a majority of six.

Change: a voter is one incarnation of a member. The set of voters has a term and a version, travels with heartbeats, and is changed by the holder of a coordinator right, by one voter at a time, after a majority has acknowledged the set before (Raft's single-server changes, without a log). Members that leave count until they are removed. Votes count across sets, since a reply carries the newer set.

Failed tries, all in the simulation: founding by live members only (two foundings in a second without a cut each found a quorum); founding by whoever had heard all seeds once; requesting rights without a coordinator (votes for oneself delay the next holder by a turn); a set with two incarnations of one member.

TestVotersComeFromEveryDataCentreTheStrongFirst checks the candidates in place of the voters, which no longer follow from the list alone.

--- a/coord/quorum/config.go
+++ b/coord/quorum/config.go
@@ -3,19 +3,24 @@
 // named "dc/0" is preferably held by an instance of the data centre "dc".
 //
 // The voters are members of a gossiped member list: all members of a small
-// cluster, the longest-standing ones of a large cluster. There is no central list
-// of instances, nothing is stored, and instances may join, leave and restart
-// without any state from before.
+// cluster, the longest-standing ones of a large cluster. They agree on the set of
+// voters, one change at a time. There is no central list of instances, nothing is
+// stored, and instances may join, leave and restart without any state from before.
 //
 // Invariants, for every right:
 //   - A voter promises its vote to one instance at a time, and keeps the promise
 //     for longer than that instance relies on it.
-//   - A holder counts a vote only if the voter computes the same set of voters.
-//   - An instance that has started or become a voter assumes that it has promised
-//     its vote to another instance, until any promise that it may not know of has
-//     expired.
-//   - If two sets of voters differ by one member, any quorum of one and any quorum
-//     of the other have a voter in common.
+//   - A voter is one incarnation of a member: an instance that has restarted votes
+//     only after a majority of the voters has agreed to add it.
+//   - Two consecutive sets of voters differ by one voter, so any quorum of one and
+//     any quorum of the other have a voter in common. A set follows another only
+//     after a quorum of that one has acknowledged it.
+//   - A holder never counts a vote in a set older than that of the voter.
+//   - A new voter, and every voter of a set that followed too soon for the votes in
+//     earlier sets to have expired, assumes that it has promised its vote to
+//     another instance.
+//   - A cluster is founded only while no coordinator is heard and no worker has
+//     received an order for Config.TurnGap.
 package quorum
 
 import "time"
@@ -39,8 +44,8 @@
 	// member. A longer value keeps a partitioned member from being removed; with
 	// a shorter one the rest can continue sooner after many members are lost.
 	RemoveAfter time.Duration
-	// RemoveEvery is the minimum time between two removals, so that any majority
-	// before and any majority after a removal have a voter in common.
+	// RemoveEvery is the minimum time between two removals, so that members that
+	// are heard again can refute theirs before the next.
 	RemoveEvery time.Duration
 	// OwnRegion limits the cluster to the members of this instance's region: they
 	// are the only voters and, except for seeds, the only peers.
@@ -58,11 +63,11 @@
 	// Zero or less means no bound.
 	FollowersPerSecond float64
 	// SeedEvery is the interval between heartbeats to seeds that are not peers,
-	// once this instance is settled.
+	// while a coordinator is heard.
 	SeedEvery time.Duration
-	// SeedWait is how long after its start an instance waits for seeds that do
-	// not respond, unless it hears from a settled member; then it settles without
-	// them. It should exceed the usual duration of a network partition.
+	// SeedWait is how much longer than TurnGap an instance that hears neither a
+	// coordinator nor most of the members waits before it founds a cluster of those
+	// that it hears. It should exceed the usual duration of a network partition.
 	SeedWait time.Duration
 }
 
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -12,11 +12,13 @@
 type rightState struct {
 	promise votePromise
 	// voteExpiry is the time until which each voter's vote for this instance
-	// counts, by voter address.
-	voteExpiry map[string]time.Duration
+	// counts.
+	voteExpiry map[Voter]time.Duration
 	// clearAt is the earliest time at which this instance may send orders.
 	clearAt time.Duration
 	held    bool
+	// heldUntil is when this instance last released or lost the right.
+	heldUntil time.Duration
 	// leaseExpiry is the end of the lease as last computed.
 	leaseExpiry  time.Duration
 	fence        uint64 // fencing token of the lease
@@ -46,9 +48,15 @@
 	sequence       uint64
 	sentHeartbeats map[uint64]sentHeartbeat // by sequence
 	releasedAt     map[string]time.Duration // by right
-	settled        bool
 	leaving        bool
 	voter          bool // the role as of the last updateRole
+	voterSet       VoterSet
+	voterSetAt     time.Duration // when voterSet was installed
+	coordinator    coordinator
+	// lastServed is when this instance last heard of a coordinator, valid if
+	// everServed is set.
+	lastServed time.Duration
+	everServed bool
 	// nextSeedHeartbeat is when to send the next heartbeat to seeds that are not
 	// peers.
 	nextSeedHeartbeat time.Duration
@@ -57,6 +65,8 @@
 	// minFence returns the lowest fencing token that may be used, so that tokens
 	// also increase across a restart of all instances.
 	minFence func() uint64
+	// quietSince tells since when no orders of other instances were seen.
+	quietSince func() (since time.Duration, known bool)
 }
 
 // sentHeartbeat is kept for each heartbeat whose reply may still carry valid votes.
@@ -69,15 +79,19 @@
 // its seeds. minFence returns the lowest fencing token that a newly acquired right
 // may use. It must return values of Fence with an ordinal that no other instance
 // has, and they must increase across restarts.
-func NewMachine(now time.Duration, self Member, seeds, rights []string, config Config, minFence func() uint64) *Machine {
+//
+// quietSince returns the time since which workers have received no orders of other
+// instances, or false if that is not known. Only an instance that might found a
+// cluster uses it; see WatchesOrders. If it is nil, workers are assumed to be quiet.
+func NewMachine(now time.Duration, self Member, seeds, rights []string, config Config, minFence func() uint64, quietSince func() (time.Duration, bool)) *Machine {
 	m := &Machine{
-		config: config, members: newMemberList(self, config), rights: slices.Clone(rights),
+		config: config, members: newMemberList(self, config), rights: append(slices.Clone(rights), coordinatorRight),
 		states: make(map[string]*rightState), started: now, sentHeartbeats: make(map[uint64]sentHeartbeat),
-		releasedAt: make(map[string]time.Duration), minFence: minFence,
+		releasedAt: make(map[string]time.Duration), minFence: minFence, quietSince: quietSince,
 	}
 	slices.Sort(m.rights)
 	for _, right := range m.rights {
-		m.states[right] = &rightState{voteExpiry: make(map[string]time.Duration), promise: votePromise{formerExpiry: now + config.promiseTTL()}}
+		m.states[right] = &rightState{voteExpiry: make(map[Voter]time.Duration), promise: votePromise{formerExpiry: now + config.promiseTTL()}}
 	}
 	m.sendMembersUntil = now + sendMembersFor
 	m.SetSeeds(now, seeds)
@@ -132,10 +146,6 @@
 	return ""
 }
 
-// Settled reports whether this instance has waited out its start and may take part
-// in votes; see Heartbeat.Settled.
-func (m *Machine) Settled() bool { return m.settled }
-
 // Self returns this instance's own entry in the member list.
 func (m *Machine) Self() Member { return m.members.self }
 
@@ -154,7 +164,7 @@
 
 // Voting reports whether this instance is a voter. Voters receive heartbeats from
 // every member, followers exchange them only with voters.
-func (m *Machine) Voting() bool { return m.members.isVoter(m.members.self.Address) }
+func (m *Machine) Voting() bool { return m.voterSet.contains(m.members.self) }
 
 // IsFollower reports whether an address belongs to a follower: a member of this
 // cluster that is not a voter and exchanges heartbeats only with voters.
@@ -211,7 +221,7 @@
 	if !state.held {
 		return nil
 	}
-	state.held = false
+	state.held, state.heldUntil = false, now
 	clear(state.voteExpiry)
 	m.releasedAt[right] = now
 	if state.promise.candidate == m.members.self.Address {
@@ -221,9 +231,13 @@
 }
 
 // Tick applies the effects of time: leases expire, silent members are removed, and
-// the instance may become settled. Call it periodically.
+// the set of voters is changed or founded. Call it periodically.
 func (m *Machine) Tick(now time.Duration) []Action {
-	m.updateSettled(now)
+	if m.hearsCoordinator(now) {
+		m.recordService(now)
+	}
+	m.found(now)
+	m.coordinate(now)
 	actions := m.members.removeSilent(now, m.config)
 	m.announceChanges(now, actions)
 	actions = append(actions, m.updateRole(now)...)
@@ -235,23 +249,6 @@
 	return actions
 }
 
-// updateSettled decides whether this instance may vote. Every promise that it may
-// have made before a restart must have expired, and it must know the member list:
-// from a settled member, from every seed, or after Config.SeedWait.
-func (m *Machine) updateSettled(now time.Duration) {
-	if m.settled || now < m.started+m.config.promiseTTL() {
-		return
-	}
-	allSeedsHeard, settledPeerHeard := true, false
-	for _, s := range m.seeds {
-		allSeedsHeard = allSeedsHeard && m.members.peers[s].everHeard
-	}
-	for _, p := range m.members.peers {
-		settledPeerHeard = settledPeerHeard || p.settled && m.members.inCluster(p.member)
-	}
-	m.settled = allSeedsHeard || settledPeerHeard || now >= m.started+m.config.SeedWait
-}
-
 // updateRole handles a change between voter and follower. A new voter cannot know
 // whether the voter that it replaces had promised its vote to a holder, so it
 // considers itself bound by such a promise for its full duration. Only voters
@@ -263,16 +260,16 @@
 	}
 	m.voter = !m.voter
 	var actions []Action
-	for _, right := range m.rights {
-		if m.voter {
-			state := m.states[right]
-			state.promise.formerExpiry = max(state.promise.formerExpiry, now+m.config.promiseTTL())
-			continue
-		}
-		actions = append(actions, m.release(now, right)...)
-	}
 	if m.voter {
 		m.members.resetSilence(now)
+		// The founders of a cluster have seen for Config.TurnGap that nobody sends orders.
+		if m.voterSet.Version > 1 {
+			m.assumePromises(now)
+		}
+		return nil
+	}
+	for _, right := range m.rights {
+		actions = append(actions, m.release(now, right)...)
 	}
 	return actions
 }
@@ -290,7 +287,7 @@
 		if state.leaseExpiry = max(state.leaseExpiry, end); now < state.leaseExpiry {
 			return nil
 		}
-		state.held = false
+		state.held, state.heldUntil = false, now
 		return []Action{Lost{Right: right}}
 	}
 	if now >= end {
@@ -298,6 +295,10 @@
 	}
 	state.held, state.leaseExpiry = true, end
 	state.fence = max(state.highestFence+1, m.minFence())
+	if right == coordinatorRight {
+		state.fence = max(state.fence, m.voterSet.Term+1)
+		m.coordinator.reset()
+	}
 	state.fence = m.withOwnOrdinal(state.fence)
 	state.highestFence = state.fence
 	return []Action{Acquired{Right: right, Fence: state.fence, ClearAt: state.clearAt}}
@@ -314,6 +315,17 @@
 	return next
 }
 
+// withdrawOwnVote takes back this instance's vote for itself while it does not hold the
+// right. Only its last tenure binds the next holder then.
+func (m *Machine) withdrawOwnVote(now time.Duration, state *rightState) {
+	self := m.members.self
+	if state.held || state.promise.candidate != self.Address {
+		return
+	}
+	delete(state.voteExpiry, Voter{Address: self.Address, Incarnation: self.Incarnation})
+	state.promise.candidate, state.promise.expiresAt = "", min(state.promise.expiresAt, state.heldUntil)
+}
+
 // fenceOrdinalMask selects the bits of a fencing token that hold the ordinal of the
 // instance, which makes tokens of different instances distinct.
 const fenceOrdinalMask = 1<<24 - 1
@@ -324,31 +336,38 @@
 	return counter<<24 | uint64(ordinal)&fenceOrdinalMask
 }
 
-// quorumExpiry returns the time until which enough votes for this instance count.
+// quorumExpiry returns the time until which the votes of a quorum for this instance
+// count.
 func (m *Machine) quorumExpiry(state *rightState) time.Duration {
-	voters := m.members.voters()
-	expiries := make([]time.Duration, 0, len(voters))
-	for _, voter := range voters {
-		expiries = append(expiries, state.voteExpiry[voter])
-	}
-	required := m.members.requiredVotes()
-	if len(expiries) < required {
+	if !m.voterSet.isKnown() {
 		return 0
 	}
+	expiries := make([]time.Duration, 0, len(m.voterSet.Voters))
+	for _, voter := range m.voterSet.Voters {
+		expiries = append(expiries, state.voteExpiry[voter])
+	}
 	slices.SortFunc(expiries, func(a, b time.Duration) int { return cmp.Compare(b, a) })
-	return expiries[required-1]
+	return expiries[m.voterSet.quorum()-1]
 }
 
+// requestWhileUnserved is how long after the last sign of a coordinator rights are
+// requested, in durations of a promise: long enough to replace a coordinator. Without a
+// quorum, votes would only delay the holders that a new cluster chooses.
+const requestWhileUnserved = 2
+
 // shouldRequest reports whether this instance should request votes for a right: it
 // already holds the right, or no live member holds it and this instance is the
 // preferred holder among the live ones.
 func (m *Machine) shouldRequest(now time.Duration, right string, state *rightState) bool {
-	if m.leaving || !m.settled || !m.voter {
+	if m.leaving || !m.voter {
 		return false
 	}
 	if state.held {
 		return true
 	}
+	if right != coordinatorRight && (!m.everServed || now-m.lastServed > requestWhileUnserved*m.config.promiseTTL()) {
+		return false
+	}
 	for address, p := range m.members.peers {
 		if p.heldRights[right] && m.members.isLive(now, m.config.LiveFor, address) {
 			return false
@@ -359,18 +378,27 @@
 
 // voteForSelf casts this instance's own vote for itself.
 func (m *Machine) voteForSelf(now time.Duration, state *rightState) {
-	self := m.members.self.Address
+	self := m.members.self
 	vote := m.castVote(now, state, self)
 	if vote.Granted {
-		state.voteExpiry[self] = now + m.config.LeaseTTL
-		state.clearAt = max(state.clearAt, now+vote.ClearAfter)
+		state.voteExpiry[Voter{Address: self.Address, Incarnation: self.Incarnation}] = now + m.config.LeaseTTL
+		if !state.held {
+			state.clearAt = max(state.clearAt, now+vote.ClearAfter)
+		}
 	}
 }
 
-// castVote votes for a candidate unless a promise to another instance is still in
-// force.
-func (m *Machine) castVote(now time.Duration, state *rightState, candidate string) Vote {
-	if !m.settled || !m.voter || state.promise.candidate != candidate && now < state.promise.expiresAt {
+// castVote votes for a candidate, which must be a voter, unless a promise to another
+// instance is still in force. An instance that leaves votes while it is a voter.
+func (m *Machine) castVote(now time.Duration, state *rightState, from Member) Vote {
+	candidate := from.Address
+	if !m.voter || !m.voterSet.contains(from) {
+		return Vote{Fence: state.highestFence}
+	}
+	if candidate != m.members.self.Address {
+		m.withdrawOwnVote(now, state)
+	}
+	if state.promise.candidate != candidate && now < state.promise.expiresAt {
 		return Vote{Fence: state.highestFence}
 	}
 	if state.promise.candidate != candidate {
--- a/coord/quorum/machine_test.go
+++ b/coord/quorum/machine_test.go
@@ -115,6 +115,32 @@
 	require.Empty(t, w.violations)
 }
 
+// TestAMajorityThatLeftIsNoMajorityOnReturn covers a rolling restart of four of six
+// members, while the other two, which remain alone, are cut off from these four.
+func TestAMajorityThatLeftIsNoMajorityOnReturn(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, 6, testConfig())
+		w.run(8 * time.Second)
+		nodes := w.sorted()
+		for _, n := range nodes[:4] {
+			n.machine.Leave(w.now)
+			w.sendHeartbeat(n)
+			w.after(stopTakes, func() { w.restart(n, restartDelay) })
+			w.run(time.Second)
+		}
+		for _, n := range nodes[4:] {
+			n.partition = 1
+		}
+		w.run(partitionLasts)
+		for _, n := range nodes {
+			n.partition = 0
+		}
+		w.run(10 * time.Second)
+		require.Empty(t, w.violations, "seed %d", seed)
+		require.Len(t, holders(w), len(w.rights), "seed %d", seed)
+	}
+}
+
 func regionConfig() Config { return RegionConfig(requiredGap + 500*time.Millisecond) }
 
 // TestRegionsHoldRightsIndependently covers a separate cluster in each region: the
@@ -255,14 +281,15 @@
 		list.merge(0, m)
 	}
 	list.merge(0, Member{Address: "c0", DataCentre: "c", Since: 2})
-	counts := make(map[byte]int)
-	for _, v := range list.voters() {
-		counts[v[0]]++
+	counts, chosen := make(map[byte]int), make(map[string]bool)
+	for _, c := range list.candidates() {
+		counts[c.Address[0]]++
+		chosen[c.Address] = true
 	}
 	require.Equal(t, map[byte]int{'a': 2, 'b': 2, 'c': 2}, counts)
-	require.False(t, list.isVoter("a1"))
-	require.False(t, list.isVoter("b1"))
-	require.True(t, list.isVoter("c2"), "weak, but more senior than the strong member that joined later")
+	require.False(t, chosen["a1"])
+	require.False(t, chosen["b1"])
+	require.True(t, chosen["c2"], "weak, but more senior than the strong member that joined later")
 }
 
 // TestFollowersSendFewerHeartbeatsInALargeCluster bounds the rate of heartbeats that
--- a/coord/quorum/messages.go
+++ b/coord/quorum/messages.go
@@ -36,12 +36,13 @@
 	From Member
 	// Sequence increases with every heartbeat of an incarnation.
 	Sequence uint64
-	// Settled is set once the sender may vote: any promise that it made before its
-	// last start has expired, and it knows the member list.
-	Settled bool
+	// Served is set while the sender is the coordinator or hears it directly.
+	Served bool
 	// VotersDigest is the digest of the sender's set of voters, MembersDigest that
 	// of all members of its cluster that have not left.
 	VotersDigest, MembersDigest uint64
+	// VoterSet is omitted while all peers have the same set.
+	VoterSet VoterSet
 	// Members is the sender's member list. It is omitted while all peers have the
 	// same list.
 	Members      []Member
@@ -71,7 +72,10 @@
 type Reply struct {
 	From     Member
 	Sequence uint64
-	Settled  bool
+	// Served is as in Heartbeat.
+	Served bool
+	// VoterSet is present only if the digest in the Heartbeat differs.
+	VoterSet VoterSet
 	// VotersDigest and MembersDigest are the digests of the replying instance; see
 	// Heartbeat.
 	VotersDigest, MembersDigest uint64
--- a/coord/quorum/roster.go
+++ b/coord/quorum/roster.go
@@ -14,7 +14,6 @@
 	// instance became a voter. Silence is measured from the later of the two.
 	lastHeard, knownSince time.Duration
 	everHeard             bool
-	settled               bool
 	heldRights            map[string]bool
 	silentMembers         map[string]bool
 }
@@ -28,6 +27,8 @@
 	// Config.OwnRegion.
 	ownRegion bool
 	maxVoters int
+	// voterAddresses lists the voters, sorted.
+	voterAddresses []string
 	// view caches what is derived from the list; nil if it must be recomputed.
 	view *memberView
 	// lastRemoval is when this instance last removed a silent member.
@@ -65,7 +66,7 @@
 		if !update.Left {
 			reason = "restarted"
 		}
-		p.settled, p.heldRights, p.silentMembers, p.knownSince = false, nil, nil, now
+		p.heldRights, p.silentMembers, p.knownSince = nil, nil, now
 	}
 	p.member = update
 	p.member.Since = since
@@ -81,14 +82,15 @@
 }
 
 // refute handles an update about this instance itself. If the update says that the
-// instance has left, it refutes that with a higher incarnation. It also restores
+// instance has left, or is of a later incarnation because the clock was set back since,
+// it refutes that with a higher incarnation. It also restores
 // the seniority that the instance had before a restart.
 func (l *memberList) refute(update Member) {
 	if since := earliestKnown(l.self.Since, update.Since); since != l.self.Since {
 		l.self.Since = since
 		l.invalidateView()
 	}
-	if !l.self.Left && (update.Left && update.Incarnation >= l.self.Incarnation) {
+	if !l.self.Left && (update.Left && update.Incarnation >= l.self.Incarnation || update.Incarnation > l.self.Incarnation) {
 		l.self.Incarnation = update.Incarnation + 1
 	}
 }
--- a/coord/quorum/sim_test.go
+++ b/coord/quorum/sim_test.go
@@ -25,6 +25,7 @@
 	seeds          []string
 	rights         []string
 	inFlight       []delivery
+	scheduled      []scheduledEvent
 	lastOrders     map[string]orderSent
 	violations     []string
 	// clearSteps counts the steps at which a node could send orders under a right,
@@ -116,18 +117,62 @@
 	})
 	n.machine = NewMachine(w.now, self, w.seeds, rights, w.config, func() uint64 {
 		return Fence(uint64(w.now/time.Second)+1, ordinal)
-	})
+	}, w.watchOrders(rights))
 	if w.mutate != nil {
 		w.mutate(n.machine)
 	}
 	n.nextHeartbeat = w.now
 }
 
+// reportAge is the age of the state in a worker's report.
+const reportAge = 300 * time.Millisecond
+
+// watchOrders returns the function by which a machine that starts now learns since when
+// the workers, which every partition reaches, have received no orders under its rights.
+func (w *world) watchOrders(rights []string) func() (time.Duration, bool) {
+	since := w.now
+	return func() (time.Duration, bool) {
+		for _, right := range rights {
+			if at := w.lastOrders[right].at; at > w.now-reportAge {
+				since = w.now
+			} else {
+				since = max(since, at)
+			}
+		}
+		return since, true
+	}
+}
+
 const step = 20 * time.Millisecond
 
+// scheduledEvent is run once its time has come.
+type scheduledEvent struct {
+	at  time.Duration
+	run func()
+}
+
+// after schedules an event.
+func (w *world) after(delay time.Duration, run func()) {
+	w.scheduled = append(w.scheduled, scheduledEvent{at: w.now + delay, run: run})
+}
+
+// runScheduled runs the scheduled events that are due.
+func (w *world) runScheduled() {
+	pending := w.scheduled
+	w.scheduled = nil
+	for _, e := range pending {
+		if e.at > w.now {
+			w.scheduled = append(w.scheduled, e)
+			continue
+		}
+		e.run()
+	}
+}
+
 // run advances virtual time by d.
 func (w *world) run(d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += step {
+		w.runScheduled()
 		w.deliver()
 		for _, n := range w.sorted() {
 			if n.down || w.now < n.frozenUntil {
--- a/coord/quorum/voters.go
+++ b/coord/quorum/voters.go
@@ -10,45 +10,35 @@
 )
 
 // memberView is derived from a member list: the members of the cluster that have
-// not left, and the voters among them.
+// not left, and those of them that should be voters.
 type memberView struct {
 	size int // number of members that have not left
-	// voters holds the addresses of the voters, sorted.
-	voters []string
-	// votersDigest and membersDigest identify the set of voters and the set of all
-	// members that have not left.
-	votersDigest, membersDigest uint64
+	// candidates are the members that should be voters, sorted by address.
+	candidates []Member
+	// membersDigest identifies the set of all members that have not left.
+	membersDigest uint64
 }
 
 // invalidateView drops the cached view. It must be called after every change to
 // the list that the view depends on.
 func (l *memberList) invalidateView() { l.view = nil }
 
+// setVoters sets the agreed voters.
+func (l *memberList) setVoters(set VoterSet) { l.voterAddresses = set.addresses() }
+
 // voters returns the sorted addresses of the voters. The caller must not modify
 // the result.
-func (l *memberList) voters() []string { return l.currentView().voters }
+func (l *memberList) voters() []string { return l.voterAddresses }
 
 // isVoter reports whether the member with this address is a voter.
 func (l *memberList) isVoter(address string) bool {
-	_, found := slices.BinarySearch(l.voters(), address)
+	_, found := slices.BinarySearch(l.voterAddresses, address)
 	return found
 }
 
-// hasNonVoters reports whether some members of the cluster are not voters.
-func (l *memberList) hasNonVoters() bool { return l.currentView().size > len(l.voters()) }
-
-// requiredVotes returns the number of votes that grants a right. If all members
-// vote, a majority is enough: a join or leave changes the set of voters by one
-// member. If the number of voters is capped, another member replaces a voter that
-// leaves; the old and the new set then each have a member that the other lacks,
-// and only quorums of two thirds are certain to have a voter in common.
-func (l *memberList) requiredVotes() int {
-	voters := len(l.voters())
-	if l.hasNonVoters() {
-		return (2*voters + 2) / 3
-	}
-	return voters/2 + 1
-}
+// candidates returns the members that should be voters, sorted by address. The caller
+// must not modify the result.
+func (l *memberList) candidates() []Member { return l.currentView().candidates }
 
 // currentView returns the cached view, and computes it first if there is none.
 func (l *memberList) currentView() *memberView {
@@ -59,18 +49,14 @@
 }
 
 // computeView derives the view. If there are more than maxVoters members, the most
-// senior of them are the voters.
+// senior of them are the candidates.
 func (l *memberList) computeView() *memberView {
 	members := slices.DeleteFunc(l.all(), func(m Member) bool { return m.Left || !l.inCluster(m) })
 	view := &memberView{size: len(members), membersDigest: digestOf(members, digestKey)}
 	if l.maxVoters > 0 && len(members) > l.maxVoters {
 		members = bySeniority(members)[:l.maxVoters]
 	}
-	view.votersDigest = digestOf(members, func(m Member) string { return m.Address })
-	for _, m := range members {
-		view.voters = append(view.voters, m.Address)
-	}
-	slices.Sort(view.voters)
+	view.candidates = slices.SortedFunc(slices.Values(members), func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
 	return view
 }
 
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -153,6 +153,14 @@
 	return c.machine.Voting()
 }
 
+// WatchesOrders reports whether this instance may soon found a cluster and needs to
+// know since when nobody has sent orders to workers.
+func (c *Cluster) WatchesOrders() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.WatchesOrders(c.now())
+}
+
 // HeldRights lists the rights that this instance holds, including those that it
 // may not act under yet.
 func (c *Cluster) HeldRights() []string {
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -58,7 +58,7 @@
 		seeds = append(seeds, fmt.Sprintf("10.1.%d.%d:8144", i/200, i%200))
 	}
 	machine := quorum.NewMachine(clock(), self, seeds, []string{"a/0", "a/1", "a/2", "a/3"}, quorum.DefaultConfig(time.Second),
-		func() uint64 { return quorum.Fence(1, 7) })
+		func() uint64 { return quorum.Fence(1, 7) }, nil)
 	c, err := New(DefaultConfig(), machine, clock, local)
 	require.NoError(t, err)
 	return c
@@ -91,15 +91,17 @@
 func TestCodecRoundTrip(t *testing.T) {
 	heartbeat := quorum.Heartbeat{
 		From:     quorum.Member{Address: "x", DataCentre: "a", Region: "r", Weak: true, Since: 8, Incarnation: 3, Left: true},
-		Sequence: 4, Settled: true, VotersDigest: 5, MembersDigest: 6,
-		Members: []quorum.Member{{Address: "y", Incarnation: 6}}, VoteRequests: []quorum.VoteRequest{{Right: "a/0", Fence: 7}},
+		Sequence: 4, Served: true, VotersDigest: 5, MembersDigest: 6,
+		VoterSet: quorum.VoterSet{Term: 9, Version: 2, Rushed: true, Voters: []quorum.Voter{{Address: "x", Incarnation: 3}, {Address: "y", Incarnation: 6}}},
+		Members:  []quorum.Member{{Address: "y", Incarnation: 6}}, VoteRequests: []quorum.VoteRequest{{Right: "a/0", Fence: 7}},
 		Held: []string{"a/1"}, Released: []string{"a/2"}, Silent: []string{"z"},
 	}
 	require.Equal(t, heartbeat, decodeHeartbeat(encodeHeartbeat(heartbeat)))
 	reply := quorum.Reply{
-		From: quorum.Member{Address: "x"}, Sequence: 4, Settled: true, VotersDigest: 5, MembersDigest: 6, Held: []string{"a/2"},
-		Members: []quorum.Member{{Address: "y", Left: true}},
-		Votes:   []quorum.Vote{{Right: "a/0", Granted: true, ClearAfter: 8, Fence: 9}},
+		From: quorum.Member{Address: "x"}, Sequence: 4, Served: true, VotersDigest: 5, MembersDigest: 6, Held: []string{"a/2"},
+		VoterSet: quorum.VoterSet{Term: 9, Version: 2, Voters: []quorum.Voter{{Address: "x", Incarnation: 3}}},
+		Members:  []quorum.Member{{Address: "y", Left: true}},
+		Votes:    []quorum.Vote{{Right: "a/0", Granted: true, ClearAfter: 8, Fence: 9}},
 	}
 	require.Equal(t, reply, decodeReply(encodeReply(reply)))
 }
--- a/entry/cluster/codec.go
+++ b/entry/cluster/codec.go
@@ -1,6 +1,8 @@
 package cluster
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
@@ -36,10 +38,32 @@
 	return decoded
 }
 
+func encodeVoterSet(s quorum.VoterSet) *clusterpb.VoterSet {
+	if s.Version == 0 {
+		return nil
+	}
+	encoded := &clusterpb.VoterSet{Term: s.Term, Version: s.Version, Rushed: s.Rushed}
+	for _, v := range s.Voters {
+		encoded.Voters = append(encoded.Voters, &clusterpb.Voter{Address: v.Address, Incarnation: v.Incarnation})
+	}
+	return encoded
+}
+
+// decodeVoterSet sorts the voters, since lookups in a set rely on their order.
+func decodeVoterSet(s *clusterpb.VoterSet) quorum.VoterSet {
+	decoded := quorum.VoterSet{Term: s.GetTerm(), Version: s.GetVersion(), Rushed: s.GetRushed()}
+	for _, v := range s.GetVoters() {
+		decoded.Voters = append(decoded.Voters, quorum.Voter{Address: v.GetAddress(), Incarnation: v.GetIncarnation()})
+	}
+	slices.SortFunc(decoded.Voters, func(a, b quorum.Voter) int { return cmp.Compare(a.Address, b.Address) })
+	return decoded
+}
+
 func encodeHeartbeat(b quorum.Heartbeat) *clusterpb.BeatRequest {
 	request := &clusterpb.BeatRequest{
-		From: encodeMember(b.From), Sequence: b.Sequence, Settled: b.Settled, Voters: b.VotersDigest, Roster: b.MembersDigest,
-		Members: encodeMembers(b.Members), Held: b.Held, Released: b.Released, Silent: b.Silent,
+		From: encodeMember(b.From), Sequence: b.Sequence, Served: b.Served, VotersDigest: b.VotersDigest, Roster: b.MembersDigest,
+		VoterSet: encodeVoterSet(b.VoterSet),
+		Members:  encodeMembers(b.Members), Held: b.Held, Released: b.Released, Silent: b.Silent,
 	}
 	for _, ask := range b.VoteRequests {
 		request.Asks = append(request.Asks, &clusterpb.Ask{Right: ask.Right, Fence: ask.Fence})
@@ -49,8 +73,9 @@
 
 func decodeHeartbeat(b *clusterpb.BeatRequest) quorum.Heartbeat {
 	heartbeat := quorum.Heartbeat{
-		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Settled: b.GetSettled(), VotersDigest: b.GetVoters(), MembersDigest: b.GetRoster(),
-		Members: decodeMembers(b.GetMembers()), Held: b.GetHeld(), Released: b.GetReleased(), Silent: b.GetSilent(),
+		From: decodeMember(b.GetFrom()), Sequence: b.GetSequence(), Served: b.GetServed(), VotersDigest: b.GetVotersDigest(), MembersDigest: b.GetRoster(),
+		VoterSet: decodeVoterSet(b.GetVoterSet()),
+		Members:  decodeMembers(b.GetMembers()), Held: b.GetHeld(), Released: b.GetReleased(), Silent: b.GetSilent(),
 	}
 	for _, ask := range b.GetAsks() {
 		heartbeat.VoteRequests = append(heartbeat.VoteRequests, quorum.VoteRequest{Right: ask.GetRight(), Fence: ask.GetFence()})
@@ -60,8 +85,9 @@
 
 func encodeReply(r quorum.Reply) *clusterpb.BeatResponse {
 	response := &clusterpb.BeatResponse{
-		From: encodeMember(r.From), Sequence: r.Sequence, Settled: r.Settled, Voters: r.VotersDigest, Roster: r.MembersDigest,
-		Members: encodeMembers(r.Members), Held: r.Held,
+		From: encodeMember(r.From), Sequence: r.Sequence, Served: r.Served, VotersDigest: r.VotersDigest, Roster: r.MembersDigest,
+		VoterSet: encodeVoterSet(r.VoterSet),
+		Members:  encodeMembers(r.Members), Held: r.Held,
 	}
 	for _, v := range r.Votes {
 		response.Votes = append(response.Votes, &clusterpb.Vote{
@@ -73,8 +99,9 @@
 
 func decodeReply(r *clusterpb.BeatResponse) quorum.Reply {
 	reply := quorum.Reply{
-		From: decodeMember(r.GetFrom()), Sequence: r.GetSequence(), Settled: r.GetSettled(), VotersDigest: r.GetVoters(), MembersDigest: r.GetRoster(),
-		Members: decodeMembers(r.GetMembers()), Held: r.GetHeld(),
+		From: decodeMember(r.GetFrom()), Sequence: r.GetSequence(), Served: r.GetServed(), VotersDigest: r.GetVotersDigest(), MembersDigest: r.GetRoster(),
+		VoterSet: decodeVoterSet(r.GetVoterSet()),
+		Members:  decodeMembers(r.GetMembers()), Held: r.GetHeld(),
 	}
 	for _, v := range r.GetVotes() {
 		reply.Votes = append(reply.Votes, quorum.Vote{
--- a/entry/cluster/fuzz_test.go
+++ b/entry/cluster/fuzz_test.go
@@ -15,8 +15,9 @@
 // instance that goes on afterwards.
 func FuzzHeartbeat(f *testing.F) {
 	heartbeat := encodeHeartbeat(quorum.Heartbeat{
-		From: quorum.Member{Address: "10.0.0.2:1", DataCentre: "a", Incarnation: 3}, Sequence: 4, Settled: true,
-		Members: []quorum.Member{{Address: "10.0.0.3:1", Incarnation: 6, Left: true}}, VoteRequests: []quorum.VoteRequest{{Right: "a/0", Fence: 7}},
+		From: quorum.Member{Address: "10.0.0.2:1", DataCentre: "a", Incarnation: 3}, Sequence: 4, Served: true,
+		VoterSet: quorum.VoterSet{Term: 9, Version: 2, Voters: []quorum.Voter{{Address: "10.0.0.1:1", Incarnation: 1}}},
+		Members:  []quorum.Member{{Address: "10.0.0.3:1", Incarnation: 6, Left: true}}, VoteRequests: []quorum.VoteRequest{{Right: "a/0", Fence: 7}},
 		Held: []string{"a/1"}, Released: []string{"a/2"}, Silent: []string{"z"},
 	})
 	encoded, err := proto.Marshal(heartbeat)
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -70,7 +70,7 @@
 	if s.isRegional() {
 		leaseConfig, heartbeatConfig = quorum.RegionConfig(turnGap), cluster.RegionConfig()
 	}
-	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress))
+	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress), nil)
 	c, err := cluster.New(heartbeatConfig, machine, now, i)
 	if err != nil {
 		return nil, err
