entry/direct: found a cluster only while nobody orders the workers

Cause: an instance that had heard every seed took part in votes, though seeds that have restarted know no more than it does. No message tells that from a first start.

Change: an instance that may found a cluster reads the reports of up to 16 workers twice a second. Their counts of accepted orders (sequence, decoded now) show the orders of instances that it cannot hear; a cluster is founded only after 3.5 s without any. Where no worker responds nothing is founded.

--- a/coord/quorum/machine_test.go
+++ b/coord/quorum/machine_test.go
@@ -115,6 +115,27 @@
 	require.Empty(t, w.violations)
 }
 
+// TestSeedsThatRestartBehindAPartitionFoundNoCluster covers seeds that restart without
+// state on the smaller side of a partition. They hear every seed, but must not order
+// workers beside the majority on the other side.
+func TestSeedsThatRestartBehindAPartitionFoundNoCluster(t *testing.T) {
+	w := newWorld(12, 9, testConfig())
+	w.run(8 * time.Second)
+	seeds := w.sorted()[:3]
+	for _, n := range seeds {
+		n.partition = 1
+		w.restart(n, 500*time.Millisecond)
+	}
+	w.run(partitionLasts)
+	for _, n := range seeds {
+		require.Empty(t, n.machine.HeldRights(w.now))
+		n.partition = 0
+	}
+	w.run(8 * time.Second)
+	require.Empty(t, w.violations)
+	require.Len(t, holders(w), len(w.rights))
+}
+
 // TestAMajorityThatLeftIsNoMajorityOnReturn covers a rolling restart of four of six
 // members, while the other two, which remain alone, are cut off from these four.
 func TestAMajorityThatLeftIsNoMajorityOnReturn(t *testing.T) {
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -40,6 +40,7 @@
 	metrics      *metrics
 	fleet        *fleet
 	cluster      *cluster.Cluster
+	orderWatch   *orderWatch
 	orders       *orderDispatcher
 	gateway      *gateway
 	callerServer *fasthttp.Server
@@ -70,7 +71,8 @@
 	if s.isRegional() {
 		leaseConfig, heartbeatConfig = quorum.RegionConfig(turnGap), cluster.RegionConfig()
 	}
-	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress), nil)
+	i.orderWatch = newOrderWatch(i.fleet, ports.Orderer, s.controlledDataCentres())
+	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
 	c, err := cluster.New(heartbeatConfig, machine, now, i)
 	if err != nil {
 		return nil, err
@@ -85,7 +87,7 @@
 		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
 		log: decisions, metrics: i.metrics, workerLeaves: i.workerLeaves, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
 	}
-	i.gateway.guard.reportPanic = i.gateway.reportPanic
+	i.gateway.guard.reportPanic, i.orderWatch.reportPanic = i.gateway.reportPanic, i.gateway.reportPanic
 	return i, nil
 }
 
@@ -148,6 +150,7 @@
 		Strs(decision.FieldSeeds, i.settings.Seeds).Send()
 	go recovery.Loop(background, i.gateway.reportPanic, "cluster", i.cluster.Run)
 	go recovery.Loop(background, i.gateway.reportPanic, "housekeeping", i.runHousekeeping)
+	go recovery.Loop(background, i.gateway.reportPanic, "order watch", func(ctx context.Context) { i.orderWatch.run(ctx, i.cluster.WatchesOrders) })
 	select {
 	case <-ctx.Done():
 		return i.stop()
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -111,6 +111,9 @@
 	Leaving bool
 	// Born is when the worker's process started, in Unix milliseconds.
 	Born int64
+	// OrdersAccepted is the number of orders that the process had accepted as of the
+	// report. It also rises when an unload that waited for requests ends.
+	OrdersAccepted uint64
 }
 
 // Orderer sends orders to workers and reads their reports. It must be safe for
