entry/direct: adopt a worker's first report only from after the last order to it

Cause: the loop of the new process adopted a first report that was older than the orders which the loop before had just sent to that process.

Change: the dispatcher keeps until when an order may have reached a worker id; a planner without knowledge adopts a report only if it was requested Config.ReportLag later. A report of another process ends a loop's belief. A planner that finds the model gone waits for such a report too, and only where the report is later than the load of the model. The age of a report counts from its request.

--- a/coord/slots/orders.go
+++ b/coord/slots/orders.go
@@ -70,6 +70,7 @@
 func (p *Planner) HandleResult(now time.Duration, result Result) {
 	order := p.inFlight
 	p.inFlight = nil
+	p.AssumeOrder(now)
 	if order == nil {
 		return
 	}
@@ -104,7 +105,7 @@
 func (p *Planner) handleModelResult(now time.Duration, result Result) {
 	switch result {
 	case Done:
-		p.hasModel, p.modelRetryAt = true, 0
+		p.setModelLoaded(now)
 	case Rejected, Unreachable:
 		p.modelRetryAt = now + rejectedBackoff
 	case Accepted, Unknown:
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -87,6 +87,12 @@
 	// hasLocalWeights is set while the model can be loaded without the weight store.
 	hasLocalWeights bool
 	synced          bool
+	// lastOrderAt is when the last order to the worker ended, valid if hasOrdered is
+	// set. Reports of a state from before it are not adopted as a whole.
+	lastOrderAt time.Duration
+	hasOrdered  bool
+	// modelSince is when the model was first known to be loaded.
+	modelSince time.Duration
 	// inFlight is the order whose result is outstanding.
 	inFlight *Order
 	// retryAt is the end of the backoff after a failed order.
@@ -116,20 +122,41 @@
 	Busy bool
 }
 
-// HandleReport applies a report that arrived at now. The first report is adopted as a
-// whole. Later ones may be older than the last orders, so they correct only state
-// that has not changed for longer than Config.ReportLag.
+// AssumeOrder records that an order of another planner to the same worker may have been
+// accepted as late as at.
+func (p *Planner) AssumeOrder(at time.Duration) {
+	p.lastOrderAt, p.hasOrdered = max(p.lastOrderAt, at), true
+}
+
+// ReportsUsableFrom returns the time from which a report must be requested to be
+// adopted as a whole: its state is then later than the last order. It is 0 if any
+// report will do, or if the worker's state is known already.
+func (p *Planner) ReportsUsableFrom() time.Duration {
+	if p.synced || !p.hasOrdered {
+		return 0
+	}
+	return p.lastOrderAt + p.config.ReportLag
+}
+
+// HandleReport applies a report that was requested at now. The first report is adopted
+// as a whole, unless it may be older than the last order. Later ones may be, so they
+// correct only state that has not changed for longer than Config.ReportLag.
 func (p *Planner) HandleReport(now time.Duration, state WorkerState) {
+	if now < p.ReportsUsableFrom() {
+		return
+	}
 	p.hasLocalWeights = state.HasLocalWeights
 	if !p.synced {
 		p.applyFirstReport(now, state)
 		return
 	}
 	if state.HasModel && !p.hasModel {
-		p.hasModel, p.modelRetryAt = true, 0
+		p.setModelLoaded(now)
 	}
 	if !state.HasModel && p.hasModel && !state.Busy {
-		p.resetAfterRestart()
+		if now-p.modelSince > p.config.ReportLag {
+			p.resetAfterRestart()
+		}
 		return
 	}
 	listed := make(map[string]bool)
@@ -148,7 +175,7 @@
 
 // applyFirstReport adopts the state of the first report.
 func (p *Planner) applyFirstReport(now time.Duration, state WorkerState) {
-	p.synced, p.hasModel = true, state.HasModel
+	p.synced, p.hasModel, p.modelSince = true, state.HasModel, now
 	if state.Busy && !state.HasModel {
 		p.modelRetryAt = now + p.modelTime
 	}
@@ -160,10 +187,15 @@
 	}
 }
 
-// resetAfterRestart drops the known state of the worker. A restart also empties
-// its host memory.
+// setModelLoaded records that the worker holds the model.
+func (p *Planner) setModelLoaded(now time.Duration) {
+	p.hasModel, p.modelSince, p.modelRetryAt = true, now, 0
+}
+
+// resetAfterRestart drops the known state of the worker, until a report shows what it
+// holds after the last order. A restart also empties its host memory.
 func (p *Planner) resetAfterRestart() {
-	p.hasModel, p.modelRetryAt, p.inFlight = false, 0, nil
+	p.synced, p.hasModel, p.modelRetryAt, p.inFlight = false, false, 0, nil
 	clear(p.slots)
 	p.warm = nil
 }
@@ -405,7 +437,7 @@
 }
 
 // AwaitsReport reports whether the next report is needed soon: only a report shows
-// that the model is loaded.
+// what the worker holds at first, and that the model is loaded.
 func (p *Planner) AwaitsReport() bool {
-	return !p.hasModel
+	return !p.synced || !p.hasModel
 }
--- a/coord/slots/planner_test.go
+++ b/coord/slots/planner_test.go
@@ -266,3 +266,49 @@
 	}
 	require.Greater(t, len(started), 30, "the store is used")
 }
+
+// TestAReportOlderThanTheLastOrderIsNotAdopted guards against a planner that takes over a
+// worker, after a restart of the worker or from another planner, and misses what was just
+// ordered.
+func TestAReportOlderThanTheLastOrderIsNotAdopted(t *testing.T) {
+	p := NewPlanner(DefaultConfig(1), "m", time.Second)
+	p.AssumeOrder(10 * time.Second)
+	usableFrom := 10*time.Second + p.config.ReportLag
+	require.Equal(t, usableFrom, p.ReportsUsableFrom())
+	p.Want(10*time.Second, "b", 0, time.Minute)
+	p.HandleReport(usableFrom-ms, WorkerState{HasModel: true})
+	requireNoOrder(t, p, usableFrom)
+	p.HandleReport(usableFrom, WorkerState{HasModel: true, Adapters: []string{"a"}})
+	require.Equal(t, Order{Unload: true, Model: "m", Adapter: "a"}, requireOrder(t, p, usableFrom+time.Second))
+}
+
+// TestAWorkerThatLostItsModelIsReadAnew covers a restart that only a report shows: orders
+// sent since then have reached the new process.
+func TestAWorkerThatLostItsModelIsReadAnew(t *testing.T) {
+	p := syncedPlanner(1)
+	p.Want(2*time.Second, "a", 0, time.Minute)
+	requireOrder(t, p, 2*time.Second)
+	p.HandleResult(2*time.Second, Accepted)
+	p.HandleReport(2100*ms, WorkerState{})
+	require.False(t, p.Synced())
+	p.Want(2100*ms, "b", 0, time.Minute)
+	p.HandleReport(2200*ms, WorkerState{HasModel: true})
+	requireNoOrder(t, p, 2200*ms)
+	p.HandleReport(3*time.Second, WorkerState{HasModel: true, Adapters: []string{"a"}})
+	require.Equal(t, Order{Unload: true, Model: "m", Adapter: "a"}, requireOrder(t, p, 4*time.Second))
+}
+
+// TestAReportFromBeforeTheModelWasLoadedChangesNothing covers a report that is older than
+// the answer which showed that the worker holds its model.
+func TestAReportFromBeforeTheModelWasLoadedChangesNothing(t *testing.T) {
+	p := NewPlanner(DefaultConfig(1), "m", time.Second)
+	p.HandleReport(0, WorkerState{})
+	requireOrder(t, p, 0)
+	p.HandleResult(2*time.Second, Done)
+	p.Want(2*time.Second, "a", 0, time.Minute)
+	requireOrder(t, p, 2*time.Second)
+	p.HandleResult(2*time.Second, Accepted)
+	p.HandleReport(2100*ms, WorkerState{})
+	require.True(t, p.Usable())
+	require.Len(t, p.Slots(), 1)
+}
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -46,8 +47,8 @@
 	// reportInterval is the interval between reports of a worker in which no
 	// change is expected; each report has a cost.
 	reportInterval = 3 * time.Second
-	// pendingReportInterval is the interval while the completion of an order is
-	// awaited.
+	// pendingReportInterval is the interval while the completion of an order, or a
+	// first report, is awaited.
 	pendingReportInterval = 150 * time.Millisecond
 	// usePollInterval is how often the use of adapters is passed to the
 	// planner.
@@ -79,12 +80,15 @@
 	// workers holds the control loops by worker.
 	workers    map[string]*controlledWorker
 	storeShare *slots.StoreShare
+	// lastOrders holds until when an order of any control loop may have reached a
+	// worker id, whichever process bears it.
+	lastOrders map[string]time.Duration
 }
 
 func newOrderDispatcher(f *fleet, r rightChecker, instanceCount func() int, o Orderer, log *decision.Log, m *metrics) *orderDispatcher {
 	return &orderDispatcher{
 		fleet: f, rights: r, instanceCount: instanceCount, orderer: o, log: log, metrics: m, workers: make(map[string]*controlledWorker),
-		storeShare: slots.NewStoreShare(now()),
+		storeShare: slots.NewStoreShare(now()), lastOrders: make(map[string]time.Duration),
 	}
 }
 
@@ -94,6 +98,7 @@
 	*orderDispatcher
 	worker worker.Worker
 	right  string
+	engine *routing.Engine
 	cancel context.CancelFunc
 	// wake starts the next round early.
 	wake chan struct{}
@@ -112,6 +117,8 @@
 func (o *orderDispatcher) refresh(ctx context.Context) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	at := now()
+	maps.DeleteFunc(o.lastOrders, func(_ string, until time.Duration) bool { return at-until > lastOrderTTL })
 	controlled := make(map[string]bool)
 	for _, w := range o.fleet.workers.all() {
 		service, known := o.fleet.config.service(w.Service)
@@ -119,12 +126,13 @@
 			continue
 		}
 		right := rightOf(&w)
+		running := o.workers[w.ID]
+		isSame := running != nil && running.worker.Born == w.Born && running.worker.Address == w.Address
 		if _, held := o.rights.Held(right); !held {
 			continue
 		}
 		controlled[w.ID] = true
-		running := o.workers[w.ID]
-		if running != nil && running.worker.Born == w.Born && running.worker.Address == w.Address {
+		if isSame {
 			continue
 		}
 		if running != nil {
@@ -143,11 +151,9 @@
 
 func (o *orderDispatcher) startWorker(ctx context.Context, w worker.Worker, right string, engine *routing.Engine) {
 	ctx, cancel := context.WithCancel(ctx)
-	model := engine.Models[0]
 	controlled := &controlledWorker{
-		orderDispatcher: o, worker: w, right: right, cancel: cancel, wake: make(chan struct{}, 1),
-		planner: slots.NewPlanner(slots.DefaultConfig(adapterCapacity(engine, model)), model.Name, model.StoreLoad),
-		waiters: make(map[string][]chan bool),
+		orderDispatcher: o, worker: w, right: right, engine: engine, cancel: cancel, wake: make(chan struct{}, 1),
+		planner: newPlanner(engine), waiters: make(map[string][]chan bool),
 	}
 	o.workers[w.ID] = controlled
 	go func() {
@@ -169,6 +175,31 @@
 	}
 }
 
+// newPlanner returns a planner that knows nothing of its worker.
+func newPlanner(engine *routing.Engine) *slots.Planner {
+	model := engine.Models[0]
+	return slots.NewPlanner(slots.DefaultConfig(adapterCapacity(engine, model)), model.Name, model.StoreLoad)
+}
+
+// lastOrderTTL is how long the time of the last order to a worker is kept: longer than
+// the age of any report.
+const lastOrderTTL = 10 * time.Second
+
+// recordOrder records that an order may reach a worker until a time.
+func (o *orderDispatcher) recordOrder(id string, until time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.lastOrders[id] = until
+}
+
+// lastOrder returns until when an order of any control loop may have reached a worker.
+func (o *orderDispatcher) lastOrder(id string) (time.Duration, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	until, found := o.lastOrders[id]
+	return until, found
+}
+
 // adapterCapacity returns the number of adapters that fit beside a model.
 func adapterCapacity(engine *routing.Engine, model routing.Model) int {
 	capacity := engine.AdapterSlots
@@ -326,6 +357,15 @@
 	return true
 }
 
+// forget drops the belief about a worker process that has ended.
+func (w *controlledWorker) forget() {
+	w.fleet.residency.deleteOwn(w.worker.ID)
+	w.failWaiters()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.planner = newPlanner(w.engine)
+}
+
 // publishSlots wakes the waiters whose adapter is ready and publishes the
 // slots. w.mu must be held.
 func (w *controlledWorker) publishSlots() {
@@ -355,34 +395,41 @@
 }
 
 func (w *controlledWorker) readReport(ctx context.Context) {
+	if until, found := w.lastOrder(w.worker.ID); found {
+		w.mu.Lock()
+		w.planner.AssumeOrder(until)
+		w.mu.Unlock()
+	}
 	w.mu.Lock()
 	due := w.reportReadAt + reportInterval
 	if w.planner.AwaitsReport() {
-		due = w.reportReadAt + pendingReportInterval
+		due = max(w.reportReadAt+pendingReportInterval, w.planner.ReportsUsableFrom())
 	}
-	first := !w.planner.Synced()
 	w.mu.Unlock()
-	if at := now(); at < due && !first {
+	requestedAt := now()
+	if requestedAt < due {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := w.orderer.Report(ctx, w.worker)
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	at := now()
-	w.reportReadAt = at
+	w.reportReadAt = now()
+	w.mu.Unlock()
 	if err != nil {
 		w.log.Warn(decision.ReportFailed, err).Str(decision.FieldWorker, w.worker.ID).Send()
 		return
 	}
 	if report.Born != 0 && w.worker.Born != 0 && report.Born != w.worker.Born {
-		return // the registry will report the restart
+		w.forget() // the registry will report the new process
+		return
 	}
 	if report.Leaving {
 		w.workerLeaves(w.worker, "")
 	}
-	w.planner.HandleReport(at, report.Held)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.planner.HandleReport(requestedAt, report.Held)
 }
 
 // admitStoreLoad reports whether the weight store's load rate permits an order.
@@ -409,7 +456,9 @@
 	if held && w.admitStoreLoad(order) {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
+		w.recordOrder(w.worker.ID, began+orderTimeout)
 		result, err = w.orderer.Order(ctx, w.worker, order, fence)
+		w.recordOrder(w.worker.ID, now())
 	}
 	at := now()
 	line := w.log.Line(decision.OrderSent).Str(decision.FieldWorker, w.worker.ID).Bool(decision.FieldUnload, order.Unload).Str(decision.FieldModel, order.Model).
