entry/direct: a control loop outlives its right while no other holder may order

Cause: the holder dropped what it knew with the lease, and began anew with reports from before its own orders, though nobody else had ordered the workers.

Change: the loop is suspended while the right is lost, and goes on with its belief if the right is back within orderTurnGap, which every other holder waits. Meanwhile it refuses loads at once, sends nothing and publishes no slots.

Evidence: TestARightLostForAMomentKeepsTheBelief failed before (2 overloads).

--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -93,7 +93,8 @@
 }
 
 // controlledWorker is the control loop of one worker whose right this instance
-// holds.
+// holds. It outlives a loss of the right for as long as no other instance can have
+// sent orders, since its belief is more recent than any report.
 type controlledWorker struct {
 	*orderDispatcher
 	worker worker.Worker
@@ -105,6 +106,10 @@
 
 	mu      sync.Mutex
 	planner *slots.Planner
+	// heldAt is when the right was last known to be held.
+	heldAt time.Duration
+	// suspended is set while the right is not held.
+	suspended bool
 	// waiters receive whether their adapter became ready, by adapter.
 	waiters map[string][]chan bool
 	// reportReadAt is when the last report was read, or failed to be read.
@@ -112,6 +117,10 @@
 	stopped      bool
 }
 
+// beliefTTL is how long a control loop outlives the right: less than the gap that the
+// next holder of the right leaves to the orders of this one.
+func (o *orderDispatcher) beliefTTL() time.Duration { return o.fleet.settings.OrderTurnGap.Std() }
+
 // refresh starts and stops control loops to match the rights held and the
 // workers known.
 func (o *orderDispatcher) refresh(ctx context.Context) {
@@ -128,7 +137,7 @@
 		right := rightOf(&w)
 		running := o.workers[w.ID]
 		isSame := running != nil && running.worker.Born == w.Born && running.worker.Address == w.Address
-		if _, held := o.rights.Held(right); !held {
+		if _, held := o.rights.Held(right); !held && (!isSame || at-running.lastHeld() >= o.beliefTTL()) {
 			continue
 		}
 		controlled[w.ID] = true
@@ -153,7 +162,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	controlled := &controlledWorker{
 		orderDispatcher: o, worker: w, right: right, engine: engine, cancel: cancel, wake: make(chan struct{}, 1),
-		planner: newPlanner(engine), waiters: make(map[string][]chan bool),
+		planner: newPlanner(engine), waiters: make(map[string][]chan bool), heldAt: now(),
 	}
 	o.workers[w.ID] = controlled
 	go func() {
@@ -278,7 +287,7 @@
 		w.planner.MarkMissing(at, load.adapter)
 	}
 	done := make(chan bool, 1)
-	if w.stopped {
+	if w.stopped || w.suspended {
 		done <- false
 		return done
 	}
@@ -342,6 +351,9 @@
 // runOnce reads a report if one is due and sends the next order; it reports
 // whether there may be another.
 func (w *controlledWorker) runOnce(ctx context.Context) bool {
+	if !w.confirmRight() {
+		return false
+	}
 	w.readReport(ctx)
 	adapterUse := w.fleet.usage.adapters(now(), w.worker.ID)
 	w.mu.Lock()
@@ -357,6 +369,44 @@
 	return true
 }
 
+// lastHeld returns when the right was last known to be held.
+func (w *controlledWorker) lastHeld() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.heldAt
+}
+
+// confirmRight reports whether the right is held, and suspends the loop otherwise. The
+// belief about the worker is dropped if another instance may have sent orders since the
+// right was last held.
+func (w *controlledWorker) confirmRight() bool {
+	_, held := w.rights.Held(w.right)
+	if !held {
+		w.suspend()
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := now()
+	if at-w.heldAt >= w.beliefTTL() {
+		w.planner = newPlanner(w.engine)
+	}
+	w.heldAt, w.suspended = at, false
+	return true
+}
+
+// suspend refuses loads and withdraws what this instance publishes of the worker.
+func (w *controlledWorker) suspend() {
+	w.mu.Lock()
+	wasSuspended := w.suspended
+	w.suspended = true
+	w.mu.Unlock()
+	if !wasSuspended {
+		w.fleet.residency.deleteOwn(w.worker.ID)
+		w.failWaiters()
+	}
+}
+
 // forget drops the belief about a worker process that has ended.
 func (w *controlledWorker) forget() {
 	w.fleet.residency.deleteOwn(w.worker.ID)
--- a/entry/direct/orders_test.go
+++ b/entry/direct/orders_test.go
@@ -188,6 +188,22 @@
 	}, 8*time.Second, 10*time.Millisecond, "adapter %s is not loaded", adapter)
 }
 
+// TestARightLostForAMomentKeepsTheBelief guards against a holder that regains its rights
+// and adopts a report older than its own last orders: it ordered the worker to load more
+// adapters than it holds.
+func TestARightLostForAMomentKeepsTheBelief(t *testing.T) {
+	t.Parallel()
+	o := newOrderTest(t, newLaggingWorker(1, "x", "y"))
+	time.Sleep(600 * time.Millisecond) // past the grace for newly known adapters
+	o.begin("a")
+	o.rights.set(false)
+	time.Sleep(100 * time.Millisecond)
+	o.rights.set(true)
+	o.load("b")
+	o.load("c")
+	require.Zero(t, o.worker.overloadCount())
+}
+
 // TestAWorkerThatRestartsIsNotBelievedByAnOldReport guards against the control loop of a
 // worker process that started under a known id: its first report was older than the
 // orders that the loop before had sent to the same process.
@@ -203,3 +219,21 @@
 	o.load("c")
 	require.Zero(t, o.worker.overloadCount())
 }
+
+// TestARightHeldAgainAfterOthersStartsAnew checks that a belief does not outlive the time
+// within which another holder may have sent orders.
+func TestARightHeldAgainAfterOthersStartsAnew(t *testing.T) {
+	t.Parallel()
+	o := newOrderTest(t, newLaggingWorker(1, "x", "y"))
+	o.load("x")
+	o.rights.set(false)
+	time.Sleep(3200 * time.Millisecond)
+	o.worker.restart(1) // another holder has unloaded everything
+	_, err := o.worker.Order(t.Context(), worker.Worker{}, slots.Order{Model: "m", Adapter: "z"}, 1)
+	require.NoError(t, err)
+	time.Sleep(testReportAge + 50*time.Millisecond)
+	o.rights.set(true)
+	o.load("z")
+	require.Equal(t, []slots.Slot{{Adapter: "z", Ready: true}}, o.publishedSlots())
+	require.Zero(t, o.worker.overloadCount())
+}
