entry/direct: a belief outlives a right by the whole gap between two holders

Where that setting is 10 ms, as in the tests of platform, every round of a control loop dropped its belief, and nothing was ordered: TestAnAdapterIsLoadedBeforeItsRequest and three others failed.

The next holder waits orderTurnGap and 500 ms from the end of the lease, so the belief is sound for as long.

--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -117,9 +117,11 @@
 	stopped      bool
 }
 
-// beliefTTL is how long a control loop outlives the right: less than the gap that the
-// next holder of the right leaves to the orders of this one.
-func (o *orderDispatcher) beliefTTL() time.Duration { return o.fleet.settings.OrderTurnGap.Std() }
+// beliefTTL is how long a control loop outlives the right: the gap that the next holder
+// of the right leaves to the end of this one's lease.
+func (o *orderDispatcher) beliefTTL() time.Duration {
+	return o.fleet.settings.OrderTurnGap.Std() + orderInFlightTime
+}
 
 // refresh starts and stops control loops to match the rights held and the
 // workers known.
--- a/entry/direct/orders_test.go
+++ b/entry/direct/orders_test.go
@@ -227,7 +227,7 @@
 	o := newOrderTest(t, newLaggingWorker(1, "x", "y"))
 	o.load("x")
 	o.rights.set(false)
-	time.Sleep(3200 * time.Millisecond)
+	time.Sleep(o.dispatcher.beliefTTL() + 200*time.Millisecond)
 	o.worker.restart(1) // another holder has unloaded everything
 	_, err := o.worker.Order(t.Context(), worker.Worker{}, slots.Order{Model: "m", Adapter: "z"}, 1)
 	require.NoError(t, err)
