entry/direct: a stream goes on only with a response like the one that broke off

Cause here: a stream that broke off was resumed with any signed response below 300. A 204 ended it as complete, and a 200 of another content type put its text among the events. Errors, refusals, unsigned and malformed responses were rejected before.

Change: the status and the content type must be those of the first response; otherwise another try is made, and the stream stays incomplete if none succeeds.

TestAnErrorNeverContinuesABrokenStream plays ten answers of the next worker; "no content" and "another type" failed before.

--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -15,7 +15,7 @@
 
 // forwardStream forwards a stream of events as they arrive.
 func (c *call) forwardStream(ctx *fasthttp.RequestCtx, x *upstream.Exchange, response ResponseInfo) nextAction {
-	s := &eventStream{call: c, exchange: x, response: response, lastEventID: c.request.ResumeAfter}
+	s := &eventStream{call: c, exchange: x, response: response, contentType: string(x.Header.ContentType()), lastEventID: c.request.ResumeAfter}
 	if err := s.readEvents(); err != nil {
 		c.discardExchange(x)
 		if c.ctx.Err() != nil {
@@ -65,6 +65,8 @@
 	*call
 	exchange *upstream.Exchange
 	response ResponseInfo
+	// contentType is that of the response that the caller receives.
+	contentType string
 	// buffered holds the bytes read but not forwarded. The first readyBytes of
 	// them are whole events.
 	buffered   []byte
@@ -218,7 +220,7 @@
 		return err
 	}
 	response := s.parseResponse(x)
-	if response.NotRun || !response.Signed || response.Encoded || response.Status >= 300 {
+	if !s.isContinued(x, response) {
 		s.discardExchange(x)
 		if response.Misdirected {
 			s.markMisdirected()
@@ -231,6 +233,13 @@
 	return nil
 }
 
+// isContinued reports whether a response can follow the events that the caller has
+// received. An error, or anything else than what the first response was, can't.
+func (s *eventStream) isContinued(x *upstream.Exchange, response ResponseInfo) bool {
+	return !response.NotRun && response.Signed && !response.Encoded &&
+		response.Status == s.response.Status && string(x.Header.ContentType()) == s.contentType
+}
+
 // Close implements io.Closer; the server calls it at the end of the response,
 // complete or not.
 func (s *eventStream) Close() error {
