--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -91,16 +91,40 @@
 	}
 	return &Cluster{
 		config: config, now: now, local: local, pool: pool, machine: machine, inFlight: make(map[string]bool),
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: config.CallTimeout}).DialContext,
-			MaxIdleConnsPerHost: 2,
-			IdleConnTimeout:     4 * config.FetchTimeout,
-		}},
+		client: &http.Client{Transport: boundedTransport{&http.Transport{
+			DialContext:            (&net.Dialer{Timeout: config.CallTimeout}).DialContext,
+			MaxIdleConnsPerHost:    2,
+			IdleConnTimeout:        4 * config.FetchTimeout,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		}}},
 	}, nil
 }
 
+// Bounds on what a peer, or what answers at its address, may send.
+const (
+	maxHeaderBytes = 64 << 10
+	// maxMessageBytes bounds a call and a response: a configuration of 16 MB, and the
+	// entries of all workers and versions of all adapters.
+	maxMessageBytes = 32 << 20
+)
+
+// boundedTransport bounds the bodies of responses, which Twirp reads whole.
+type boundedTransport struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxMessageBytes)
+	return response, nil
+}
+
 // Handler returns the handler for the calls of other instances.
-func (c *Cluster) Handler() http.Handler { return clusterpb.NewClusterServer(&server{c}) }
+func (c *Cluster) Handler() http.Handler {
+	return http.MaxBytesHandler(clusterpb.NewClusterServer(&server{c}), maxMessageBytes)
+}
 
 // With runs f on the machine while holding the lock. f must not retain the
 // machine or call methods of c.
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -88,6 +89,29 @@
 	require.True(t, response.GetReady())
 }
 
+// TestEndlessResponseOfAPeerIsNotKept guards against reading without a limit what answers
+// at the address of a peer.
+func TestEndlessResponseOfAPeerIsNotKept(t *testing.T) {
+	written := make(chan int64, 1)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/protobuf")
+		total, block := int64(0), make([]byte, 1<<20)
+		for total < 8*maxMessageBytes {
+			n, err := w.Write(block)
+			total += int64(n)
+			if err != nil {
+				break
+			}
+		}
+		written <- total
+	}))
+	defer peer.Close()
+	c := newCluster(t, "10.0.0.1:1", 0, &stubLocal{})
+	_, err := c.FetchState(t.Context(), strings.TrimPrefix(peer.URL, "http://"), &clusterpb.FetchStateRequest{})
+	require.Error(t, err)
+	require.Less(t, <-written, int64(2*maxMessageBytes))
+}
+
 func TestCodecRoundTrip(t *testing.T) {
 	heartbeat := quorum.Heartbeat{
 		From:     quorum.Member{Address: "x", DataCentre: "a", Region: "r", Weak: true, Since: 8, Incarnation: 3, Left: true},
