entry/direct: an instance that stops passes nothing on that could not end before it

One path was open: a request that a worker refused late, or that waited for an adapter, was passed on at any time, and cut with 504 right after.

From 1.5 s before the end of the calls nothing is passed on any more except what continues a stream. The caller gets 503 and can go elsewhere at once.

TestARequestThatWaitedThroughAStopIsRefused failed before (504 in place of 503).

--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -41,7 +41,10 @@
 	draining     atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
-	closed         atomic.Bool
+	closed atomic.Bool
+	// dispatchEnds is the time from which an instance that stops passes no request on,
+	// as a time.Duration; 0 while it does not stop.
+	dispatchEnds   atomic.Int64
 	activeRequests atomic.Int64
 	// baseContext is the parent of all calls; it is canceled when the instance
 	// exits.
@@ -205,6 +208,9 @@
 func (c *call) prepareWorker() (worker.Worker, *failure) {
 	refusal := &failure{reason: "no instance orders the chosen workers", retryAfter: busyRetryAfter}
 	for range maxPlacements {
+		if ends := c.dispatchEnds.Load(); ends > 0 && now() >= time.Duration(ends) && !c.resuming {
+			return worker.Worker{}, &failure{reason: "the instance stops", retryAfter: unavailableRetryAfter}
+		}
 		if quarantined := c.checkQuarantine(); quarantined != nil {
 			return worker.Worker{}, quarantined
 		}
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -232,6 +232,10 @@
 	// stopMargin is the time between the end of the calls and the kill, for
 	// responses still in flight.
 	stopMargin = 800 * time.Millisecond
+	// minServiceTime is the time before the end of the calls from which requests are
+	// not passed on any more: they could hardly end, and those that may not be repeated
+	// would be lost.
+	minServiceTime = 1500 * time.Millisecond
 	// lastResponsesTime is how long the responses of canceled calls may take.
 	lastResponsesTime = 300 * time.Millisecond
 	stopPollInterval  = 50 * time.Millisecond
@@ -250,9 +254,11 @@
 	leaveContext, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	i.cluster.Leave(leaveContext)
-	i.sleepUntil(began + balancerDetectionTime)
-	i.gateway.closed.Store(true)
+	admissionEnds := began + balancerDetectionTime
 	deadline := began + i.settings.StopGrace.Std() - stopMargin
+	i.gateway.dispatchEnds.Store(int64(max(admissionEnds, deadline-minServiceTime)))
+	i.sleepUntil(admissionEnds)
+	i.gateway.closed.Store(true)
 	for i.gateway.activeRequests.Load() > 0 && now() < deadline {
 		time.Sleep(stopPollInterval)
 	}
