--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -317,7 +317,7 @@
 
 // withdrawOwnVote takes back this instance's vote for itself while it does not hold the
 // right. Only its last tenure binds the next holder then.
-func (m *Machine) withdrawOwnVote(now time.Duration, state *rightState) {
+func (m *Machine) withdrawOwnVote(state *rightState) {
 	self := m.members.self
 	if state.held || state.promise.candidate != self.Address {
 		return
@@ -396,7 +396,7 @@
 		return Vote{Fence: state.highestFence}
 	}
 	if candidate != m.members.self.Address {
-		m.withdrawOwnVote(now, state)
+		m.withdrawOwnVote(state)
 	}
 	if state.promise.candidate != candidate && now < state.promise.expiresAt {
 		return Vote{Fence: state.highestFence}
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -208,11 +208,8 @@
 func (c *call) prepareWorker() (worker.Worker, *failure) {
 	refusal := &failure{reason: "no instance orders the chosen workers", retryAfter: busyRetryAfter}
 	for range maxPlacements {
-		if ends := c.dispatchEnds.Load(); ends > 0 && now() >= time.Duration(ends) && !c.resuming {
-			return worker.Worker{}, &failure{reason: "the instance stops", retryAfter: unavailableRetryAfter}
-		}
-		if quarantined := c.checkQuarantine(); quarantined != nil {
-			return worker.Worker{}, quarantined
+		if refused := c.checkDispatch(); refused != nil {
+			return worker.Worker{}, refused
 		}
 		choice, refused := c.pickWorker()
 		if refused != nil {
@@ -252,6 +249,14 @@
 	return c.fleet.claim(now(), target), nil
 }
 
+// checkDispatch returns a failure if the request may not be passed on at all.
+func (c *call) checkDispatch() *failure {
+	if ends := c.dispatchEnds.Load(); ends > 0 && now() >= time.Duration(ends) && !c.resuming {
+		return &failure{reason: "the instance stops", retryAfter: unavailableRetryAfter}
+	}
+	return c.checkQuarantine()
+}
+
 // checkQuarantine returns a failure if a part of the prompt is in quarantine.
 func (c *call) checkQuarantine() *failure {
 	if c.onTrial {
