coord/quorum: the candidates stand in for the voters until there are some

Read in review of the change: before a cluster is founded no instance was a voter, so in a cluster of a region every instance read the store from 1.2 s after its start, and members of a large cluster sent heartbeats at the rate of followers. Candidates are hubs now, as voters are, while no voter set is known.

A round of the order watch from before a pause of the process shows nothing any more.

TestAStartingClusterHasHubs and TestAnOldRoundShowsNothing; the first cannot be built against the code before (no hubs).

--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -166,6 +166,23 @@
 // every member, followers exchange them only with voters.
 func (m *Machine) Voting() bool { return m.voterSet.contains(m.members.self) }
 
+// IsHub reports whether all other members send heartbeats to this instance: it is a
+// voter, or a candidate while no voters are known.
+func (m *Machine) IsHub() bool {
+	if m.voterSet.isKnown() {
+		return m.Voting()
+	}
+	return slices.Contains(m.hubs(), m.members.self.Address)
+}
+
+// hubs returns the addresses of the members that all others send heartbeats to.
+func (m *Machine) hubs() []string {
+	if m.voterSet.isKnown() {
+		return m.members.voters()
+	}
+	return m.candidateAddresses()
+}
+
 // IsFollower reports whether an address belongs to a follower: a member of this
 // cluster that is not a voter and exchanges heartbeats only with voters.
 func (m *Machine) IsFollower(address string) bool {
@@ -175,7 +192,7 @@
 
 // Interval returns the time between two heartbeats of this instance.
 func (m *Machine) Interval() time.Duration {
-	if m.Voting() || m.config.FollowersPerSecond <= 0 {
+	if m.IsHub() || m.config.FollowersPerSecond <= 0 {
 		return m.config.HeartbeatEvery
 	}
 	followerInterval := time.Duration(float64(m.Size()) / m.config.FollowersPerSecond * float64(time.Second))
@@ -191,10 +208,10 @@
 // after which the follower considers a voter lost.
 const followerHeartbeats = 3
 
-// LiveVoters returns the addresses of the other voters that are live.
-func (m *Machine) LiveVoters(now time.Duration) []string {
+// LiveHubs returns the addresses of the other hubs that are live; see IsHub.
+func (m *Machine) LiveHubs(now time.Duration) []string {
 	var addresses []string
-	for _, address := range m.members.voters() {
+	for _, address := range m.hubs() {
 		if m.members.isLive(now, m.liveFor(), address) {
 			addresses = append(addresses, address)
 		}
--- a/coord/quorum/machine_test.go
+++ b/coord/quorum/machine_test.go
@@ -271,6 +271,23 @@
 	}
 }
 
+// TestAStartingClusterHasHubs covers the time before a cluster is founded: a few members
+// receive the heartbeats of all, and send theirs at the full rate.
+func TestAStartingClusterHasHubs(t *testing.T) {
+	w := newWorld(13, 200, testConfig())
+	w.run(3 * time.Second)
+	hubs := 0
+	for _, n := range w.sorted() {
+		require.Zero(t, n.machine.Voters())
+		require.NotEmpty(t, n.machine.LiveHubs(w.now), "as seen by %s", n.address)
+		if n.machine.IsHub() {
+			hubs++
+			require.Equal(t, testConfig().HeartbeatEvery, n.machine.Interval())
+		}
+	}
+	require.Equal(t, testConfig().MaxVoters, hubs)
+}
+
 // TestRestartsAndJoinsChangeNoVoter checks that restarted members keep their
 // seniority, and that a wave of new members replaces no voter.
 func TestRestartsAndJoinsChangeNoVoter(t *testing.T) {
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -169,12 +169,11 @@
 	return c.machine.Size()
 }
 
-// Voting reports whether this instance is a voter. Voters receive heartbeats
-// from every member.
-func (c *Cluster) Voting() bool {
+// IsHub reports whether this instance receives heartbeats from every member.
+func (c *Cluster) IsHub() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.Voting()
+	return c.machine.IsHub()
 }
 
 // WatchesOrders reports whether this instance may soon found a cluster and needs to
@@ -303,12 +302,12 @@
 	return c.peerClient(address).FetchState(ctx, request)
 }
 
-// Live lists the addresses of the other voters whose heartbeats or replies were
+// Live lists the addresses of the other hubs whose heartbeats or replies were
 // received recently.
 func (c *Cluster) Live() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.machine.LiveVoters(c.now())
+	return c.machine.LiveHubs(c.now())
 }
 
 // Followers lists the addresses of the other members that do not vote.
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -257,7 +257,7 @@
 	switch {
 	case !r.settings.isRegional():
 		return true
-	case r.cluster.Voting():
+	case r.cluster.IsHub():
 		return !r.directorySync.hasEnoughReaders(self, r.cluster.Live())
 	}
 	return r.directorySync.isSpareReader(self, r.cluster.Live(), r.cluster.Followers)
--- a/entry/direct/orderwatch.go
+++ b/entry/direct/orderwatch.go
@@ -20,6 +20,9 @@
 	// orderWatchIdle is how often an instance that does not watch checks whether it
 	// should.
 	orderWatchIdle = 250 * time.Millisecond
+	// maxWatchAge is the age of the last round from which on it shows nothing: two rounds
+	// whose reports time out. Older ones are from before a pause of the process.
+	maxWatchAge = 2 * (orderWatchInterval + reportTimeout)
 	// maxWatchedWorkers bounds the reports of a round: each has a cost, and an instance
 	// that orders workers orders many of them.
 	maxWatchedWorkers = 16
@@ -38,6 +41,8 @@
 	// since is the time since which nothing was ordered, valid if known is set.
 	since time.Duration
 	known bool
+	// readAt is when the last round ended.
+	readAt time.Duration
 	// counts holds the order counts by worker.
 	counts map[string]orderCount
 }
@@ -57,7 +62,7 @@
 func (w *orderWatch) quietSince() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.since, w.known
+	return w.since, w.known && now()-w.readAt <= maxWatchAge
 }
 
 // run reads reports while isWanted returns true, until ctx ends.
@@ -105,7 +110,7 @@
 	if moved {
 		w.since = at
 	}
-	w.known = 2*len(counts) >= len(sample)
+	w.known, w.readAt = 2*len(counts) >= len(sample), at
 }
 
 // readCounts reads the order counts of workers at once, and leaves out those that do
--- a/entry/direct/orderwatch_test.go
+++ b/entry/direct/orderwatch_test.go
@@ -95,6 +95,17 @@
 	require.True(t, known, "half of the workers respond")
 }
 
+// TestAnOldRoundShowsNothing covers a process that was suspended while it watched.
+func TestAnOldRoundShowsNothing(t *testing.T) {
+	watch := newOrderWatch(watchedFleet(t), &countingOrderer{reports: map[string]Report{"w1": {Born: 1}, "w2": {Born: 1}}}, []string{"a"})
+	watch.runRound(t.Context())
+	_, known := watch.quietSince()
+	require.True(t, known)
+	watch.readAt -= maxWatchAge
+	_, known = watch.quietSince()
+	require.False(t, known)
+}
+
 func TestNothingIsQuietBeforeTheWorkersAreKnown(t *testing.T) {
 	watch := newOrderWatch(newFleet(Settings{}), &countingOrderer{}, nil)
 	watch.runRound(t.Context())
