entry/direct: a lost report does not restart the watch for orders of others

By reading, a round in which less than half of the workers responded within 0.5 s began the watch anew. The counts are cumulative, so two equal ones show the time between them whatever was lost in between. They are now kept by worker with their time.

--- a/entry/direct/orderwatch.go
+++ b/entry/direct/orderwatch.go
@@ -20,8 +20,8 @@
 	// orderWatchIdle is how often an instance that does not watch checks whether it
 	// should.
 	orderWatchIdle = 250 * time.Millisecond
-	// maxWatchAge is the age of the last round from which on it shows nothing: two rounds
-	// whose reports time out. Older ones are from before a pause of the process.
+	// maxWatchAge is the age from which on a report shows nothing: two rounds whose
+	// reports time out.
 	maxWatchAge = 2 * (orderWatchInterval + reportTimeout)
 	// maxWatchedWorkers bounds the reports of a round: each has a cost, and an instance
 	// that orders workers orders many of them.
@@ -38,19 +38,21 @@
 	reportPanic recovery.Reporter
 
 	mu sync.Mutex
-	// since is the time since which nothing was ordered, valid if known is set.
-	since time.Duration
-	known bool
-	// readAt is when the last round ended.
-	readAt time.Duration
+	// watched is the number of workers in the last sample; 0 while nothing is watched.
+	watched int
+	// noWorkers is set if there are no workers that could be ordered, since a time.
+	noWorkers      bool
+	noWorkersSince time.Duration
 	// counts holds the order counts by worker.
 	counts map[string]orderCount
 }
 
-// orderCount is the number of orders that a worker process has accepted.
+// orderCount is the number of orders that a worker process has accepted, according to
+// every report that was requested from since to readAt.
 type orderCount struct {
-	born   int64
-	orders uint64
+	born          int64
+	orders        uint64
+	since, readAt time.Duration
 }
 
 func newOrderWatch(f *fleet, o Orderer, dataCentres []string) *orderWatch {
@@ -58,11 +60,22 @@
 }
 
 // quietSince returns the time since which the watched workers have received no orders;
-// false if that is not known.
+// false if that is not known, because less than half of them have reported lately. A
+// count that is the same in two reports shows the time between them, whatever was lost.
 func (w *orderWatch) quietSince() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.since, w.known && now()-w.readAt <= maxWatchAge
+	if w.noWorkers {
+		return w.noWorkersSince, true
+	}
+	at, since, recent := now(), time.Duration(0), 0
+	for _, count := range w.counts {
+		since = max(since, count.since)
+		if at-count.readAt <= maxWatchAge {
+			recent++
+		}
+	}
+	return since, w.watched > 0 && 2*recent >= w.watched
 }
 
 // run reads reports while isWanted returns true, until ctx ends.
@@ -85,57 +98,60 @@
 func (w *orderWatch) reset() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.known = false
+	w.watched, w.noWorkers = 0, false
 	clear(w.counts)
 }
 
-// runRound reads the reports of some workers. A round in which less than half of them
-// respond shows nothing, so the workers count as quiet from the next one only.
+// runRound reads the reports of some workers.
 func (w *orderWatch) runRound(ctx context.Context) {
 	sample, known := w.sample()
 	if !known {
 		w.reset()
 		return
 	}
-	counts := w.readCounts(ctx, sample)
-	at := now()
+	requestedAt := now()
+	reports := w.readReports(ctx, sample)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	moved := !w.known
-	for id, count := range counts {
-		before, seen := w.counts[id]
-		moved = moved || seen && before.born == count.born && before.orders != count.orders
-		w.counts[id] = count
+	w.watched = len(sample)
+	if !w.noWorkers {
+		w.noWorkersSince = requestedAt
 	}
-	if moved {
-		w.since = at
+	w.noWorkers = len(sample) == 0
+	for id, report := range reports {
+		count, seen := w.counts[id]
+		isSameProcess := seen && count.born == report.Born
+		if !seen || isSameProcess && count.orders != report.OrdersAccepted {
+			count.since = requestedAt
+		}
+		count.born, count.orders, count.readAt = report.Born, report.OrdersAccepted, requestedAt
+		w.counts[id] = count
 	}
-	w.known, w.readAt = 2*len(counts) >= len(sample), at
 }
 
-// readCounts reads the order counts of workers at once, and leaves out those that do
-// not respond.
-func (w *orderWatch) readCounts(ctx context.Context, workers []worker.Worker) map[string]orderCount {
+// readReports reads the reports of workers at once, and leaves out those that do not
+// respond.
+func (w *orderWatch) readReports(ctx context.Context, workers []worker.Worker) map[string]Report {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	counts := make(map[string]orderCount)
+	reports := make(map[string]Report)
 	var group sync.WaitGroup
 	for _, watched := range workers {
 		group.Go(func() {
 			recovery.Run(w.reportPanic, "report of a watched worker", func() {
 				report, err := w.orderer.Report(ctx, watched)
 				if err != nil {
-					return // the worker counts as missing in this round
+					return // the worker's last report ages
 				}
 				mu.Lock()
 				defer mu.Unlock()
-				counts[watched.ID] = orderCount{born: report.Born, orders: report.OrdersAccepted}
+				reports[watched.ID] = report
 			})
 		})
 	}
 	group.Wait()
-	return counts
+	return reports
 }
 
 // sample returns the workers to watch; false while this instance knows too little to
--- a/entry/direct/orderwatch_test.go
+++ b/entry/direct/orderwatch_test.go
@@ -95,13 +95,38 @@
 	require.True(t, known, "half of the workers respond")
 }
 
+// TestALostReportForgetsNothing covers reports that are lost for a while: the counts before
+// and after still show that nothing was ordered.
+func TestALostReportForgetsNothing(t *testing.T) {
+	orderer := &countingOrderer{reports: map[string]Report{"w1": {Born: 1, OrdersAccepted: 4}, "w2": {Born: 1}}}
+	watch := newOrderWatch(watchedFleet(t), orderer, []string{"a"})
+	watch.runRound(t.Context())
+	began, _ := watch.quietSince()
+	w1, w2 := orderer.reports["w1"], orderer.reports["w2"]
+	orderer.reports = map[string]Report{}
+	watch.runRound(t.Context())
+	orderer.set("w1", w1)
+	orderer.set("w2", w2)
+	watch.runRound(t.Context())
+	since, known := watch.quietSince()
+	require.True(t, known)
+	require.Equal(t, began, since)
+	orderer.set("w2", Report{Born: 1, OrdersAccepted: 1})
+	watch.runRound(t.Context())
+	since, _ = watch.quietSince()
+	require.Greater(t, since, began)
+}
+
 // TestAnOldRoundShowsNothing covers a process that was suspended while it watched.
 func TestAnOldRoundShowsNothing(t *testing.T) {
 	watch := newOrderWatch(watchedFleet(t), &countingOrderer{reports: map[string]Report{"w1": {Born: 1}, "w2": {Born: 1}}}, []string{"a"})
 	watch.runRound(t.Context())
 	_, known := watch.quietSince()
 	require.True(t, known)
-	watch.readAt -= maxWatchAge
+	for id, count := range watch.counts {
+		count.readAt -= 2 * maxWatchAge
+		watch.counts[id] = count
+	}
 	_, known = watch.quietSince()
 	require.False(t, known)
 }
