coord/quorum: a change of the voters sends the voter set, not the member list

Each change of the voter set made every member send its member list for a second to every voter: about 20 MB for 195 members, by reckoning 500 MB for 970. The set now goes with a time of its own.

TestAVoterSetTravelsWithoutTheMemberList failed before (by reading: the list was sent with the set).

--- a/coord/quorum/coordinator.go
+++ b/coord/quorum/coordinator.go
@@ -169,7 +169,7 @@
 func (m *Machine) installVoterSet(now time.Duration, set VoterSet) {
 	m.voterSet, m.voterSetAt = set, now
 	m.members.setVoters(set)
-	m.sendMembersUntil = now + sendMembersFor
+	m.sendVotersUntil = now + sendMembersFor
 	if set.Rushed {
 		m.assumePromises(now)
 	}
--- a/coord/quorum/exchange.go
+++ b/coord/quorum/exchange.go
@@ -21,7 +21,10 @@
 		heartbeat.Silent = m.members.silentFor(now, m.config.RemoveAfter)
 	}
 	if now < m.sendMembersUntil {
-		heartbeat.Members, heartbeat.VoterSet = m.members.clusterOf(m.members.self), m.voterSet
+		heartbeat.Members = m.members.clusterOf(m.members.self)
+	}
+	if now < m.sendVotersUntil {
+		heartbeat.VoterSet = m.voterSet
 	}
 	for _, right := range m.rights {
 		if state := m.states[right]; state.held || m.shouldRequest(now, right, state) {
@@ -92,8 +95,8 @@
 	return reply, actions
 }
 
-// sendMembersFor is how long heartbeats carry the member list after a change, or
-// after a peer had a different list; it covers a few heartbeats.
+// sendMembersFor is how long heartbeats carry the member list, or the voter set, after a
+// change, or after a peer had a different one; it covers a few heartbeats.
 const sendMembersFor = time.Second
 
 // announceChanges adds the member list to the next heartbeats if there were changes.
@@ -151,9 +154,12 @@
 	actions = append(actions, m.updateRole(now)...)
 	sent, known := m.sentHeartbeats[reply.Sequence]
 	digest := m.voterSet.digest()
-	if m.members.inCluster(reply.From) && (reply.MembersDigest != m.members.currentView().membersDigest || reply.VotersDigest != digest) {
+	if m.members.inCluster(reply.From) && reply.MembersDigest != m.members.currentView().membersDigest {
 		m.sendMembersUntil = now + sendMembersFor
 	}
+	if m.members.inCluster(reply.From) && reply.VotersDigest != digest {
+		m.sendVotersUntil = now + sendMembersFor
+	}
 	if p == nil || !known || m.leaving {
 		return actions
 	}
--- a/coord/quorum/machine.go
+++ b/coord/quorum/machine.go
@@ -60,8 +60,9 @@
 	// nextSeedHeartbeat is when to send the next heartbeat to seeds that are not
 	// peers.
 	nextSeedHeartbeat time.Duration
-	// sendMembersUntil is the time until which heartbeats carry the member list.
-	sendMembersUntil time.Duration
+	// sendMembersUntil and sendVotersUntil are the times until which heartbeats carry
+	// the member list and the voter set.
+	sendMembersUntil, sendVotersUntil time.Duration
 	// minFence returns the lowest fencing token that may be used, so that tokens
 	// also increase across a restart of all instances.
 	minFence func() uint64
--- a/coord/quorum/machine_test.go
+++ b/coord/quorum/machine_test.go
@@ -271,6 +271,20 @@
 	}
 }
 
+// TestAVoterSetTravelsWithoutTheMemberList guards against a change of the voters that makes
+// every member of a large cluster send its member list to all voters.
+func TestAVoterSetTravelsWithoutTheMemberList(t *testing.T) {
+	w := newWorld(14, 24, testConfig())
+	w.run(12 * time.Second)
+	m := w.sorted()[0].machine
+	set := m.voterSet.next()
+	set.Version++
+	m.adoptVoterSet(w.now, set)
+	heartbeat, _ := m.NextHeartbeat(w.now)
+	require.Equal(t, set, heartbeat.VoterSet)
+	require.Empty(t, heartbeat.Members)
+}
+
 // TestAStartingClusterHasHubs covers the time before a cluster is founded: a few members
 // receive the heartbeats of all, and send theirs at the full rate.
 func TestAStartingClusterHasHubs(t *testing.T) {
