--- a/coord/member/list.go
+++ b/coord/member/list.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 )
@@ -54,6 +56,7 @@
 	config        Config
 	self          string
 	published     map[string]Instance
+	sorted        []Instance      // the published instances by name
 	perDataCentre map[string]int  // published instances by data centre
 	observed      map[string]bool // nil means that all are observed
 	// lastHeartbeat holds the time of the last heartbeat by instance name.
@@ -84,6 +87,8 @@
 		l.published[instance.Name] = instance
 		l.perDataCentre[instance.DataCentre]++
 	}
+	l.sorted = slices.Collect(maps.Values(l.published))
+	sortByName(l.sorted)
 }
 
 // SetObserved replaces the set of instances that this instance exchanges every
@@ -168,14 +173,13 @@
 // that are published and neither leaving nor silent.
 func (l *List) Usable(now time.Duration) []Instance {
 	reports := l.summariseReports(now)
-	var usable []Instance
-	for name, instance := range l.published {
-		if instance.State == Leaving || l.isLeaving(now, reports, name) || l.isSilent(now, reports, name) {
+	usable := make([]Instance, 0, len(l.sorted))
+	for _, instance := range l.sorted {
+		if instance.State == Leaving || l.isLeaving(now, reports, instance.Name) || l.isSilent(now, reports, instance.Name) {
 			continue
 		}
 		usable = append(usable, instance)
 	}
-	sortByName(usable)
 	return usable
 }
 
@@ -183,13 +187,12 @@
 // ones, sorted by name.
 func (l *List) NotLeaving(now time.Duration) []Instance {
 	reports := l.summariseReports(now)
-	var staying []Instance
-	for name, instance := range l.published {
-		if instance.State != Leaving && !l.isLeaving(now, reports, name) {
+	staying := make([]Instance, 0, len(l.sorted))
+	for _, instance := range l.sorted {
+		if instance.State != Leaving && !l.isLeaving(now, reports, instance.Name) {
 			staying = append(staying, instance)
 		}
 	}
-	sortByName(staying)
 	return staying
 }
 
@@ -202,12 +205,11 @@
 // Others returns the published instances except this one, sorted by name.
 func (l *List) Others() []Instance {
 	var others []Instance
-	for name, instance := range l.published {
-		if name != l.self {
+	for _, instance := range l.sorted {
+		if instance.Name != l.self {
 			others = append(others, instance)
 		}
 	}
-	sortByName(others)
 	return others
 }
 
--- a/entry/fleet/owners.go
+++ b/entry/fleet/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/bulrushwick/bulrushwick/coord/member"
 	"github.com/bulrushwick/bulrushwick/coord/ownership"
@@ -13,7 +14,8 @@
 // callers hold f.mu.
 func (f *Fleet) assignOwners() {
 	f.owners = make(map[string]member.Instance)
-	f.eachEndpoint(f.assignOwner)
+	usable := namesOf(f.usable)
+	f.eachEndpoint(func(endpoint table.Endpoint) { f.assignOwner(endpoint, usable) })
 }
 
 // eachEndpoint calls visit with every endpoint of the table in force.
@@ -30,21 +32,36 @@
 }
 
 // assignOwner computes the owner of one endpoint.
-func (f *Fleet) assignOwner(endpoint table.Endpoint) {
-	var local, all []string
-	for _, instance := range f.usable {
-		all = append(all, instance.Name)
-		if instance.DataCentre == endpoint.DataCentre {
-			local = append(local, instance.Name)
-		}
+func (f *Fleet) assignOwner(endpoint table.Endpoint, usable usableNames) {
+	first := ownership.First(string(ownership.WorkerRight(endpoint.Name)), usable.near(endpoint.DataCentre))
+	if first == "" {
+		delete(f.owners, endpoint.Name)
+		return
 	}
-	if len(local) > 0 {
-		all = local
+	f.owners[endpoint.Name], _ = f.members.Instance(first)
+}
+
+// usableNames holds the names of the usable instances.
+type usableNames struct {
+	all          []string
+	byDataCentre map[string][]string
+}
+
+func namesOf(instances []member.Instance) usableNames {
+	names := usableNames{byDataCentre: make(map[string][]string)}
+	for _, instance := range instances {
+		names.all = append(names.all, instance.Name)
+		names.byDataCentre[instance.DataCentre] = append(names.byDataCentre[instance.DataCentre], instance.Name)
 	}
-	delete(f.owners, endpoint.Name)
-	if first := ownership.First(string(ownership.WorkerRight(endpoint.Name)), all); first != "" {
-		f.owners[endpoint.Name], _ = f.members.Instance(first)
+	return names
+}
+
+// near returns the instances from which the owner of an endpoint in dataCentre is taken.
+func (n usableNames) near(dataCentre string) []string {
+	if local := n.byDataCentre[dataCentre]; len(local) > 0 {
+		return local
 	}
+	return n.all
 }
 
 // updateOwners changes the owners after the usable instances have changed from former.
@@ -56,18 +73,19 @@
 	for _, instance := range without(former, f.usable) {
 		removed[instance] = true
 	}
+	usable := namesOf(f.usable)
 	f.eachEndpoint(func(endpoint table.Endpoint) {
 		owner, owned := f.owners[endpoint.Name]
 		if !owned || removed[owner] {
-			f.assignOwner(endpoint)
+			f.assignOwner(endpoint, usable)
 			return
 		}
 		for _, instance := range added {
 			if takesOver(endpoint, instance, owner) {
 				owner = instance
+				f.owners[endpoint.Name] = owner
 			}
 		}
-		f.owners[endpoint.Name] = owner
 	})
 }
 
@@ -81,11 +99,14 @@
 	return ownership.First(string(ownership.WorkerRight(endpoint.Name)), []string{owner.Name, instance.Name}) == instance.Name
 }
 
-// without returns the instances that are not among others.
+// without returns the instances that are not among others, which are sorted by name.
 func without(instances, others []member.Instance) []member.Instance {
 	var rest []member.Instance
 	for _, instance := range instances {
-		if !slices.Contains(others, instance) {
+		i, found := slices.BinarySearchFunc(others, instance.Name, func(other member.Instance, name string) int {
+			return strings.Compare(other.Name, name)
+		})
+		if !found || others[i] != instance {
 			rest = append(rest, instance)
 		}
 	}
