entry/forward: a panic in a response body ends one response, not the process

Cause: the handlers confine panics, but the server reads a streamed body after the handler has returned, on a goroutine of its own.

Change: WriteAnswer, through which every body of `serve` goes, confines the panics of Read and Close; the response breaks off without its end, and the panic is logged.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/peer"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 	"github.com/bulrushwick/bulrushwick/entry/platform"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 	"github.com/bulrushwick/bulrushwick/entry/tables"
 	"github.com/bulrushwick/bulrushwick/entry/telemetry"
@@ -111,7 +112,7 @@
 		return nil, err
 	}
 	peers := forward.NewClient(clients)
-	ingressServer := ingress.NewServer(f, own, peers, sampled(log))
+	ingressServer := ingress.NewServer(f, own, peers, sampled(log), recovery.Log(log))
 	observed, err := newTelemetry(s, own, peers, ingressServer)
 	if err != nil {
 		return nil, err
@@ -139,7 +140,7 @@
 		platform:  platformClient,
 		reader:    platform.NewReader(platformClient, f, s.WatchWait.Std(), log),
 		callers:   newServer(ingressServer.Handle, s.BodyLimit, log),
-		peers:     newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed)), s.BodyLimit, log),
+		peers:     newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), recovery.Log(log)), s.BodyLimit, log),
 		control:   newControl(f, records, keeper, own),
 	}, nil
 }
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -11,6 +11,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/attempt"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
 // The owner sends interim responses while it works on a forwarded request, so
@@ -28,8 +29,9 @@
 }
 
 // Handler returns the request handler of the peer listener. It passes forwarded
-// attempts to workers, and forwarded requests with an idempotency key to keyed.
-func Handler(workers, keyed Server) fasthttp.RequestHandler {
+// attempts to workers, and forwarded requests with an idempotency key to keyed. The
+// panics of response bodies go to report.
+func Handler(workers, keyed Server, report recovery.Reporter) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		server := workers
 		switch string(ctx.Path()) {
@@ -60,13 +62,13 @@
 			httpx.ProblemOf(err).Write(ctx)
 			return
 		}
-		WriteAnswer(ctx, answer)
+		WriteAnswer(ctx, answer, report)
 	}
 }
 
-// WriteAnswer writes a response to ctx. Its body is streamed, and closed at the
-// end.
-func WriteAnswer(ctx *fasthttp.RequestCtx, answer *call.Response) {
+// WriteAnswer writes a response to ctx. Its body is streamed, and closed at the end. A
+// panic in the body goes to report, and ends the response as one that broke off.
+func WriteAnswer(ctx *fasthttp.RequestCtx, answer *call.Response, report recovery.Reporter) {
 	h := &ctx.Response.Header
 	ctx.SetStatusCode(answer.Status)
 	h.SetContentType(answer.ContentType)
@@ -76,7 +78,7 @@
 	}
 	h.Set(httpx.WorkerHeader, answer.Worker)
 	h.Set(httpx.WaitMs, strconv.FormatInt(answer.Wait.Milliseconds(), 10))
-	ctx.SetBodyStream(answer.Body, -1)
+	ctx.SetBodyStream(recovery.Body(report, "response", answer.Body), -1)
 }
 
 // ServeCancellable runs serve with a context that is cancelled at the request's
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -20,6 +20,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/telemetry"
 )
 
@@ -50,6 +51,8 @@
 	remote Remote
 	picker *placement.Picker
 	log    zerolog.Logger
+	// reportPanic takes the panics of response bodies.
+	reportPanic recovery.Reporter
 
 	mu     sync.Mutex // guards budget, which the lifecycles of all requests share
 	budget *attempt.Budget
@@ -62,15 +65,17 @@
 func (s *Server) Observe(t *telemetry.Telemetry) { s.telemetry = t }
 
 // NewServer returns a server that sends attempts through local if this instance
-// owns the worker or the pool is a service, and through remote otherwise.
-func NewServer(f *fleet.Fleet, local Local, remote Remote, log zerolog.Logger) *Server {
+// owns the worker or the pool is a service, and through remote otherwise. The panics of
+// response bodies go to reportPanic.
+func NewServer(f *fleet.Fleet, local Local, remote Remote, log zerolog.Logger, reportPanic recovery.Reporter) *Server {
 	return &Server{
-		fleet:  f,
-		local:  local,
-		remote: remote,
-		picker: placement.NewPicker(placement.DefaultConfig()),
-		log:    log,
-		budget: attempt.NewBudget(attempt.DefaultBudgetConfig()),
+		fleet:       f,
+		local:       local,
+		remote:      remote,
+		picker:      placement.NewPicker(placement.DefaultConfig()),
+		log:         log,
+		reportPanic: reportPanic,
+		budget:      attempt.NewBudget(attempt.DefaultBudgetConfig()),
 	}
 }
 
@@ -137,7 +142,7 @@
 	}
 	answer.Body = hop.Stream(r, answer.Body)
 	ctx.Response.Header.Set(httpx.OwnerHeader, answer.Owner)
-	forward.WriteAnswer(ctx, answer)
+	forward.WriteAnswer(ctx, answer, s.reportPanic)
 }
 
 // Run serves a request by its route. Keyed calls it for a request whose key
