entry/forward: a response to an HTTP/1.0 caller goes with its length, or not at all

Cause: every response of `serve` is sent in chunks. An HTTP/1.0 caller does not know them: it got the sizes of the chunks in its body, and took the end of the connection for the end of a response that had broken off.

What breaks off is the error of the last attempt, with its outcome; what is longer is a 502 whose outcome is unknown.

--- a/entry/forward/server_test.go
+++ b/entry/forward/server_test.go
@@ -1,18 +1,45 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/attempt"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 )
 
+// failingBody is a response body that ends with err after text.
+type failingBody struct {
+	io.Reader
+	err    error
+	closed int
+}
+
+func newFailingBody(text string, err error) *failingBody {
+	return &failingBody{Reader: strings.NewReader(text), err: err}
+}
+
+func (b *failingBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.err
+	}
+	return n, err
+}
+
+func (b *failingBody) Close() error {
+	b.closed++
+	return nil
+}
+
 // panickingBody is a response body that panics after its first bytes.
 type panickingBody struct{ started bool }
 
@@ -51,9 +78,43 @@
 // TestAPanicInAResponseBodyEndsOneResponse guards against a process that ends because
 // one response body panics while the server sends it.
 func TestAPanicInAResponseBodyEndsOneResponse(t *testing.T) {
-	reported := make(chan *recovery.Panic, 2)
-	got := sendAnswer(t, "1.1", &panickingBody{}, func(p *recovery.Panic) { reported <- p })
-	require.NotContains(t, got, "0\r\n\r\n", "a response that broke off must not look complete")
-	require.Contains(t, (<-reported).Stack, "server_test.go")
-	require.ErrorContains(t, <-reported, "unexpected again")
+	for _, version := range []string{"1.0", "1.1"} {
+		t.Run(version, func(t *testing.T) {
+			reported := make(chan *recovery.Panic, 2)
+			got := sendAnswer(t, version, &panickingBody{}, func(p *recovery.Panic) { reported <- p })
+			require.NotContains(t, got, "0\r\n\r\n", "a response that broke off must not look complete")
+			require.Contains(t, (<-reported).Stack, "server_test.go")
+			require.ErrorContains(t, <-reported, "unexpected again")
+			if version == "1.0" {
+				require.Contains(t, got, "HTTP/1.1 500")
+			}
+		})
+	}
+}
+
+// TestCutAnswersNeverLookCompleteToOldCallers guards against responses whose end an
+// HTTP/1.0 caller cannot tell from a break: it takes the end of the connection for the
+// end of the body.
+func TestCutAnswersNeverLookCompleteToOldCallers(t *testing.T) {
+	report := func(*recovery.Panic) {}
+	whole := newFailingBody("data: 1\n\n", io.EOF)
+	got := sendAnswer(t, "1.0", whole, report)
+	require.Contains(t, got, "HTTP/1.1 200")
+	require.Contains(t, got, "Content-Length: 9\r\n")
+	require.True(t, strings.HasSuffix(got, "\r\n\r\ndata: 1\n\n"), "HTTP/1.0 has no chunks: %q", got)
+	require.Equal(t, 1, whole.closed)
+
+	broken := &call.Error{Failure: attempt.Failure{Sent: true}, Status: fasthttp.StatusGatewayTimeout, Code: "truncated", Err: io.ErrUnexpectedEOF}
+	cut := newFailingBody("data: 1\n\n", broken)
+	got = sendAnswer(t, "1.0", cut, report)
+	require.Contains(t, got, "HTTP/1.1 504")
+	require.Contains(t, got, `"outcome":"unknown"`)
+	require.NotContains(t, got, "data: 1")
+	require.Equal(t, 1, cut.closed)
+
+	large := newFailingBody(strings.Repeat("x", maxWholeBytes+1), io.EOF)
+	got = sendAnswer(t, "1.0", large, report)
+	require.Contains(t, got, "HTTP/1.1 502")
+	require.Contains(t, got, `"outcome":"unknown"`)
+	require.Equal(t, 1, large.closed)
 }
