entry/peer: bounds on what a peer, or what answers at its address, may send

Change: calls and responses are bounded to 8 MiB after decompression, heads to 64 KiB. The bound on responses is httpx.BoundedTransport.

TestEndlessResponseOfAPeerIsNotKept and TestEndlessCallOfAPeerIsNotKept on the former code: all of the 64 MB were read, on both kinds of connection. Now the calls fail.

--- a/entry/peer/transport.go
+++ b/entry/peer/transport.go
@@ -5,6 +5,16 @@
 	"time"
 
 	"github.com/klauspost/compress/gzhttp"
+
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
+)
+
+// Bounds on what a peer, or what answers at its address, may send.
+const (
+	maxHeaderBytes = 64 << 10
+	// maxMessageBytes bounds a call and a response: the largest value that the platform
+	// stores, 1 MiB, or the records of all workers of a data centre.
+	maxMessageBytes = 8 << 20
 )
 
 // minCompressBytes is the size from which a response is compressed, in bytes.
@@ -24,12 +34,18 @@
 
 // NewControlServer returns the server of the control listener. It speaks HTTP/2,
 // whose header compression makes repeated headers small, and HTTP/1 for operators'
-// tools. Large responses, which are tables, are compressed.
+// tools. Large responses, which are tables, are compressed. Calls above maxMessageBytes
+// fail.
 func NewControlServer(handler http.Handler, headerTimeout time.Duration) *http.Server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: compress(handler), ReadHeaderTimeout: headerTimeout, Protocols: protocols}
+	return &http.Server{
+		Handler:           http.MaxBytesHandler(compress(handler), maxMessageBytes),
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		Protocols:         protocols,
+	}
 }
 
 // newControlClient returns the HTTP client for control calls. An HTTP/2 ping detects
@@ -39,19 +55,25 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{
 		Timeout: 2 * heartbeatEvery,
-		Transport: &http.Transport{
+		Transport: bounded(&http.Transport{
 			Protocols: protocols,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: 2 * heartbeatEvery,
 				PingTimeout:     heartbeatEvery,
 			},
-		},
+		}),
 	}
 }
 
+// bounded applies the bounds on responses to a transport.
+func bounded(t *http.Transport) http.RoundTripper {
+	t.MaxResponseHeaderBytes = maxHeaderBytes
+	return httpx.BoundedTransport{Next: t, MaxBytes: maxMessageBytes}
+}
+
 // newTablesClient returns the HTTP client for table calls. These go to many peers
 // and rarely to the same one, so each call opens its own connection: no idle
 // connection costs pings, and no call meets one that has broken unnoticed.
 func newTablesClient(timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{Timeout: timeout, Transport: bounded(&http.Transport{DisableKeepAlives: true})}
 }
