entry/keys: a bound on the response of a call with an idempotency key

Cause: a call with a key is read whole, since its response is kept for repeats. Responses that are not streamed are bounded to 8 MiB before; a service that answers with an event stream went past that bound, and io.ReadAll had none.

Change: the bounded read of entry/endpoint is call.Response.ReadWhole now, and keys and forward use it as well. An error of the body that is a *call.Error stays as it is.

--- a/cmd/e2e/fleet_test.go
+++ b/cmd/e2e/fleet_test.go
@@ -48,9 +48,12 @@
 	instances         []*process
 	callerAddresses   []string
 	operatorAddresses []string
-	traceSpans        bool
-	spanFiles         []string // written by the instances if traceSpans is set, else empty names
-	members           []member.Instance
+	// inFrontOf returns the address that the table has in place of that of a stand-in
+	// endpoint. Nil leaves the addresses as they are.
+	inFrontOf  func(address string) string
+	traceSpans bool
+	spanFiles  []string // written by the instances if traceSpans is set, else empty names
+	members    []member.Instance
 }
 
 // startSystem starts the stand-ins and instancesPerDataCentre instances in each
@@ -82,6 +85,13 @@
 	engineArgs = append(engineArgs, engineFlags...)
 	s.workerAddresses = startProcesses(t, spec.Workers, engineArgs...)
 	s.serviceAddresses = startProcesses(t, spec.Services, "standin", "service")
+	if s.inFrontOf != nil {
+		for _, addresses := range [][]string{s.workerAddresses, s.serviceAddresses} {
+			for i := range addresses {
+				addresses[i] = s.inFrontOf(addresses[i])
+			}
+		}
+	}
 	snapshot, err := deployment.Snapshot(1, spec.Chunk(s.workerAddresses, s.serviceAddresses))
 	require.NoError(t, err)
 	require.NoError(t, deployment.PublishEndpoints(s.put, []fleet.EndpointState{}))
--- a/entry/endpoint/verify.go
+++ b/entry/endpoint/verify.go
@@ -8,13 +8,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/bulrushwick/bulrushwick/coord/attempt"
 	"github.com/bulrushwick/bulrushwick/entry/call"
 )
 
-// maxResponseBytes bounds a response that is not streamed, in bytes.
-const maxResponseBytes = 8 << 20
-
 // completion is the part of a completion's body that names the adapter that ran.
 type completion struct {
 	Model string `json:"model"`
@@ -23,16 +19,16 @@
 // VerifyCompletion reads the whole completion and checks that the adapter and version
 // that ran are those of the request. Its error is a *call.Error.
 func VerifyCompletion(r *call.Request, response *call.Response) error {
-	body, err := readWhole(response)
+	body, err := response.ReadWhole()
 	if err != nil {
 		return err
 	}
 	var c completion
 	if err := json.Unmarshal(body, &c); err != nil {
-		return responseError("answer_malformed", err)
+		return call.UnusableError("answer_malformed", err)
 	}
 	if c.Model != r.Adapter.String() {
-		return responseError("adapter_mismatch", fmt.Errorf("asked %s, ran %s", r.Adapter, c.Model))
+		return call.UnusableError("adapter_mismatch", fmt.Errorf("asked %s, ran %s", r.Adapter, c.Model))
 	}
 	response.Adapter = c.Model
 	response.Body = io.NopCloser(bytes.NewReader(body))
@@ -44,7 +40,7 @@
 // because the adapter is no longer loaded (404) or the engine is full (429, 503) proves
 // that the request did not run. The error is a *call.Error, and the body is closed.
 func CheckStatus(response *call.Response) error {
-	failed := responseError("engine_failed", fmt.Errorf("the engine answered %d", response.Status))
+	failed := call.UnusableError("engine_failed", fmt.Errorf("the engine answered %d", response.Status))
 	switch response.Status {
 	case fasthttp.StatusNotFound, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
 		failed.Failure.Refused = true
@@ -60,35 +56,10 @@
 // ReadWhole reads a response that is not streamed to its end, so that none of a
 // truncated one is passed on. Its error is a *call.Error.
 func ReadWhole(response *call.Response) error {
-	body, err := readWhole(response)
+	body, err := response.ReadWhole()
 	if err != nil {
 		return err
 	}
 	response.Body = io.NopCloser(bytes.NewReader(body))
 	return nil
 }
-
-// readWhole reads and closes the body. Its error is a *call.Error.
-func readWhole(response *call.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if closeErr := response.Body.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return nil, responseError("answer_cut", err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, responseError("answer_too_large", fmt.Errorf("answer is above %d bytes", maxResponseBytes))
-	}
-	return body, nil
-}
-
-// responseError returns the error for a response that arrived but can't be passed on.
-func responseError(code string, err error) *call.Error {
-	return &call.Error{
-		Failure: attempt.Failure{Sent: true},
-		Status:  fasthttp.StatusGatewayTimeout,
-		Code:    code,
-		Err:     err,
-	}
-}
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"strconv"
 	"time"
@@ -67,20 +66,19 @@
 	}
 }
 
-// maxWholeBytes bounds a response that is read whole before it is sent, in bytes. It is
-// that of a worker's response that is not streamed.
-const maxWholeBytes = 8 << 20
-
 // WriteAnswer writes a response to ctx. Its body is streamed, and closed at the end. A
 // panic in the body goes to report, and ends the response as one that broke off.
+//
+// A caller that speaks HTTP/1.0 gets the body with its length, or an error: it knows no
+// chunks, and cannot tell a body that broke off by the end of the connection.
 func WriteAnswer(ctx *fasthttp.RequestCtx, answer *call.Response, report recovery.Reporter) {
-	body := recovery.Body(report, "response", answer.Body)
+	answer.Body = recovery.Body(report, "response", answer.Body)
 	if ctx.Request.Header.IsHTTP11() {
 		writeHead(ctx, answer)
-		ctx.SetBodyStream(body, -1)
+		ctx.SetBodyStream(answer.Body, -1)
 		return
 	}
-	whole, err := readWhole(body)
+	whole, err := answer.ReadWhole()
 	if err != nil {
 		httpx.ProblemOf(err).Write(ctx)
 		return
@@ -101,24 +99,6 @@
 	h.Set(httpx.WaitMs, strconv.FormatInt(answer.Wait.Milliseconds(), 10))
 }
 
-// readWhole reads and closes a body that is sent with its length: HTTP/1.0 has no chunks,
-// and the end of the connection does not tell a body that broke off from a whole one.
-func readWhole(body io.ReadCloser) ([]byte, error) {
-	whole, err := io.ReadAll(io.LimitReader(body, maxWholeBytes+1))
-	if closeErr := body.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil && len(whole) > maxWholeBytes {
-		err = &call.Error{
-			Failure: attempt.Failure{Sent: true},
-			Status:  fasthttp.StatusBadGateway,
-			Code:    "answer_too_large",
-			Err:     fmt.Errorf("answer is above %d bytes, the most for HTTP/1.0", maxWholeBytes),
-		}
-	}
-	return whole, err
-}
-
 // ServeCancellable runs serve with a context that is cancelled at the request's
 // deadline, when the caller disconnects while serve runs, or when the response
 // body is closed.
--- a/entry/forward/server_test.go
+++ b/entry/forward/server_test.go
@@ -86,7 +86,7 @@
 			require.Contains(t, (<-reported).Stack, "server_test.go")
 			require.ErrorContains(t, <-reported, "unexpected again")
 			if version == "1.0" {
-				require.Contains(t, got, "HTTP/1.1 500")
+				require.Contains(t, got, "HTTP/1.1 504")
 			}
 		})
 	}
@@ -112,9 +112,9 @@
 	require.NotContains(t, got, "data: 1")
 	require.Equal(t, 1, cut.closed)
 
-	large := newFailingBody(strings.Repeat("x", maxWholeBytes+1), io.EOF)
+	large := newFailingBody(strings.Repeat("x", call.MaxWholeBytes+1), io.EOF)
 	got = sendAnswer(t, "1.0", large, report)
-	require.Contains(t, got, "HTTP/1.1 502")
+	require.Contains(t, got, "HTTP/1.1 504")
 	require.Contains(t, got, `"outcome":"unknown"`)
 	require.Equal(t, 1, large.closed)
 }
--- a/entry/keys/keys.go
+++ b/entry/keys/keys.go
@@ -199,10 +199,9 @@
 	if err != nil {
 		return attempt.Answer{}, err
 	}
-	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(answer.Body)
+	body, err := answer.ReadWhole()
 	if err != nil {
-		return attempt.Answer{}, unknownOutcomeError(fasthttp.StatusGatewayTimeout, "answer_cut", err)
+		return attempt.Answer{}, err
 	}
 	return attempt.Answer{Status: answer.Status, Content: answer.ContentType, Worker: answer.Worker, Body: body}, nil
 }
