entry/platform: an odd item of a published list loses no other

In `serve` one item of the wrong type, or nested too deep, in the published list of instances or of endpoints made the whole list unusable: the instances kept the former one, and learnt of no join, leave or new address until the item was gone.

Cause: the list was decoded in one piece; only what could be decoded was checked item by item.

A list that is cut off is still none. Port 0 and the unspecified address are rejected as addresses: nothing can connect to them.

--- a/entry/platform/lists_test.go
+++ b/entry/platform/lists_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -24,6 +25,72 @@
 	require.NotEmpty(t, findings)
 }
 
+// oddItems are items of a list that name nothing that could be used.
+func oddItems(valid string) map[string]string {
+	const deep = 100_000
+	with := func(old, replacement string) string {
+		odd := strings.Replace(valid, old, replacement, 1)
+		if odd == valid {
+			panic("no " + old + " in " + valid)
+		}
+		return odd
+	}
+	return map[string]string{
+		"null": "null", "number": "1", "text": `"b"`, "list": "[]", "empty": "{}", "nothing": "",
+		"deep":          strings.Repeat("[", deep) + strings.Repeat("]", deep),
+		"deep field":    with("{", `{"more":`+strings.Repeat(`{"a":`, deep)+"1"+strings.Repeat("}", deep)+","),
+		"no JSON":       with(`"state":`, `"state"`),
+		"cut text":      with(`"state":"live"`, `"state":"\u12"`),
+		"name a number": with(`"name":"b"`, `"name":1`),
+		"name a list":   with(`"name":"b"`, `"name":["b"]`),
+		"name not UTF8": with(`"name":"b"`, "\"name\":\"\xff\""),
+		"no name":       with(`"name":"b"`, `"name":""`),
+		"state of 400":  with(`"state":"live"`, `"state":`+strings.Repeat("9", 400)),
+		"state unknown": with(`"state":"live"`, `"state":"resting"`),
+		"no state":      with(`,"state":"live"`, ""),
+	}
+}
+
+// TestAnOddItemLosesNoOther guards against a list of which one item is odd, so that the
+// whole list, or every change of it, is lost.
+func TestAnOddItemLosesNoOther(t *testing.T) {
+	instance := func(name string) string {
+		return `{"name":"` + name + `","dataCentre":"dc","peerAddress":"127.0.0.1:1","controlAddress":"127.0.0.1:2","state":"live"}`
+	}
+	odd := oddItems(instance("b"))
+	for name, address := range map[string]string{
+		"port 65536": "127.0.0.1:65536", "port 0": "127.0.0.1:0", "no port": "127.0.0.1", "no host": ":1", "host name": "localhost:1",
+		"any host": "0.0.0.0:1", "any host of IPv6": "[::]:1", "lines": `127.0.0.1:1\r\nX: y`,
+	} {
+		odd[name] = strings.Replace(instance("b"), "127.0.0.1:1", address, 1)
+	}
+	for name, item := range odd {
+		list, findings := platform.ParseInstances([]byte("[" + instance("a") + "," + item + ",\n " + instance("c") + "]"))
+		require.Len(t, list, 2, name)
+		require.Equal(t, []string{"a", "c"}, []string{list[0].Name, list[1].Name}, name)
+		require.NotEmpty(t, findings, name)
+		for _, f := range findings {
+			require.True(t, strings.HasPrefix(f.Path, "[1]"), "%s: %s", name, f)
+		}
+	}
+	endpoint := func(name string) string { return `{"name":"` + name + `","state":"live"}` }
+	for name, item := range oddItems(endpoint("b")) {
+		list, findings := platform.ParseEndpoints([]byte("[" + endpoint("a") + "," + item + "," + endpoint("c") + "]"))
+		require.Len(t, list, 2, name)
+		require.NotEmpty(t, findings, name)
+	}
+}
+
+// TestAListThatIsCutOffIsNoShorterList guards against taking what is left of a list for
+// all of it.
+func TestAListThatIsCutOffIsNoShorterList(t *testing.T) {
+	for cut := 1; cut < len(instances); cut++ {
+		list, findings := platform.ParseInstances([]byte(instances[:cut]))
+		require.Nil(t, list, cut)
+		require.NotEmpty(t, findings, cut)
+	}
+}
+
 func FuzzInstances(f *testing.F) {
 	f.Add([]byte(instances))
 	f.Add([]byte(`[null, {}]`))
