entry/endpoint: a connection to an endpoint carries one call

Cause: calls that may be repeated, and orders to engines, shared kept connections, and the endpoints' responses do not name their requests. A copy of an earlier response that came after the original had been read was taken for the response to the next call: a caller got the answer of another, and an adapter was taken for loaded because an earlier order had been carried out.

Ruled out: not using a connection again that has unread bytes. That covers a copy which has arrived by then, not one that arrives while the next call is written.

Change: each call to an endpoint has a connection of its own, as calls that must not be repeated had before, and says so ("Connection: close"). Connections between instances stay: their responses name request and attempt.

TestASecondCopyOfAnAnswerReachesNobody and ...OfAnOrdersAnswerIsNotBelieved on the former code: two of the three delays fail in each (expected "/labels/1", actual "/labels/0"; no error of a load that was refused). Now they pass.

--- a/entry/endpoint/client.go
+++ b/entry/endpoint/client.go
@@ -11,8 +11,10 @@
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
-// Client calls endpoints. It never retries a call by itself. It is safe for
-// concurrent use.
+// Client calls endpoints. It never retries a call by itself, and uses a connection for
+// one call only: an endpoint's responses do not name their requests, so on a connection
+// that is used again the copy of an earlier response would be taken for the response to
+// the next request. It is safe for concurrent use.
 type Client struct {
 	http        *httpx.Client
 	headTimeout time.Duration
@@ -59,7 +61,7 @@
 // call keeps half of its remaining time for another attempt, since its connection
 // may have been lost silently.
 func (c *Client) options(r *call.Request) httpx.Options {
-	options := httpx.Options{FreshConnection: !r.Idempotent || r.Attempt > 1}
+	options := httpx.Options{FreshConnection: true}
 	if r.Stream {
 		options.ResponseHeaderTimeout = c.headTimeout
 	}
--- a/entry/endpoint/orders.go
+++ b/entry/endpoint/orders.go
@@ -66,7 +66,7 @@
 	request.SetBodyRaw(body)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	response, err := c.http.Do(ctx, address, request, httpx.Options{})
+	response, err := c.http.Do(ctx, address, request, httpx.Options{FreshConnection: true})
 	if err != nil {
 		return oops.Code("order_failed").With("address", address).Wrap(err)
 	}
@@ -100,7 +100,7 @@
 	request.SetRequestURI("http://" + address + "/v1/models")
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	response, err := c.http.Do(ctx, address, request, httpx.Options{})
+	response, err := c.http.Do(ctx, address, request, httpx.Options{FreshConnection: true})
 	if err != nil {
 		return nil, oops.Code("models_failed").With("address", address).Wrap(err)
 	}
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -59,9 +59,9 @@
 
 // Options are the options of one call.
 type Options struct {
-	// FreshConnection opens a connection that only this call uses. An idle
-	// connection may have been lost without notice, and a request that was written
-	// to it can't be retried if it is not idempotent.
+	// FreshConnection opens a connection that only this call uses, and tells the
+	// other side so. An idle connection may have been lost without notice, and a
+	// request that was written to it can't be retried if it is not idempotent.
 	FreshConnection bool
 	// ResponseHeaderTimeout bounds each read and write until the response header
 	// was read, so an interim response restarts it. Zero leaves only the call's
@@ -77,7 +77,9 @@
 		return nil, &SendError{Err: err}
 	}
 	host := c.newHost(address)
-	if !options.FreshConnection {
+	if options.FreshConnection {
+		request.SetConnectionClose()
+	} else {
 		host = c.host(address)
 	}
 	conn, release, err := c.acquire(host, options)
