--- a/cmd/e2e/stop_test.go
+++ b/cmd/e2e/stop_test.go
@@ -1,10 +1,14 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -46,3 +50,42 @@
 		instance.await(t, "stopped")
 	}
 }
+
+// TestLateRequestsOfAPlannedStopAreRefused guards against requests that arrive while an
+// instance stops, and are accepted and cut off, or get no answer. Each is half sent before
+// the signal, and its rest follows while a stream keeps the process from ending.
+func TestLateRequestsOfAPlannedStopAreRefused(t *testing.T) {
+	s := startSystem(t, deployment.Silttolge(), 1)
+	s.awaitKeyedCalls(t)
+	adapter := s.adapterVersions(1)[0]
+	stream, err := post(s.callerAddresses[0], "/v1/completions", completionBody{adapter.String(), "label", longStreamTokens, true}, nil)
+	require.NoError(t, err)
+	defer func() { _ = stream.Body.Close() }()
+	require.NoError(t, checkServed(stream, adapter.String()))
+	texts := s.callerRequests(startTimeout)
+	conns := make([]net.Conn, len(texts))
+	for i, text := range texts {
+		conns[i], err = net.Dial("tcp", s.callerAddresses[0])
+		require.NoError(t, err)
+		defer func() { _ = conns[i].Close() }()
+		_, err = io.WriteString(conns[i], text[:len(text)/2])
+		require.NoError(t, err)
+	}
+	s.instances[0].signal(syscall.SIGTERM)
+	s.instances[0].await(t, "leaving")
+	for i, text := range texts {
+		_, err = io.WriteString(conns[i], text[len(text)/2:])
+		require.NoError(t, err)
+		require.NoError(t, conns[i].SetReadDeadline(time.Now().Add(startTimeout)))
+		response, err := http.ReadResponse(bufio.NewReader(conns[i]), nil)
+		require.NoError(t, err, text)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err, text)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode, text)
+		require.Equal(t, "not-run", response.Header.Get(httpx.Outcome), text)
+	}
+	_, done, err := readEvents(stream.Body)
+	require.NoError(t, err)
+	require.True(t, done, "the stream ended without its final marker")
+	s.instances[0].await(t, "stopped")
+}
