--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxConnsPerHost bounds the connections to one peer or endpoint.
+// maxConnsPerHost bounds the connections to one peer that are used for several calls.
 const maxConnsPerHost = 4096
 
 // maxIdleReuse is how long after its last response a connection is reused. An
