--- a/coord/routing/config.go
+++ b/coord/routing/config.go
@@ -56,6 +56,8 @@
 	MaxWorkers int
 	// Resumable is set if a broken stream may be continued at another worker.
 	Resumable bool
+	// Public routes need no key.
+	Public bool
 }
 
 // Retryable reports whether a request may run more than once.
@@ -127,4 +129,6 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+	// Organisations is empty if requests need no key.
+	Organisations []Organisation
 }
--- a/coord/routing/table.go
+++ b/coord/routing/table.go
@@ -13,11 +13,13 @@
 	Config *Config
 	// byHost holds the routes of each host in lower case, the longest prefix first.
 	byHost map[string][]*Route
+	// byKey holds the organisations by the digests of their keys.
+	byKey map[KeyDigest]heldKey
 }
 
 // NewTable indexes a configuration. The caller must not modify it afterwards.
 func NewTable(config *Config) *Table {
-	t := &Table{Config: config, byHost: make(map[string][]*Route)}
+	t := &Table{Config: config, byHost: make(map[string][]*Route), byKey: indexKeys(config.Organisations)}
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		host := strings.ToLower(r.Host)
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -58,6 +58,8 @@
 	HandlePeerVersion(peer string, version uint64)
 	// LoadAdapter serves a peer's LoadAdapter call.
 	LoadAdapter(context.Context, *clusterpb.LoadAdapterRequest) (*clusterpb.LoadAdapterResponse, error)
+	// TakeQuota serves a peer's TakeQuota call.
+	TakeQuota(*clusterpb.TakeQuotaRequest) *clusterpb.TakeQuotaResponse
 	// State serves a peer's FetchState call.
 	State(*clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse
 	// ConfigVersion returns the version of the configuration in force.
@@ -294,6 +296,11 @@
 	return c.peerClient(address).LoadAdapter(ctx, r)
 }
 
+// TakeQuota takes quota from the meter that a peer runs. ctx limits the call.
+func (c *Cluster) TakeQuota(ctx context.Context, address string, r *clusterpb.TakeQuotaRequest) (*clusterpb.TakeQuotaResponse, error) {
+	return c.peerClient(address).TakeQuota(ctx, r)
+}
+
 // FetchState requests from a peer the configuration, if the peer's is newer, and
 // optionally the workers and adapter versions that it knows.
 func (c *Cluster) FetchState(ctx context.Context, address string, request *clusterpb.FetchStateRequest) (*clusterpb.FetchStateResponse, error) {
@@ -362,6 +369,11 @@
 	return s.local.LoadAdapter(ctx, in)
 }
 
+// TakeQuota implements clusterpb.Cluster.
+func (s *server) TakeQuota(_ context.Context, in *clusterpb.TakeQuotaRequest) (*clusterpb.TakeQuotaResponse, error) {
+	return s.local.TakeQuota(in), nil
+}
+
 // FetchState implements clusterpb.Cluster.
 func (s *server) FetchState(_ context.Context, in *clusterpb.FetchStateRequest) (*clusterpb.FetchStateResponse, error) {
 	return s.local.State(in), nil
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -31,6 +31,9 @@
 	return &clusterpb.News{ConfigVersion: l.version}
 }
 
+func (l *stubLocal) TakeQuota(*clusterpb.TakeQuotaRequest) *clusterpb.TakeQuotaResponse {
+	return &clusterpb.TakeQuotaResponse{}
+}
 func (l *stubLocal) State(*clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse {
 	return &clusterpb.FetchStateResponse{ConfigVersion: l.version}
 }
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -99,5 +99,8 @@
 	return c
 }
 
+// rank returns the rank of the request; 0 is the most urgent.
+func (c *call) rank() int { return c.route.EffectiveRank(c.request.Organisation) }
+
 // timeLeft returns the time until the deadline.
 func (c *call) timeLeft() time.Duration { return c.deadline - now() }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -87,6 +87,11 @@
 		g.refuseEarly(ctx, fasthttp.StatusNotFound, "no route for this host and path")
 		return
 	}
+	if !authenticate(table, route, request) {
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+		g.refuseEarly(ctx, fasthttp.StatusUnauthorized, "the request has no valid key")
+		return
+	}
 	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
 		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
 		return
@@ -322,7 +327,7 @@
 	if c.service.Engine == nil {
 		return -1
 	}
-	return min(c.route.Rank, 2)*3 + 1
+	return min(c.rank(), 2)*3 + 1
 }
 
 // requiredAdapterVersion returns the newest known version of the request's
@@ -341,7 +346,7 @@
 func (c *call) pickWorker() (balance.Choice, *failure) {
 	at := now()
 	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
-	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.route.Rank, Demand: c.adapterDemand}
+	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
 	choice, found := c.fleet.balance.Pick(request, candidates)
 	if !found {
 		return choice, noWorkerFailure(candidates)
@@ -402,7 +407,7 @@
 	if c.resuming {
 		return resumeRank
 	}
-	return c.route.Rank
+	return c.rank()
 }
 
 // ensureAdapter has the adapter loaded if the worker does not hold it.
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -33,6 +33,13 @@
 	Body   []byte
 	// Header holds the header lines to be forwarded, each with its line end.
 	Header []byte
+	// IdentityHeader holds the header lines in which the caller says who it is, each with
+	// its line end. They are forwarded only where requests need no key.
+	IdentityHeader []byte
+	// Credential is the key that the caller sent.
+	Credential Credential
+	// Organisation holds the key; nil if there is none.
+	Organisation *routing.Organisation
 	// Wait is how long the caller waits; 0 if it does not say.
 	Wait time.Duration
 	// Model and Adapter are empty for plain services.
@@ -46,6 +53,13 @@
 	ResumeAfter string
 }
 
+// Credential is the digest of the key that a caller sent.
+type Credential struct {
+	// Present is set if the caller sent a credential, and Malformed if it is not a key.
+	Present, Malformed bool
+	Digest             routing.KeyDigest
+}
+
 // Attempt is one attempt to send a request to a worker.
 type Attempt struct {
 	Worker worker.Worker
