Heartbeats: leave out what the peer knows and headers that nobody reads

A peer whose latest digest equals the sender's gets no changes. Digests are kept instead of computed for each message.

--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -47,8 +47,12 @@
 // Local provides the state of this instance that its peers receive, and handles
 // what they send. Its methods are called concurrently.
 type Local interface {
-	// HeartbeatUpdate returns the update for the next heartbeat.
-	HeartbeatUpdate() *clusterpb.News
+	// HeartbeatUpdate returns the update for the next heartbeat, with the latest changes of
+	// the store's contents if withDirectory is set.
+	HeartbeatUpdate(withDirectory bool) *clusterpb.News
+	// PeerHasDirectory reports whether a peer knows the same contents of the store as this
+	// instance, so that heartbeats need not carry changes of them.
+	PeerHasDirectory(peer string) bool
 	// ReplyUpdate returns the update for the reply to a member that isn't a voter. Such
 	// members learn the state of others only from the replies of voters.
 	ReplyUpdate(now time.Duration, peer string) *clusterpb.News
@@ -98,6 +102,7 @@
 			MaxIdleConnsPerHost:    2,
 			IdleConnTimeout:        4 * config.FetchTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
+			DisableCompression:     true, // saves a header; no peer compresses
 		}}},
 	}, nil
 }
@@ -113,8 +118,12 @@
 // boundedTransport bounds the bodies of responses, which Twirp reads whole.
 type boundedTransport struct{ next http.RoundTripper }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It leaves out the headers that a Twirp server
+// does not need: most messages are heartbeats of a few hundred bytes, and traffic between
+// data centres is expensive.
 func (t boundedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	request = request.Clone(request.Context())
+	request.Header = http.Header{"Content-Type": request.Header["Content-Type"], "User-Agent": {""}}
 	response, err := t.next.RoundTrip(request)
 	if err != nil {
 		return nil, err
@@ -125,7 +134,11 @@
 
 // Handler returns the handler for the calls of other instances.
 func (c *Cluster) Handler() http.Handler {
-	return http.MaxBytesHandler(clusterpb.NewClusterServer(&server{c}), maxMessageBytes)
+	next := http.MaxBytesHandler(clusterpb.NewClusterServer(&server{c}), maxMessageBytes)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header()["Date"] = nil // left out for the size of the response
+		next.ServeHTTP(w, r)
+	})
 }
 
 // With runs f on the machine while holding the lock. f must not retain the
@@ -228,13 +241,19 @@
 		heartbeat, targets = m.NextHeartbeat(now)
 		return actions
 	})
-	request := encodeHeartbeat(heartbeat)
-	request.News = c.local.HeartbeatUpdate()
-	request.News.IntervalNs = int64(c.interval())
+	requests := make(map[bool]*clusterpb.BeatRequest, 2)
 	for _, target := range targets {
 		if !c.beginHeartbeat(target) {
 			continue
 		}
+		withDirectory := !c.local.PeerHasDirectory(target)
+		request := requests[withDirectory]
+		if request == nil {
+			request = encodeHeartbeat(heartbeat)
+			request.News = c.local.HeartbeatUpdate(withDirectory)
+			request.News.IntervalNs = int64(c.interval())
+			requests[withDirectory] = request
+		}
 		err := c.pool.Submit(func() {
 			defer c.endHeartbeat(target)
 			c.sendHeartbeat(ctx, target, request)
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -22,7 +22,8 @@
 	peerVersions chan uint64
 }
 
-func (*stubLocal) HeartbeatUpdate() *clusterpb.News                   { return &clusterpb.News{} }
+func (*stubLocal) HeartbeatUpdate(bool) *clusterpb.News               { return &clusterpb.News{} }
+func (*stubLocal) PeerHasDirectory(string) bool                       { return false }
 func (*stubLocal) ApplyUpdate(time.Duration, string, *clusterpb.News) {}
 func (*stubLocal) RightsChanged(time.Duration, []quorum.Action)       {}
 func (l *stubLocal) ConfigVersion() uint64                            { return l.version }
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -54,6 +54,8 @@
 	readsStore       bool
 	// peersWithoutStore holds the peers that read the store and get no response.
 	peersWithoutStore map[string]bool
+	// peerDigests holds the latest digest of each peer.
+	peerDigests map[string]uint64
 	// mismatchSince holds when each reader's digest began to differ.
 	mismatchSince map[string]time.Duration
 }
@@ -71,7 +73,7 @@
 func newDirectorySync() *directorySync {
 	return &directorySync{
 		workers: make(map[string]workerUpdate), versions: make(map[string]versionUpdate),
-		peersWithoutStore: make(map[string]bool), mismatchSince: make(map[string]time.Duration),
+		peersWithoutStore: make(map[string]bool), peerDigests: make(map[string]uint64), mismatchSince: make(map[string]time.Duration),
 	}
 }
 
@@ -121,8 +123,18 @@
 	s.versions[v.GetModel()+"/"+v.GetAdapter()] = versionUpdate{version: v, expiresAt: at + updateTTL}
 }
 
-// appendUpdates appends the unexpired updates to a heartbeat's payload.
-func (s *directorySync) appendUpdates(at time.Duration, update *clusterpb.News) {
+// peerHas reports whether the latest digest of a peer equals this instance's own.
+func (s *directorySync) peerHas(peer string, ownDigest uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	digest, known := s.peerDigests[peer]
+	return known && digest == ownDigest
+}
+
+// appendUpdates appends the unexpired updates to a heartbeat's payload. If withDirectory
+// is not set, it leaves out what a digest covers: all but the notices of workers that
+// leave.
+func (s *directorySync) appendUpdates(at time.Duration, update *clusterpb.News, withDirectory bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	update.ReadsStore, update.StoreAway = s.readsStore, s.storeUnavailable
@@ -131,14 +143,18 @@
 			delete(s.workers, id)
 			continue
 		}
-		update.Workers = append(update.Workers, w.entry)
+		if withDirectory || w.entry.GetLeaving() {
+			update.Workers = append(update.Workers, w.entry)
+		}
 	}
 	for key, v := range s.versions {
 		if at >= v.expiresAt {
 			delete(s.versions, key)
 			continue
 		}
-		update.Versions = append(update.Versions, v.version)
+		if withDirectory {
+			update.Versions = append(update.Versions, v.version)
+		}
 	}
 }
 
@@ -149,6 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.peersWithoutStore[peer] = update.GetStoreAway()
+	s.peerDigests[peer] = update.GetDirectoryDigest()
 	readsStore := update.GetReadsStore() && !update.GetStoreAway()
 	if update.GetDirectoryDigest() == ownDigest || !readsStore || s.readsStore && !s.storeUnavailable {
 		delete(s.mismatchSince, peer)
--- a/entry/direct/directory_test.go
+++ b/entry/direct/directory_test.go
@@ -122,11 +122,11 @@
 		{Worker: worker.Worker{ID: "c"}, Change: worker.Lapsed},
 	})
 	var update clusterpb.News
-	s.appendUpdates(updateTTL-1, &update)
+	s.appendUpdates(updateTTL-1, &update, true)
 	require.Len(t, update.GetWorkers(), 1, "adapter changes and lapsed entries are not shared")
 	require.True(t, update.GetWorkers()[0].GetGone())
 	update.Reset()
-	s.appendUpdates(updateTTL, &update)
+	s.appendUpdates(updateTTL, &update, true)
 	require.Empty(t, update.GetWorkers())
 }
 
@@ -142,3 +142,24 @@
 	update.StoreAway = true
 	require.False(t, s.observePeer(9*time.Second, "r", update, 6), "a reader that lost the store is not newer")
 }
+
+// TestHeartbeatsLeaveOutWhatAPeerKnows guards against sending changes of the store's
+// contents again to peers that have them, which was a third of all bytes between
+// instances, and against withholding them from peers that do not.
+func TestHeartbeatsLeaveOutWhatAPeerKnows(t *testing.T) {
+	s := newDirectorySync()
+	w := worker.Worker{ID: "w", Service: "s", Address: "10.0.0.1:1", DataCentre: "d", Born: 1}
+	leaving := w
+	leaving.ID, leaving.Leaving = "l", true
+	s.addWorkerChanges(0, []worker.Event{{Change: worker.Appeared, Worker: w}, {Change: worker.Appeared, Worker: leaving}})
+	require.False(t, s.peerHas("p", 5), "no digest of the peer is known")
+	s.observePeer(0, "p", &clusterpb.News{DirectoryDigest: 5}, 5)
+	require.True(t, s.peerHas("p", 5))
+	require.False(t, s.peerHas("p", 6))
+	var full, brief clusterpb.News
+	s.appendUpdates(0, &full, true)
+	s.appendUpdates(0, &brief, false)
+	require.Len(t, full.GetWorkers(), 2)
+	require.Len(t, brief.GetWorkers(), 1, "digests do not cover notices of workers that leave")
+	require.Equal(t, "l", brief.GetWorkers()[0].GetId())
+}
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -1,12 +1,9 @@
 package direct
 
 import (
-	"fmt"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -90,9 +87,5 @@
 // directoryDigest returns a hash of the workers and adapter versions read from
 // the store.
 func (f *fleet) directoryDigest() uint64 {
-	sum := f.workers.digest()
-	for _, v := range f.versions.entries() {
-		sum ^= xxhash.Sum64String(fmt.Sprintf("%s/%s %d", v.GetModel(), v.GetAdapter(), v.GetVersion()))
-	}
-	return sum
+	return f.workers.digest() ^ f.versions.hash()
 }
--- a/entry/direct/fuzz_test.go
+++ b/entry/direct/fuzz_test.go
@@ -37,7 +37,7 @@
 			i.acceptCompressedConfig(listing.GetConfig(), "10.0.0.2:1")
 			i.replaceListing(&listing)
 		}
-		i.HeartbeatUpdate()
+		i.HeartbeatUpdate(true)
 		i.ReplyUpdate(now(), "10.0.0.3:1")
 		for _, w := range i.fleet.workers.all() {
 			require.NoError(t, w.Validate())
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -18,17 +18,22 @@
 )
 
 // HeartbeatUpdate implements cluster.Local: the update for the next heartbeat.
-func (i *Instance) HeartbeatUpdate() *clusterpb.News {
-	update := i.peerUpdate()
+func (i *Instance) HeartbeatUpdate(withDirectory bool) *clusterpb.News {
+	update := i.peerUpdate(withDirectory)
 	at := now()
 	i.fleet.usage.appendOwn(at, update, i.fleet.conditions.holdOffs(at))
 	return update
 }
 
+// PeerHasDirectory implements cluster.Local.
+func (i *Instance) PeerHasDirectory(peer string) bool {
+	return i.directorySync.peerHas(peer, i.fleet.directoryDigest())
+}
+
 // ReplyUpdate implements cluster.Local. For the workers that this instance controls,
 // the update carries the use by all instances but the one it goes to.
 func (i *Instance) ReplyUpdate(at time.Duration, peer string) *clusterpb.News {
-	update := i.peerUpdate()
+	update := i.peerUpdate(!i.PeerHasDirectory(peer))
 	heldRights := toSet(i.cluster.HeldRights())
 	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), i.fleet.conditions.holdOffs(at), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
 	return update
@@ -36,11 +41,11 @@
 
 // peerUpdate returns the part of an update that heartbeats and replies to them
 // have in common.
-func (i *Instance) peerUpdate() *clusterpb.News {
+func (i *Instance) peerUpdate(withDirectory bool) *clusterpb.News {
 	update := &clusterpb.News{DirectoryDigest: i.fleet.directoryDigest()}
 	update.ConfigVersion = i.fleet.config.version()
 	i.fleet.residency.appendOwn(update)
-	i.directorySync.appendUpdates(now(), update)
+	i.directorySync.appendUpdates(now(), update, withDirectory)
 	i.gateway.guard.appendUpdate(now(), update)
 	return update
 }
--- a/entry/direct/residency.go
+++ b/entry/direct/residency.go
@@ -1,10 +1,13 @@
 package direct
 
 import (
+	"fmt"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -164,6 +167,8 @@
 	mu sync.Mutex
 	// highest is by "MODEL/ADAPTER".
 	highest map[string]int64
+	// digest is a hash of highest.
+	digest uint64
 }
 
 func newAdapterVersions() *adapterVersions { return &adapterVersions{highest: make(map[string]int64)} }
@@ -173,7 +178,26 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	key := model + "/" + adapter
-	v.highest[key] = max(v.highest[key], version)
+	former, known := v.highest[key]
+	if known && former >= version {
+		return
+	}
+	if known {
+		v.digest ^= digestVersion(key, former)
+	}
+	v.highest[key] = version
+	v.digest ^= digestVersion(key, version)
+}
+
+func digestVersion(key string, version int64) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s %d", key, version))
+}
+
+// hash returns a hash of all versions.
+func (v *adapterVersions) hash() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.digest
 }
 
 // get returns the highest declared version of an adapter, or 0.
--- a/entry/direct/workers.go
+++ b/entry/direct/workers.go
@@ -19,6 +19,8 @@
 	// changes.
 	list []worker.Worker
 	byID map[string]worker.Worker
+	// listDigest is the digest of list.
+	listDigest uint64
 }
 
 func newKnownWorkers() *knownWorkers {
@@ -38,6 +40,7 @@
 	for _, w := range k.list {
 		k.byID[w.ID] = w
 	}
+	k.listDigest = digestWorkers(k.list)
 	return events
 }
 
@@ -76,8 +79,14 @@
 
 // digest returns a hash of the workers. Their adapters and slot counts are left out.
 func (k *knownWorkers) digest() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.listDigest
+}
+
+func digestWorkers(workers []worker.Worker) uint64 {
 	sum := uint64(0)
-	for _, w := range k.all() {
+	for _, w := range workers {
 		sum ^= xxhash.Sum64String(fmt.Sprintf("%s %s %t %d %d", w.ID, w.Address, w.Draining, w.Born, len(w.Models)))
 	}
 	return sum
