Keys of organisations: findings with positions, digests between instances, strict revocation

Cause: organisations were decoded without validation, the document with the keys was kept and sent to peers, the server's log quoted malformed requests with their keys, and an instance judged keys by whatever configuration it had, also right after a start.

Change: all findings of a configuration are reported together with their positions, also by bulrushctl check. Instances keep and exchange digests in place of keys. After a start, requests get 503 until store and peers were asked. With strictRevoke, requests that need a key get 503 while the configuration is not confirmed for revokeAfter. 401 is counted by reason.

--- a/cmd/bulrushctl/check.go
+++ b/cmd/bulrushctl/check.go
@@ -19,8 +19,8 @@
 		Use:   "check FILE...",
 		Short: "Find every defect of settings, tables and lists in files",
 		Long: "Check settings, settings templates of the platform, manifests, chunks with routes, pools, endpoints and adapters,\n" +
-			"and the lists of instances and endpoints, as an instance does. A file's kind is\n" +
-			"detected from its fields. Chunks are checked together, grouped by the manifests\n" +
+			"the lists of instances and endpoints, and configurations of the platform, as an\n" +
+			"instance does. A file's kind is detected from its fields. Chunks are checked together, grouped by the manifests\n" +
 			"among the files if there are any. Each finding is a line\n" +
 			"file:line:column: path: message.\n\n" +
 			"Exit code 0: no findings. Exit code 1: findings. Exit code 2: wrong usage, or a\n" +
--- a/cmd/internal/check/check.go
+++ b/cmd/internal/check/check.go
@@ -85,6 +85,8 @@
 		var findings strictjson.Findings
 		errors.As(err, &findings)
 		c.add(f.name, findings)
+	case configurationKind:
+		c.add(f.name, users.CheckConfig(f.data))
 	case templateKind:
 		c.checkTemplate(f)
 	case instancesKind:
--- a/cmd/internal/check/kind.go
+++ b/cmd/internal/check/kind.go
@@ -11,6 +11,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/direct"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
+	users "github.com/bulrushwick/bulrushwick/platform"
 )
 
 // kind is the type of document that a file holds.
@@ -24,6 +25,7 @@
 	instancesKind
 	endpointsKind
 	templateKind
+	configurationKind
 )
 
 // objectKinds are the kinds whose document is a JSON object, listKinds those whose
@@ -35,6 +37,7 @@
 		{manifestKind, reflect.TypeFor[table.Manifest]()},
 		{settingsKind, reflect.TypeFor[settings.Settings]()},
 		{directSettingsKind, reflect.TypeFor[direct.Settings]()},
+		{configurationKind, users.ConfigFields()},
 	}
 	listKinds = []candidate{
 		{endpointsKind, reflect.TypeFor[fleet.EndpointState]()},
--- a/coord/strictjson/decode.go
+++ b/coord/strictjson/decode.go
@@ -37,6 +37,22 @@
 	return w.findings, err == nil
 }
 
+// DecodeKnown is like Decode, but an unknown field is no finding: its writer may have
+// added it for a later release.
+func DecodeKnown(data []byte, v any) (findings Findings, usable bool) {
+	w := &walker{data: data, decoder: newDecoder(data), allowsUnknown: true}
+	w.checkValue(reflect.TypeOf(v).Elem(), "")
+	w.checkEnd()
+	if w.unusable {
+		return w.findings, false
+	}
+	if err := json.Unmarshal(data, v, jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true)); err != nil {
+		w.addFinding(0, "", errorMessage(err))
+		return w.findings, false
+	}
+	return w.findings, true
+}
+
 func newDecoder(data []byte) *jsontext.Decoder {
 	return jsontext.NewDecoder(&byteReader{data: data}, jsontext.AllowDuplicateNames(true))
 }
@@ -65,6 +81,8 @@
 	// unusable reports whether there is a finding other than an unknown or
 	// duplicate field.
 	unusable bool
+	// allowsUnknown is set if an unknown field is no finding.
+	allowsUnknown bool
 }
 
 // addFinding adds a finding at a byte offset.
@@ -149,7 +167,9 @@
 		w.checkValue(field, memberPath)
 		return
 	}
-	w.addFinding(at, memberPath, "unknown field"+Suggest(name, fieldNames(fields)))
+	if !w.allowsUnknown {
+		w.addFinding(at, memberPath, "unknown field"+Suggest(name, fieldNames(fields)))
+	}
 	if err := w.decoder.SkipValue(); err != nil {
 		w.addSyntaxError(memberPath, err)
 	}
@@ -179,7 +199,7 @@
 		w.addSyntaxError(path, err)
 		return
 	}
-	if err := json.Unmarshal(value, reflect.New(t).Interface(), json.RejectUnknownMembers(true)); err != nil {
+	if err := json.Unmarshal(value, reflect.New(t).Interface(), json.RejectUnknownMembers(!w.allowsUnknown)); err != nil {
 		w.unusable = true
 		w.addFinding(at, path, errorMessage(err))
 	}
--- a/coord/strictjson/decode_test.go
+++ b/coord/strictjson/decode_test.go
@@ -71,6 +71,24 @@
 	require.False(t, usable)
 }
 
+// TestDecodeKnownAllowsUnknownFields guards against a document that is rejected because its
+// writer added a field, and against a finding that is missed beside one.
+func TestDecodeKnownAllowsUnknownFields(t *testing.T) {
+	var d document
+	findings, usable := strictjson.DecodeKnown([]byte(`{"more": {"a": 1, "a": 2}, "title": "t", "one": {"extra": [1], "count": 3}}`), &d)
+	require.Empty(t, findings)
+	require.True(t, usable)
+	require.Equal(t, document{Title: "t", One: &inner{Count: 3}}, d)
+	findings, usable = strictjson.DecodeKnown([]byte(`{"more": 1, "title": 7, "one": {"count": "x"}}`), &d)
+	require.False(t, usable)
+	require.Len(t, findings, 2)
+	findings, usable = strictjson.DecodeKnown([]byte(`{"title": "a", "title": "b"}`), &d)
+	require.Len(t, findings, 1)
+	require.True(t, usable)
+	_, usable = strictjson.DecodeKnown([]byte(`{"title": "a"`), &d)
+	require.False(t, usable)
+}
+
 func TestLocateFallsBackToTheValueAround(t *testing.T) {
 	data := []byte("{\n \"items\": [\n  {\"name\": \"a\"},\n  {\"name\": \"b\"}\n ]\n}")
 	require.Equal(t, []strictjson.Position{{Line: 4, Column: 4}, {Line: 3, Column: 3}, {Line: 1, Column: 1}},
--- a/entry/direct/authenticate.go
+++ b/entry/direct/authenticate.go
@@ -1,17 +1,135 @@
 package direct
 
-import "github.com/bulrushwick/bulrushwick/coord/routing"
+import (
+	"context"
+	"math/rand/v2"
+	"time"
 
-// authenticate sets the organisation of a request, and drops what the caller says of
-// itself. It returns false if the route needs a key and the caller sent none that is
-// known. It changes nothing where requests need no key.
-func authenticate(table *routing.Table, route *routing.Route, r *Request) bool {
+	"github.com/valyala/fasthttp"
+
+	guard "github.com/bulrushwick/bulrushwick/coord/revocation"
+	"github.com/bulrushwick/bulrushwick/coord/routing"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/recovery"
+	"github.com/bulrushwick/bulrushwick/entry/revocation"
+)
+
+// keyFailure is why the key of a request is not accepted. It is a label of the metric
+// unauthenticated.
+type keyFailure string
+
+// Reasons why keys are not accepted.
+const (
+	keyMissing   keyFailure = "missing"
+	keyMalformed keyFailure = "malformed"
+	keyUnknown   keyFailure = "unknown"
+)
+
+// keyFailures lists all reasons, with the text of the response to the caller.
+var keyFailures = map[keyFailure]string{
+	keyMissing:   "the request has no key",
+	keyMalformed: "the credential of the request is not one key",
+	keyUnknown:   "the key of the request is not known",
+}
+
+// unconfirmedRetryAfter is the Retry-After while the configuration is not confirmed to be
+// the newest: about the time of a question to each of several peers.
+const unconfirmedRetryAfter = time.Second
+
+// admitKey identifies the organisation of a request, and responds if the route needs a key
+// and the request has none that may be accepted. It returns false then.
+func (g *gateway) admitKey(ctx *fasthttp.RequestCtx, table *routing.Table, route *routing.Route, r *Request) bool {
 	if !table.RequiresKeys() {
 		return true
 	}
+	identified := identify(table, r)
+	switch {
+	case route.Public:
+		return true
+	case !g.revocation.Current():
+		setRetryAfter(ctx, time.Duration((1+returnSpread*rand.Float64())*float64(unconfirmedRetryAfter)))
+		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the configuration may be outdated, and keys are not judged by it")
+		return false
+	case identified:
+		return true
+	}
+	failed := keyUnknown
+	switch {
+	case !r.Credential.Present:
+		failed = keyMissing
+	case r.Credential.Malformed:
+		failed = keyMalformed
+	}
+	g.metrics.countKeyFailure(failed)
+	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+	g.refuseEarly(ctx, fasthttp.StatusUnauthorized, keyFailures[failed])
+	return false
+}
+
+// identify sets the organisation of a request, drops what the caller says of itself, and
+// reports whether the request has an organisation.
+func identify(table *routing.Table, r *Request) bool {
 	r.IdentityHeader = nil
 	if r.Credential.Present && !r.Credential.Malformed {
 		r.Organisation = table.Authenticate(r.Credential.Digest)
 	}
-	return route.Public || r.Organisation != nil
+	return r.Organisation != nil
+}
+
+// servingTable returns the configuration in force, or nil if requests can't be served yet:
+// there is none, or it has keys and a newer one may have been published while this process
+// did not run.
+func (g *gateway) servingTable() *routing.Table {
+	table := g.fleet.config.table()
+	if table == nil || table.RequiresKeys() && !g.revocation.Started(g.versionLag.behind(now())) {
+		return nil
+	}
+	return table
+}
+
+func revocationConfig(s Settings) guard.Config {
+	return guard.Config{Strict: s.StrictRevoke, MaxAge: s.RevokeAfter.Std(), HasPeers: s.hasOtherSeeds(), LagLimit: s.ConfigApplyLimit.Std()}
+}
+
+// ConfigConfirmed implements DirectorySink.
+func (i *Instance) ConfigConfirmed(age time.Duration) { i.gateway.revocation.StoreConfirmed(age) }
+
+// ConfirmationSources implements revocation.Peers. The seeds may belong to another cluster,
+// which may reach the store if this one does not.
+func (i *Instance) ConfirmationSources() (readers, others []string) {
+	seen := map[string]bool{i.settings.ControlAddress: true}
+	for _, list := range [][]string{i.cluster.Live(), i.cluster.Followers(), i.settings.Seeds} {
+		for _, peer := range list {
+			switch {
+			case seen[peer]:
+			case i.directorySync.isReader(peer):
+				readers = append(readers, peer)
+			default:
+				others = append(others, peer)
+			}
+			seen[peer] = true
+		}
+	}
+	return readers, others
+}
+
+// noConfigWanted is the version in a request for the state of a peer that wants no
+// configuration.
+const noConfigWanted = 1<<64 - 1
+
+// AskConfirmation implements revocation.Peers.
+func (i *Instance) AskConfirmation(ctx context.Context, peer string) (revocation.Answer, error) {
+	state, err := i.cluster.FetchState(ctx, peer, &clusterpb.FetchStateRequest{ConfigVersion: noConfigWanted})
+	return revocation.Answer{Version: state.GetConfigVersion(), Confirmed: state.GetConfirmed(), Age: time.Duration(state.GetConfirmedAgeNs())}, err
+}
+
+// refreshConfirmation asks a peer whether the configuration is the newest, if that is due.
+func (i *Instance) refreshConfirmation() {
+	table := i.fleet.config.table()
+	if table == nil || !table.RequiresKeys() {
+		return
+	}
+	i.gateway.revocation.Refresh(func(ask func()) {
+		go recovery.Run(i.gateway.reportPanic, "confirmation", ask)
+	})
 }
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -56,6 +56,8 @@
 	peersWithoutStore map[string]bool
 	// mismatchSince holds when each reader's digest began to differ.
 	mismatchSince map[string]time.Duration
+	// peerReaders holds the peers that read the store and get a response.
+	peerReaders map[string]bool
 }
 
 type workerUpdate struct {
@@ -72,6 +74,7 @@
 	return &directorySync{
 		workers: make(map[string]workerUpdate), versions: make(map[string]versionUpdate),
 		peersWithoutStore: make(map[string]bool), mismatchSince: make(map[string]time.Duration),
+		peerReaders: make(map[string]bool),
 	}
 }
 
@@ -150,6 +153,7 @@
 	defer s.mu.Unlock()
 	s.peersWithoutStore[peer] = update.GetStoreAway()
 	readsStore := update.GetReadsStore() && !update.GetStoreAway()
+	s.peerReaders[peer] = readsStore
 	if update.GetDirectoryDigest() == ownDigest || !readsStore || s.readsStore && !s.storeUnavailable {
 		delete(s.mismatchSince, peer)
 		return false
@@ -193,6 +197,13 @@
 	return len(s.withStore(voters)) < storeReaders && precedingCount(self, followers()) < maxSpareReaders
 }
 
+// isReader reports whether a peer said last that it reads the store and gets a response.
+func (s *directorySync) isReader(peer string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peerReaders[peer]
+}
+
 // withStore returns the peers that do not report the store as unavailable.
 func (s *directorySync) withStore(peers []string) []string {
 	s.mu.Lock()
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
+	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -38,7 +39,10 @@
 	workerLeaves func(w worker.Worker, request string)
 	admission    admission
 	guard        *promptGuard
-	draining     atomic.Bool
+	// revocation knows whether keys may be judged by the configuration in force.
+	revocation *revocation.Checker
+	versionLag *versionLag
+	draining   atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed atomic.Bool
@@ -67,7 +71,7 @@
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	table := g.fleet.config.table()
+	table := g.servingTable()
 	if table == nil || g.closed.Load() {
 		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the instance is starting or stopping")
 		return
@@ -87,9 +91,7 @@
 		g.refuseEarly(ctx, fasthttp.StatusNotFound, "no route for this host and path")
 		return
 	}
-	if !authenticate(table, route, request) {
-		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
-		g.refuseEarly(ctx, fasthttp.StatusUnauthorized, "the request has no valid key")
+	if !g.admitKey(ctx, table, route, request) {
 		return
 	}
 	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
@@ -127,7 +129,7 @@
 	g.metrics.countRefusal(strconv.Itoa(status))
 	g.log.Line(decision.Refused).Int(decision.FieldStatus, status).Str(decision.FieldReason, reason).Bytes(decision.FieldHost, ctx.Host()).
 		Bytes(decision.FieldPath, ctx.Path()).Uint64(decision.FieldConfig, g.configVersion()).Send()
-	if status == fasthttp.StatusServiceUnavailable {
+	if status == fasthttp.StatusServiceUnavailable && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
 		setRetryAfter(ctx, unavailableRetryAfter)
 	}
 	ctx.SetStatusCode(status)
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -20,6 +20,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
+	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -86,7 +87,9 @@
 	i.gateway = &gateway{
 		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
 		log: decisions, metrics: i.metrics, workerLeaves: i.workerLeaves, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
+		versionLag: &i.versionLag,
 	}
+	i.gateway.revocation = revocation.New(revocationConfig(s), now, i)
 	i.gateway.guard.reportPanic, i.orderWatch.reportPanic = i.gateway.reportPanic, i.gateway.reportPanic
 	return i, nil
 }
@@ -186,7 +189,7 @@
 		Handler: i.gateway.handle, Name: "bulrushwick", NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		DisableHeaderNamesNormalizing: true, ReadBufferSize: maxCallerHeaderBytes, MaxRequestBodySize: maxCallerBodyBytes,
 		IdleTimeout: callerReadTimeout, ReadTimeout: callerReadTimeout, DisablePreParseMultipartForm: true, StreamRequestBody: false,
-		ReduceMemoryUsage: true, CloseOnShutdown: true, Logger: i.log,
+		ReduceMemoryUsage: true, CloseOnShutdown: true, Logger: callerErrorLog{i.log}, SecureErrorLogMessage: true,
 	}
 	go func() {
 		failed <- i.callerServer.Serve(httpx.WatchIdleListener(l.callers, callerWriteTimeout, i.callerIdleTimeout))
@@ -216,7 +219,7 @@
 
 // readiness serves the load balancer's health check.
 func (i *Instance) readiness(w http.ResponseWriter, _ *http.Request) {
-	if i.gateway.draining.Load() || i.fleet.config.table() == nil {
+	if i.gateway.draining.Load() || i.gateway.servingTable() == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -298,6 +301,7 @@
 	defer store.close() // a panic starts housekeeping, and with it the reader, again
 	for {
 		store.refresh(ctx)
+		i.refreshConfirmation()
 		select {
 		case <-ctx.Done():
 			return
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -87,6 +87,7 @@
 // HandlePeerVersion implements cluster.Local. It fetches a configuration that is
 // newer than this instance's.
 func (i *Instance) HandlePeerVersion(peer string, version uint64) {
+	i.gateway.revocation.HearPeer(version)
 	if version <= i.gateway.configVersion() {
 		return
 	}
@@ -117,11 +118,16 @@
 // State implements cluster.Local. It returns the configuration if it is newer
 // than the peer's, and the directory if asked for.
 func (i *Instance) State(in *clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse {
+	// The age is read first: a version that is installed in between was not confirmed by it.
+	age, confirmed := i.gateway.revocation.Age()
 	own := i.gateway.configVersion()
 	response := &clusterpb.FetchStateResponse{ConfigVersion: own}
 	if own > in.GetConfigVersion() {
 		response.Config = i.fleet.config.compressedDocument()
 	}
+	if confirmed {
+		response.Confirmed, response.ConfirmedAgeNs = true, int64(age)
+	}
 	if in.GetDirectory() {
 		response.Workers, response.Versions = i.fleet.workers.entries(), i.fleet.versions.entries()
 	}
@@ -160,6 +166,10 @@
 	i.acceptConfig(document, source, 0)
 }
 
+// maxLoggedFindings bounds the findings of a configuration in a log line, in bytes;
+// bulrushctl check lists them all.
+const maxLoggedFindings = 4000
+
 // maxDocumentBytes bounds a configuration document: the store holds values of up to a
 // megabyte.
 const maxDocumentBytes = 16 << 20
@@ -180,8 +190,12 @@
 // silence is how long the source had not responded before.
 func (i *Instance) acceptConfig(document []byte, source string, silence time.Duration) {
 	config, err := i.ports.Codec.DecodeConfig(document)
+	if err == nil && len(config.Organisations) > 0 {
+		document, err = i.ports.Codec.ShareableConfig(document)
+	}
 	if err != nil {
-		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
+		text := err.Error()
+		i.log.Warn(decision.ConfigRejected, errors.New(text[:min(len(text), maxLoggedFindings)])).Str(decision.FieldSource, source).Send()
 		return
 	}
 	if !i.fleet.config.install(config, document) {
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -36,9 +36,19 @@
 	}, metricsReportInterval)
 	m := &metrics{scope: scope, reporter: reporter}
 	m.tagged("task", "request").Counter("panics").Inc(0) // exported from the start, so that an alarm sees the first one
+	for failed := range keyFailures {
+		m.unauthenticated(failed).Inc(0)
+	}
 	return m
 }
 
+// countKeyFailure counts a request whose key is not accepted.
+func (m *metrics) countKeyFailure(failed keyFailure) { m.unauthenticated(failed).Inc(1) }
+
+func (m *metrics) unauthenticated(failed keyFailure) tally.Counter {
+	return m.tagged("reason", string(failed)).Counter("unauthenticated")
+}
+
 func (m *metrics) handler() http.Handler { return m.reporter.HTTPHandler() }
 
 func (m *metrics) tagged(name, value string) tally.Scope {
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -114,6 +114,9 @@
 	// may see.
 	CopyHeader(to, from *fasthttp.ResponseHeader)
 	DecodeConfig(document []byte) (*routing.Config, error)
+	// ShareableConfig returns the configuration as this instance keeps it and sends it to
+	// peers: with digests in place of keys. DecodeConfig accepts both.
+	ShareableConfig(document []byte) ([]byte, error)
 	// ReadinessPath is the path of the load balancer's health check.
 	ReadinessPath() string
 }
@@ -153,6 +156,9 @@
 	// Config takes a configuration document as published. silence is the time
 	// since the store's previous response about what the operator publishes.
 	Config(document []byte, silence time.Duration)
+	// ConfigConfirmed reports that all configurations that were in the store some time ago
+	// have been passed to Config.
+	ConfigConfirmed(age time.Duration)
 	// Workers replaces all workers by a listing as of revision at.
 	Workers(entries []worker.Entry, at uint64)
 	WorkerPut(w worker.Worker, revision uint64)
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -52,6 +53,11 @@
 	RepeatRatio  float64           `json:"repeatRatio"`
 	RepeatSlack  float64           `json:"repeatSlack"`
 	RepeatWindow settings.Duration `json:"repeatWindow"`
+	// StrictRevoke has the instance refuse requests that need a key while it has not
+	// confirmed for RevokeAfter that its configuration is the newest. Otherwise it goes on
+	// with the last configuration.
+	StrictRevoke bool              `json:"strictRevoke"`
+	RevokeAfter  settings.Duration `json:"revokeAfter"`
 }
 
 // DefaultSettings returns the defaults. Settings without a default are empty.
@@ -65,6 +71,7 @@
 		RepeatRatio:      0.2,
 		RepeatSlack:      10,
 		RepeatWindow:     settings.Duration(10 * time.Second),
+		RevokeAfter:      settings.Duration(5 * time.Second),
 	}
 }
 
@@ -101,6 +108,7 @@
 	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
 		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
+		"revokeAfter": s.RevokeAfter,
 	} {
 		if value <= 0 {
 			find(field, "must be above zero")
@@ -139,6 +147,11 @@
 	}
 }
 
+// hasOtherSeeds reports whether the settings name another instance.
+func (s Settings) hasOtherSeeds() bool {
+	return slices.ContainsFunc(s.Seeds, func(seed string) bool { return seed != s.ControlAddress })
+}
+
 // maxSingleClusterDataCentres is the number of data centres up to which all
 // instances form one cluster. With more, each region has its own cluster, which
 // controls the region's workers, so that most cluster traffic stays within the
