--- a/cmd/bulrushctl/check_test.go
+++ b/cmd/bulrushctl/check_test.go
@@ -116,6 +116,27 @@
 	require.Contains(t, out, "pools.json:1:1: $: no manifest lists the digest ")
 }
 
+// TestCheckReadsAConfiguration guards against a run that lists only some findings of a
+// configuration of the platform, or that shows a key.
+func TestCheckReadsAConfiguration(t *testing.T) {
+	good := `{"version": 1, "future": {}, "routes": [{"name": "r", "routeType": "idempotent"}], "tenants": [{"name": "a", "apiKeys": ["sk-1"], "more": 1}]}`
+	bad := `{"routes": [{"name": "r", "routeType": "odd"}],
+ "tenants": [{"name": "a", "apiKeys": ["sk-1", "sk-1"], "ratePerS": "x"}, {"name": "a", "burst": -1}]}`
+	writeFiles(t, map[string]string{"good.json": good, "bad.json": bad})
+	out, code := runCheck(t, "good.json")
+	require.Empty(t, out)
+	require.Zero(t, code)
+	out, code = runCheck(t, "bad.json")
+	require.Equal(t, exitFailed, code)
+	require.Equal(t, strings.Split(`bad.json:1:1: version: is missing or 0
+bad.json:1:27: routes[0].routeType: "odd" is not a route type
+bad.json:2:48: tenants[0].apiKeys[1]: the key is given twice; it is also at tenants[0].apiKeys[0]
+bad.json:2:69: tenants[0].ratePerS: a JSON string does not fit float64
+bad.json:2:76: tenants[1].name: the name is given twice; it is also at tenants[0].name
+bad.json:2:89: tenants[1].burst: must not be negative
+`, "\n"), strings.Split(out, "\n"))
+}
+
 func TestCheckUsage(t *testing.T) {
 	writeFiles(t, files)
 	for _, args := range [][]string{{}, {"absent.json"}, {"--outptu", "json", "pools.json"}, {"--output", "xml", "pools.json"}} {
--- a/cmd/bulrushwick/direct.go
+++ b/cmd/bulrushwick/direct.go
@@ -58,7 +58,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryLimitMB) * memoryShare * megabyte))
 	decisions := decision.New(decision.DefaultConfig(), os.Stdout, s.Instance)
 	instance, err := direct.New(s, direct.Ports{
-		Codec: platform.Codec{}, Orderer: platform.NewWorkers(s.Instance), Directory: platform.NewStore(s.StoreAddress, s.ConfigApplyLimit.Std()),
+		Codec: platform.Codec{}, Orderer: platform.NewWorkers(s.Instance), Directory: platform.NewStore(s.StoreAddress, s.StoreReadLimit()),
 	}, decisions)
 	if err != nil {
 		return err
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -8,6 +8,9 @@
 	m := i.metrics
 	m.setGauge("config_version", float64(i.gateway.configVersion()))
 	m.setGauge("config_behind_seconds", i.versionLag.behind(at).Seconds())
+	if age, confirmed := i.gateway.revocation.Age(); confirmed {
+		m.setGauge("config_confirmed_age_seconds", age.Seconds())
+	}
 	m.setGauge("members", float64(i.instanceCount()))
 	m.setGauge("rights_held", float64(len(i.cluster.HeldRights())))
 	m.setGauge("requests_in_progress", float64(i.gateway.activeRequests.Load()))
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -147,6 +147,15 @@
 	}
 }
 
+// StoreReadLimit is the time within which a reader of the store must learn of a change, or
+// that there is none.
+func (s Settings) StoreReadLimit() time.Duration {
+	if s.StrictRevoke {
+		return min(s.ConfigApplyLimit.Std(), s.RevokeAfter.Std())
+	}
+	return s.ConfigApplyLimit.Std()
+}
+
 // hasOtherSeeds reports whether the settings name another instance.
 func (s Settings) hasOtherSeeds() bool {
 	return slices.ContainsFunc(s.Seeds, func(seed string) bool { return seed != s.ControlAddress })
