--- a/coord/routing/table_test.go
+++ b/coord/routing/table_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -45,3 +46,20 @@
 	require.True(t, g.Offer(&Config{Version: 9}))
 	require.EqualValues(t, 9, g.Version())
 }
+
+func BenchmarkAuthenticate(b *testing.B) {
+	config := &Config{}
+	for o := range 16 {
+		organisation := Organisation{Name: fmt.Sprint(o)}
+		for k := range 8 {
+			organisation.Keys = append(organisation.Keys, DigestKey(fmt.Sprintf("sk-%d-%d-0123456789abcdef0123456789", o, k)))
+		}
+		config.Organisations = append(config.Organisations, organisation)
+	}
+	table := NewTable(config)
+	for b.Loop() {
+		if table.Authenticate(DigestKey("sk-7-3-0123456789abcdef0123456789")) == nil {
+			b.Fatal("unknown")
+		}
+	}
+}
