--- /dev/null
+++ b/coord/quota/meter.go
@@ -0,0 +1,169 @@
+package quota
+
+import "time"
+
+// Ask asks a meter for tokens of one organisation.
+type Ask struct {
+	// Amount is what the sender can use, Least what its first waiting request needs.
+	// Less than Least is not granted.
+	Amount, Least int64
+	// Returned are tokens of this meter that were not used.
+	Returned int64
+}
+
+// Grant is a meter's response to an Ask.
+type Grant struct {
+	Granted int64
+	// Wait is the time until the rest of Amount, or Least if nothing was granted, is
+	// there.
+	Wait time.Duration
+}
+
+// Meter holds the token buckets of a right. Its holder must use a new one for each
+// tenure. It is not safe for concurrent use.
+type Meter struct {
+	config Config
+	// filledFrom is the time at which every bucket was empty.
+	filledFrom time.Duration
+	buckets    map[string]*bucket
+}
+
+// NewMeter returns a meter whose buckets were empty at filledFrom. No meter may have
+// granted tokens under the same right after that time.
+func NewMeter(config Config, filledFrom time.Duration) *Meter {
+	return &Meter{config: config, filledFrom: filledFrom, buckets: make(map[string]*bucket)}
+}
+
+// Take handles an ask. limit is the organisation's limit in force.
+func (m *Meter) Take(now time.Duration, organisation string, limit Limit, ask Ask) Grant {
+	b := m.buckets[organisation]
+	if b == nil {
+		b = &bucket{limit: limit, at: m.filledFrom, returnsAt: m.filledFrom}
+		m.buckets[organisation] = b
+	}
+	b.advance(m.config, now, limit)
+	b.giveBack(m.config, ask.Returned)
+	return b.take(m.config, now, ask)
+}
+
+// Level returns the tokens in an organisation's bucket as of the last ask, and false if
+// there was none.
+func (m *Meter) Level(organisation string) (float64, bool) {
+	b := m.buckets[organisation]
+	if b == nil {
+		return 0, false
+	}
+	return b.level, true
+}
+
+// bucket is the token bucket of one organisation.
+type bucket struct {
+	limit Limit
+	level float64
+	at    time.Duration
+	// returns is how many tokens may be given back now.
+	returns   float64
+	returnsAt time.Duration
+	// refusedShare is the moving average of the share of requests that were refused,
+	// and largest the largest one that was refused lately.
+	refusedShare float64
+	largest      int64
+	largestAt    time.Duration
+}
+
+// advance refills the bucket at the former limit until now, and then applies limit.
+func (b *bucket) advance(c Config, now time.Duration, limit Limit) {
+	if now > b.at {
+		b.level = min(c.capacity(b.limit), b.level+c.rate(b.limit)*(now-b.at).Seconds())
+		b.at = now
+	}
+	b.limit = limit
+	b.level = min(b.level, c.capacity(limit))
+	most := c.spare(limit) * returnShare / float64(c.Meters)
+	if now > b.returnsAt {
+		b.returns = min(most, b.returns+most*(now-b.returnsAt).Seconds()/(c.Window+c.Lifetime()).Seconds())
+		b.returnsAt = now
+	}
+	b.returns = min(b.returns, most)
+}
+
+// giveBack adds tokens that were not used. The amount is limited, whatever the age of
+// the grant: an ask may arrive long after it was sent, and a bucket that has refilled
+// in the meantime would otherwise grant the tokens a second time.
+func (b *bucket) giveBack(c Config, returned int64) {
+	accepted := min(float64(max(returned, 0)), b.returns, c.capacity(b.limit)-b.level)
+	b.returns -= accepted
+	b.level += accepted
+}
+
+// Constants of the floor of a bucket in overload.
+const (
+	// refusedShareWeight is the weight of one request in the average.
+	refusedShareWeight = 1.0 / 32
+	// overloadFrom and overloadFull are the shares of refused requests at which the
+	// floor begins to rise and is complete. Below its limit an organisation has fewer
+	// than 1 in 100 requests refused.
+	overloadFrom, overloadFull = 0.1, 0.3
+	// largestTTL is how long a refused request counts as the largest.
+	largestTTL = 4 * time.Second
+)
+
+// floor returns the level below which requests of any size are refused. In overload it
+// is the size of the largest refused request: otherwise small requests, which arrive
+// before the bucket has enough for a large one, would take everything.
+func (b *bucket) floor(c Config, now time.Duration) float64 {
+	if now-b.largestAt > largestTTL {
+		return 0
+	}
+	share := min(max((b.refusedShare-overloadFrom)/(overloadFull-overloadFrom), 0), 1)
+	return share * min(float64(b.largest), largestPart*c.capacity(b.limit))
+}
+
+// take grants Least if the level allows it, and the rest of Amount from what is then
+// above the floor.
+func (b *bucket) take(c Config, now time.Duration, ask Ask) Grant {
+	amount, least := max(ask.Amount, ask.Least, 0), max(ask.Least, 0)
+	if amount == 0 {
+		return Grant{}
+	}
+	floor := b.floor(c, now)
+	required := max(float64(least), floor)
+	if least > 0 {
+		b.recordRequest(now, least, b.level < required)
+	}
+	if b.level < required {
+		return Grant{Wait: b.timeFor(c, required)}
+	}
+	extra := int64(max(b.level-float64(least)-floor, 0))
+	granted := least + min(amount-least, extra)
+	b.level -= float64(granted)
+	if granted == amount {
+		return Grant{Granted: granted}
+	}
+	return Grant{Granted: granted, Wait: b.timeFor(c, float64(amount-granted)+floor)}
+}
+
+// recordRequest counts a request for the floor.
+func (b *bucket) recordRequest(now time.Duration, least int64, refused bool) {
+	sample := 0.0
+	if refused {
+		sample = 1
+		if least >= b.largest || now-b.largestAt > largestTTL {
+			b.largest, b.largestAt = least, now
+		}
+	}
+	b.refusedShare += (sample - b.refusedShare) * refusedShareWeight
+}
+
+// maxWait bounds Grant.Wait.
+const maxWait = time.Minute
+
+// timeFor returns the time until the bucket holds an amount.
+func (b *bucket) timeFor(c Config, amount float64) time.Duration {
+	rate := c.rate(b.limit)
+	if rate <= 0 || amount > c.capacity(b.limit) {
+		return maxWait
+	}
+	seconds := max(amount-b.level, 0) / rate
+	return min(time.Duration(seconds*float64(time.Second)), maxWait)
+}
--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -330,6 +330,19 @@
 	return addresses
 }
 
+// MembersIn lists the addresses of the known instances of a region that have not left.
+func (c *Cluster) MembersIn(region string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var addresses []string
+	for _, m := range c.machine.Members() {
+		if m.Region == region && !m.Left {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses
+}
+
 // Leave releases all rights and announces the departure in a last heartbeat to
 // each peer that has none in progress. It doesn't wait for these calls, which end
 // with ctx at the latest.
--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -32,6 +32,9 @@
 	StoreLost        Event = "store_lost"
 	StoreReturned    Event = "store_returned"
 	ReportFailed     Event = "report_failed"
+	QuotaUsed        Event = "quota_used"
+	QuotaMeter       Event = "quota_meter"
+	QuotaCallFailed  Event = "quota_call_failed"
 	ConnectionFailed Event = "connection_failed"
 	Panicked         Event = "panicked"
 	LinesDropped     Event = "lines_dropped"
@@ -49,7 +52,7 @@
 	{name: AttemptFailed, text: "an attempt got no usable response", fields: []Field{FieldRequest, FieldWorker, FieldParts, FieldSent, FieldNotRun, FieldCause, FieldStatus, FieldHoldOffMS, FieldError, FieldCanceled, FieldResuming, FieldLastEvent, FieldHolder, FieldCall, FieldTookMS}},
 	{name: Repeated, text: "a request is retried after a worker's error", fields: []Field{FieldRequest, FieldWorker, FieldStatus}},
 	{name: Resumed, text: "a stream is resumed at another worker", fields: []Field{FieldRequest, FieldWorker, FieldLastEvent}},
-	{name: Refused, text: "the instance itself gave the final response", fields: []Field{FieldRequest, FieldRoute, FieldService, FieldStatus, FieldReason, FieldMayHaveRun, FieldSends, FieldWorker, FieldRetryAfterMS, FieldTookMS, FieldConfig, FieldHost, FieldPath}},
+	{name: Refused, text: "the instance itself gave the final response", fields: []Field{FieldRequest, FieldRoute, FieldService, FieldStatus, FieldReason, FieldMayHaveRun, FieldSends, FieldWorker, FieldRetryAfterMS, FieldTookMS, FieldConfig, FieldHost, FieldPath, FieldOrganisation}},
 	{name: Ended, text: "a request is finished", fields: []Field{FieldRequest, FieldRoute, FieldOutcome, FieldStatus, FieldWorker, FieldSends, FieldFirstByteMS, FieldPauseMS, FieldLoadingMS, FieldPromptTokens, FieldTookMS}},
 	{name: OrderSent, text: "a control command to a worker was due", fields: []Field{FieldWorker, FieldUnload, FieldModel, FieldAdapter, FieldFence, FieldHeld, FieldResult, FieldTookMS, FieldError}},
 	{name: RightAcquired, text: "this instance acquired the right to control a part of the workers", fields: []Field{FieldRight, FieldFence, FieldClearInMS}},
@@ -66,6 +69,9 @@
 	{name: StoreLost, text: "the metadata store is unavailable", fields: []Field{FieldError}},
 	{name: StoreReturned, text: "the metadata store is available again", fields: []Field{}},
 	{name: ReportFailed, text: "a worker's report could not be read", fields: []Field{FieldWorker, FieldError}},
+	{name: QuotaUsed, text: "what an organisation's requests used of its quota here since the process started", fields: []Field{FieldOrganisation, FieldQuotaHeld, FieldQuotaAsked, FieldQuotaGranted, FieldQuotaSpent, FieldQuotaReserve, FieldQuotaReturned, FieldQuotaReturnedLate, FieldQuotaRefused, FieldQuotaUnreachable, FieldQuotaCalls, FieldQuotaFailures}},
+	{name: QuotaMeter, text: "the level of an organisation's bucket at a meter that this instance runs", fields: []Field{FieldRight, FieldOrganisation, FieldQuotaLevel}},
+	{name: QuotaCallFailed, text: "a meter could not be asked for quota", fields: []Field{FieldOrganisation, FieldError}},
 	{name: ConnectionFailed, text: "a connection failed, or carried no valid HTTP", fields: []Field{FieldError}},
 	{name: Panicked, text: "a request or a background task hit a programming error; the rest goes on", fields: []Field{FieldTask, FieldStack, FieldError}},
 	{name: LinesDropped, text: "lines were dropped; limited_EVENT counts those over an event's rate limit", fields: []Field{FieldReplaced}},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -168,6 +168,7 @@
 		status = fasthttp.StatusBadGateway
 	}
 	if status == fasthttp.StatusServiceUnavailable {
+		c.quota.Return(c.spending) // the request has not run
 		setRetryAfter(ctx, max(f.retryAfter, minRetryAfter))
 	}
 	ctx.SetStatusCode(status)
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -10,6 +10,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 )
 
 // call is the state of one caller's request while it is served. It must be used
@@ -59,6 +60,8 @@
 	workerID   string
 	target     worker.Worker
 	finished   bool
+	// spending is what the request has taken of its organisation's quota.
+	spending quota.Spending
 }
 
 // abort ends a request whose state may be inconsistent: the connection to its worker
@@ -77,10 +80,7 @@
 const deadlineMargin = 20 * time.Millisecond
 
 func (g *gateway) newCall(ctx *fasthttp.RequestCtx, table *routing.Table, route *routing.Route, request *Request, arrived time.Duration) *call {
-	limit := route.Timeout
-	if request.Wait > 0 && (limit <= 0 || request.Wait < limit) {
-		limit = request.Wait
-	}
+	limit := waitLimit(route, request)
 	c := &call{
 		gateway: g, request: request, route: route, configVersion: table.Config.Version, arrivedAt: arrived,
 		deadline: arrived + limit - deadlineMargin, attemptsByWorker: make(map[string]int), skippedWorkers: make(map[string]bool),
@@ -99,6 +99,14 @@
 	return c
 }
 
+// waitLimit returns how long after its arrival a request may take.
+func waitLimit(route *routing.Route, request *Request) time.Duration {
+	if request.Wait > 0 && (route.Timeout <= 0 || request.Wait < route.Timeout) {
+		return request.Wait
+	}
+	return route.Timeout
+}
+
 // rank returns the rank of the request; 0 is the most urgent.
 func (c *call) rank() int { return c.route.EffectiveRank(c.request.Organisation) }
 
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
@@ -38,7 +39,9 @@
 	workerLeaves func(w worker.Worker, request string)
 	admission    admission
 	guard        *promptGuard
-	draining     atomic.Bool
+	// quota is nil if quotas are not enforced.
+	quota    *quota.Client
+	draining atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed atomic.Bool
@@ -96,7 +99,12 @@
 		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
 		return
 	}
+	spending, admitted := g.takeQuota(ctx, route, request)
+	if !admitted {
+		return
+	}
 	c = g.newCall(ctx, table, route, request, arrived)
+	c.spending = spending
 	g.serve(ctx, c)
 }
 
@@ -227,9 +235,9 @@
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
-			claimed, quarantined := c.claim(target)
-			if claimed || quarantined != nil {
-				return target, quarantined
+			claimed, refused := c.claim(target)
+			if claimed || refused != nil {
+				return target, refused
 			}
 			reason = "the chosen worker leaves or asked for a pause"
 		}
@@ -246,11 +254,15 @@
 }
 
 // claim reports whether the request may be sent to a worker that has its adapter. What
-// is known of the worker and of the prompt may have changed during the load.
+// is known of the worker and of the prompt may have changed during the load, and the quota
+// that was taken may have expired.
 func (c *call) claim(target worker.Worker) (bool, *failure) {
 	if quarantined := c.checkQuarantine(); quarantined != nil {
 		return false, quarantined
 	}
+	if refused := c.renewQuota(); refused != nil {
+		return false, refused
+	}
 	return c.fleet.claim(now(), target), nil
 }
 
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
@@ -34,15 +35,17 @@
 // Instance is one process that dispatches requests directly to workers. Its
 // methods are safe for concurrent use, but Run must be called once only.
 type Instance struct {
-	settings     Settings
-	ports        Ports
-	log          *decision.Log
-	metrics      *metrics
-	fleet        *fleet
-	cluster      *cluster.Cluster
-	orderWatch   *orderWatch
-	orders       *orderDispatcher
-	gateway      *gateway
+	settings   Settings
+	ports      Ports
+	log        *decision.Log
+	metrics    *metrics
+	fleet      *fleet
+	cluster    *cluster.Cluster
+	orderWatch *orderWatch
+	orders     *orderDispatcher
+	gateway    *gateway
+	// quotaServer runs quota meters; nil if quotas are not enforced.
+	quotaServer  *quota.Server
 	callerServer *fasthttp.Server
 	// cancelCalls ends every call in progress.
 	cancelCalls context.CancelCauseFunc
@@ -72,7 +75,7 @@
 		leaseConfig, heartbeatConfig = quorum.RegionConfig(turnGap), cluster.RegionConfig()
 	}
 	i.orderWatch = newOrderWatch(i.fleet, ports.Orderer, s.controlledDataCentres())
-	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
+	machine := quorum.NewMachine(now(), self, s.Seeds, append(rightsOf(s.controlledDataCentres()), s.quotaRights()...), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
 	c, err := cluster.New(heartbeatConfig, machine, now, i)
 	if err != nil {
 		return nil, err
@@ -87,6 +90,7 @@
 		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
 		log: decisions, metrics: i.metrics, workerLeaves: i.workerLeaves, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
 	}
+	i.startQuota()
 	i.gateway.guard.reportPanic, i.orderWatch.reportPanic = i.gateway.reportPanic, i.gateway.reportPanic
 	return i, nil
 }
@@ -315,6 +319,7 @@
 		if at-summaryAt >= logSummaryInterval {
 			summaryAt = at
 			i.gateway.pool.CloseExpired(time.Now())
+			i.logQuota()
 			i.log.Summarize()
 		}
 	}
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -1,13 +1,16 @@
 package direct
 
 import (
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
 
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
 
@@ -52,6 +55,12 @@
 	RepeatRatio  float64           `json:"repeatRatio"`
 	RepeatSlack  float64           `json:"repeatSlack"`
 	RepeatWindow settings.Duration `json:"repeatWindow"`
+	// QuotaWindow is the period of the bound on what an organisation uses of its quota;
+	// 0 if quotas are not enforced. In each window at most the quota times 1 plus
+	// QuotaOverage, plus QuotaSlack, may be used.
+	QuotaWindow  settings.Duration `json:"quotaWindow"`
+	QuotaOverage float64           `json:"quotaOverage"`
+	QuotaSlack   float64           `json:"quotaSlack"`
 }
 
 // DefaultSettings returns the defaults. Settings without a default are empty.
@@ -65,6 +74,7 @@
 		RepeatRatio:      0.2,
 		RepeatSlack:      10,
 		RepeatWindow:     settings.Duration(10 * time.Second),
+		QuotaOverage:     0.25,
 	}
 }
 
@@ -115,6 +125,22 @@
 	if s.RepeatRatio < 0 || s.RepeatSlack < 0 {
 		find("repeatRatio", "and repeatSlack must not be negative")
 	}
+	s.checkQuota(find)
+}
+
+func (s Settings) checkQuota(find func(path, format string, args ...any)) {
+	if s.QuotaWindow < 0 {
+		find("quotaWindow", "must not be negative")
+	}
+	if s.QuotaOverage <= 0 && s.QuotaWindow > 0 {
+		find("quotaOverage", "must be above zero: it bounds the age of grants")
+	}
+	if s.QuotaSlack < 0 {
+		find("quotaSlack", "must not be negative")
+	}
+	if _, found := s.DataCentres[quota.ReservedDataCentre]; found && s.QuotaWindow > 0 {
+		find("dataCentres", "%q is reserved if quotas are enforced", quota.ReservedDataCentre)
+	}
 }
 
 func (s Settings) checkAddresses(find func(path, format string, args ...any)) {
@@ -155,15 +181,15 @@
 }
 
 // clusterCount returns the number of clusters over all data centres.
-func (s Settings) clusterCount() int {
+func (s Settings) clusterCount() int { return len(s.clusterRegions()) }
+
+// clusterRegions returns the region of each cluster, sorted: only the instance's own if
+// there is a single cluster.
+func (s Settings) clusterRegions() []string {
 	if !s.isRegional() {
-		return 1
-	}
-	regions := make(map[string]bool)
-	for _, region := range s.DataCentres {
-		regions[region] = true
+		return []string{s.Region}
 	}
-	return len(regions)
+	return slices.Compact(slices.Sorted(maps.Values(s.DataCentres)))
 }
 
 // weakCPUShare is the CPUShare below which an instance is a voter, and so holds
--- /dev/null
+++ b/entry/quota/config.go
@@ -0,0 +1,81 @@
+// Package quota enforces the quotas of organisations at an instance. A Client takes
+// tokens from the meters of all clusters before requests spend them, a Server runs the
+// meters whose right this instance holds. coord/quota decides; this package sends the
+// calls.
+package quota
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/quota"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+)
+
+// MetersPerCluster is the number of meters in each cluster. With two of them an
+// organisation keeps half of its region's share while a right passes on.
+const MetersPerCluster = 2
+
+// Rights returns the names of the rights to run the meters of a cluster.
+func Rights() []string {
+	rights := make([]string, MetersPerCluster)
+	for i := range rights {
+		rights[i] = rightPrefix + strconv.Itoa(i)
+	}
+	return rights
+}
+
+// rightPrefix begins the names of the rights.
+const rightPrefix = ReservedDataCentre + "/"
+
+// ReservedDataCentre is the name that no data centre may have, because the rights over
+// its workers would have the names of those of the meters.
+const ReservedDataCentre = "quota"
+
+// Config is what a Client or Server needs to know of its deployment.
+type Config struct {
+	// Bound is the bound on the spending of each organisation.
+	Bound quota.Config
+	// Address is the address of this instance in calls to others.
+	Address string
+	// Region is the region of this instance, Regions those of all clusters. With a
+	// single cluster, Regions holds Region only.
+	Region  string
+	Regions []string
+	// TurnGap is the least time between the last use of a right by one holder and the
+	// first by the next.
+	TurnGap time.Duration
+	// Now is the clock. It must count the time during which the host is suspended, since
+	// grants must expire in it.
+	Now func() time.Duration
+}
+
+// Peers finds and calls other instances.
+type Peers interface {
+	// Held returns the fencing token of a right of this cluster, and whether this
+	// instance may act under it now.
+	Held(right string) (uint64, bool)
+	// Holder returns the address of the holder of a right of this cluster, or "".
+	Holder(right string) string
+	// MembersIn lists the addresses of the known instances of a region that have not
+	// left.
+	MembersIn(region string) []string
+	TakeQuota(ctx context.Context, address string, r *clusterpb.TakeQuotaRequest) (*clusterpb.TakeQuotaResponse, error)
+}
+
+// Timeouts of a call to a meter: about thirty round trips within a region, and four
+// between regions. A later response would carry tokens whose life has begun to pass,
+// while the caller waits.
+const (
+	ownRegionTimeout   = 60 * time.Millisecond
+	otherRegionTimeout = 150 * time.Millisecond
+	// failurePause is how long a meter is not asked after it could not be reached: its
+	// right passes on within seconds, and each attempt may cost a request a timeout.
+	failurePause = 500 * time.Millisecond
+	// minEmptyPause is the least time for which a meter that had too little is not
+	// asked again.
+	minEmptyPause = 5 * time.Millisecond
+	// maxTakeWait bounds how long a request waits for its tokens.
+	maxTakeWait = 300 * time.Millisecond
+)
--- /dev/null
+++ b/entry/quota/server.go
@@ -0,0 +1,120 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/quota"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+)
+
+// Limits returns the limit of an organisation in the configuration in force, and false
+// if there is no such organisation or it has no limit.
+type Limits func(organisation string) (quota.Limit, bool)
+
+// Server runs the meters whose right this instance holds. It is safe for concurrent
+// use.
+type Server struct {
+	config  Config
+	peers   Peers
+	limits  Limits
+	version func() uint64
+
+	mu      sync.Mutex
+	tenures map[string]*tenure
+}
+
+// tenure is the meter of a right while this instance holds the right.
+type tenure struct {
+	fence uint64
+	meter *quota.Meter
+	// usedAt is when the meter was last known to run.
+	usedAt time.Duration
+}
+
+// NewServer returns a server. limits and version describe the configuration in force.
+func NewServer(config Config, peers Peers, limits Limits, version func() uint64) *Server {
+	return &Server{config: config, peers: peers, limits: limits, version: version, tenures: make(map[string]*tenure)}
+}
+
+// Refresh starts the meters whose right this instance has acquired, so that they fill
+// before they are asked.
+func (s *Server) Refresh() {
+	for _, right := range Rights() {
+		now := s.config.Now()
+		if fence, held := s.peers.Held(right); held {
+			s.mu.Lock()
+			s.meter(now, right, fence)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// meter returns the meter of a right that is held at now. s.mu must be held.
+func (s *Server) meter(now time.Duration, right string, fence uint64) *quota.Meter {
+	t := s.tenures[right]
+	if t == nil || t.fence != fence {
+		// Nobody has granted tokens under the right for the turn gap, except this
+		// instance in an earlier tenure.
+		filledFrom := now - s.config.TurnGap
+		if t != nil {
+			filledFrom = max(filledFrom, t.usedAt)
+		}
+		t = &tenure{fence: fence, meter: quota.NewMeter(s.config.Bound, filledFrom)}
+		s.tenures[right] = t
+	}
+	t.usedAt = now
+	return t.meter
+}
+
+// Take serves an ask of this instance or another. The time is read before the right is
+// checked: if the process is suspended in between, the grants count as made before.
+func (s *Server) Take(in *clusterpb.TakeQuotaRequest) *clusterpb.TakeQuotaResponse {
+	now := s.config.Now()
+	fence, held := s.peers.Held(in.GetMeter())
+	if !held {
+		return &clusterpb.TakeQuotaResponse{NotHeld: true, Holder: s.peers.Holder(in.GetMeter())}
+	}
+	response := &clusterpb.TakeQuotaResponse{ConfigVersion: s.version()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	meter := s.meter(now, in.GetMeter(), fence)
+	for _, ask := range in.GetAsks() {
+		grant := &clusterpb.QuotaGrant{Organisation: ask.GetOrganisation()}
+		if limit, known := s.limits(ask.GetOrganisation()); known {
+			g := meter.Take(now, ask.GetOrganisation(), limit, quota.Ask{
+				Amount: boundedAmount(ask.GetAmount()), Least: boundedAmount(ask.GetLeast()), Returned: boundedAmount(ask.GetReturned()),
+			})
+			grant.Granted, grant.WaitNs = uint64(g.Granted), int64(g.Wait)
+		} else {
+			grant.Unknown = true
+		}
+		response.Grants = append(response.Grants, grant)
+	}
+	return response
+}
+
+// maxAmount bounds the amounts in messages, so that sums of them don't overflow.
+const maxAmount = 1 << 40
+
+func boundedAmount(amount uint64) int64 { return int64(min(amount, maxAmount)) }
+
+// Levels calls f with the level of each bucket of the meters that run here.
+func (s *Server) Levels(organisations []string, f func(right, organisation string, level float64)) {
+	for _, right := range Rights() {
+		if _, held := s.peers.Held(right); !held {
+			continue
+		}
+		s.mu.Lock()
+		t := s.tenures[right]
+		for _, organisation := range organisations {
+			if t == nil {
+				break
+			}
+			if level, found := t.meter.Level(organisation); found {
+				f(right, organisation, level)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
