Quotas: accounts decide in coord/quota, and fewer, larger buckets for low limits

A limit now uses one meter per region if its buckets would hold less than two requests of 8,000 tokens, meters of equal distance are asked in turn, and half of the spare of the bound is capacity.

--- a/coord/quota/config.go
+++ b/coord/quota/config.go
@@ -8,16 +8,16 @@
 //
 // The bound holds in any window of Config.Window, whatever is lost, delayed or
 // partitioned: tokens spent are at most (rate x window + burst) x (1 + overage) + slack.
-// The excess over rate x window + burst is divided as follows; a half is
+// What this allows beyond rate x window + burst is divided as follows. A half of it is
 // (rate x window + burst) x overage / 2 + slack / 2.
 //
-//   - Half is capacity of the buckets, on top of the burst.
+//   - One half is capacity of the buckets, on top of the burst.
 //   - rate x Lifetime covers the age of grants: tokens spent in a window were granted
 //     within the window or the lifetime of a grant before it. The lifetime is
 //     overage x window / 2, so this is the part of the other half that grows with rate.
-//   - What remains is spare: half of it covers the reserves, a quarter the tokens that
-//     meters take back late, and a quarter the time between the spending of tokens
-//     and the start of the request at its worker.
+//   - What remains is spare: half of it is capacity of the buckets as well, an eighth
+//     covers the reserves, an eighth the tokens that meters take back late, and a quarter
+//     the time between the spending of tokens and the start of the request at its worker.
 package quota
 
 import "time"
@@ -26,6 +26,9 @@
 type Limit struct {
 	// Rate is in tokens per second, Burst in tokens.
 	Rate, Burst float64
+	// Largest is the size that most of the organisation's requests don't exceed, in
+	// tokens, above zero.
+	Largest float64
 }
 
 // Config is the bound on all limits, and the number of meters that share a limit. All
@@ -36,8 +39,9 @@
 	// Overage is the fraction and Slack the number of tokens by which a window's
 	// spending may exceed the limit.
 	Overage, Slack float64
-	// Meters is the number of meters.
-	Meters int
+	// Clusters is the number of clusters, and MetersPerCluster the number of meters in
+	// each of them.
+	Clusters, MetersPerCluster int
 }
 
 // Bound returns the most tokens that may be spent in any window.
@@ -51,26 +55,56 @@
 	return time.Duration(c.Overage * float64(c.Window) / 2)
 }
 
-// capacity returns the capacity of the bucket of one meter.
-func (c Config) capacity(l Limit) float64 {
-	return (l.Burst + (c.quota(l)*c.Overage+c.Slack)/2) / float64(c.Meters)
-}
+// excess returns what the bound allows beyond a limit within a window.
+func (c Config) excess(l Limit) float64 { return c.quota(l)*c.Overage + c.Slack }
 
-// rate returns the refill rate of the bucket of one meter.
-func (c Config) rate(l Limit) float64 { return l.Rate / float64(c.Meters) }
-
-// spare returns what the capacity of the buckets and the age of grants leave of the
-// excess that the bound allows.
+// spare returns what a half of the excess and the age of grants leave of it.
 func (c Config) spare(l Limit) float64 { return (l.Burst*c.Overage + c.Slack) / 2 }
 
-// Parts of the spare for the reserves of all instances and the late returns to all
-// meters. Both are buckets that refill once per window, and so give at most twice their
-// capacity within a window.
+// Parts of the spare. The reserves of all instances and the late returns to all meters
+// are buckets that refill once per window, and so give at most twice their capacity
+// within a window.
 const (
-	reserveShare = 0.25
-	returnShare  = 0.125
+	capacityShare = 0.5
+	reserveShare  = 1.0 / 16
+	returnShare   = 1.0 / 16
 )
 
+// capacity returns the capacity of the buckets of all meters.
+func (c Config) capacity(l Limit) float64 {
+	return l.Burst + c.excess(l)/2 + c.spare(l)*capacityShare
+}
+
+// MetersUsed returns how many meters of each cluster share a limit. The buckets of more
+// meters would be too small for the largest requests of an organisation with a low limit.
+func (c Config) MetersUsed(l Limit) int {
+	perMeter := c.capacity(l) / float64(c.Clusters)
+	return min(max(int(perMeter/(l.Largest*requestsPerBucket)), 1), c.MetersPerCluster)
+}
+
+// requestsPerBucket is the least number of the largest requests that a bucket holds, if
+// the limit is shared by more than one meter of a cluster.
+const requestsPerBucket = 2
+
+// Share is the part of a limit that one meter has.
+type Share struct {
+	// Rate is in tokens per second; Capacity is that of the bucket, and Returns that of
+	// the bucket for late returns.
+	Rate, Capacity, Returns float64
+}
+
+// ShareOf returns the share of a meter. choice is its position among the meters of its
+// cluster in an order that is the same on all instances; only the first MetersUsed of
+// them have a share.
+func (c Config) ShareOf(l Limit, choice int) Share {
+	used := c.MetersUsed(l)
+	if choice < 0 || choice >= used {
+		return Share{}
+	}
+	meters := float64(used * c.Clusters)
+	return Share{Rate: l.Rate / meters, Capacity: c.capacity(l) / meters, Returns: c.spare(l) * returnShare / meters}
+}
+
 // largestPart is the largest fraction of a bucket's capacity that is asked for a single
 // request. More would often be there only after a long pause.
 const largestPart = 0.75
@@ -79,10 +113,10 @@
 // within the capacity of its bucket, or else an equal part, to be gathered from several.
 // It returns 0 if the meters can't hold as much.
 func (c Config) Part(l Limit, missing int64) int64 {
-	capacity := c.capacity(l)
-	for meters := 1; meters <= c.Meters; meters++ {
-		part := (missing + int64(meters) - 1) / int64(meters)
-		if float64(part) <= largestPart*capacity || meters == c.Meters && float64(part) <= capacity {
+	capacity, meters := c.ShareOf(l, 0).Capacity, c.MetersUsed(l)*c.Clusters
+	for parts := 1; parts <= meters; parts++ {
+		part := (missing + int64(parts) - 1) / int64(parts)
+		if float64(part) <= largestPart*capacity || parts == meters && float64(part) <= capacity {
 			return part
 		}
 	}
--- a/coord/quota/meter.go
+++ b/coord/quota/meter.go
@@ -34,16 +34,16 @@
 	return &Meter{config: config, filledFrom: filledFrom, buckets: make(map[string]*bucket)}
 }
 
-// Take handles an ask. limit is the organisation's limit in force.
-func (m *Meter) Take(now time.Duration, organisation string, limit Limit, ask Ask) Grant {
+// Take handles an ask. share is the meter's part of the organisation's limit in force.
+func (m *Meter) Take(now time.Duration, organisation string, share Share, ask Ask) Grant {
 	b := m.buckets[organisation]
 	if b == nil {
-		b = &bucket{limit: limit, at: m.filledFrom, returnsAt: m.filledFrom}
+		b = &bucket{share: share, at: m.filledFrom, returnsAt: m.filledFrom}
 		m.buckets[organisation] = b
 	}
-	b.advance(m.config, now, limit)
-	b.giveBack(m.config, ask.Returned)
-	return b.take(m.config, now, ask)
+	b.advance(now, share, m.config.Window+m.config.Lifetime())
+	b.giveBack(ask.Returned)
+	return b.take(now, ask)
 }
 
 // Level returns the tokens in an organisation's bucket as of the last ask, and false if
@@ -58,7 +58,7 @@
 
 // bucket is the token bucket of one organisation.
 type bucket struct {
-	limit Limit
+	share Share
 	level float64
 	at    time.Duration
 	// returns is how many tokens may be given back now.
@@ -71,27 +71,27 @@
 	largestAt    time.Duration
 }
 
-// advance refills the bucket at the former limit until now, and then applies limit.
-func (b *bucket) advance(c Config, now time.Duration, limit Limit) {
+// advance refills the bucket by the former share until now, and then applies share.
+// returnPeriod is the time in which the bucket for returns refills.
+func (b *bucket) advance(now time.Duration, share Share, returnPeriod time.Duration) {
 	if now > b.at {
-		b.level = min(c.capacity(b.limit), b.level+c.rate(b.limit)*(now-b.at).Seconds())
+		b.level = min(b.share.Capacity, b.level+b.share.Rate*(now-b.at).Seconds())
 		b.at = now
 	}
-	b.limit = limit
-	b.level = min(b.level, c.capacity(limit))
-	most := c.spare(limit) * returnShare / float64(c.Meters)
 	if now > b.returnsAt {
-		b.returns = min(most, b.returns+most*(now-b.returnsAt).Seconds()/(c.Window+c.Lifetime()).Seconds())
+		b.returns += b.share.Returns * (now - b.returnsAt).Seconds() / returnPeriod.Seconds()
 		b.returnsAt = now
 	}
-	b.returns = min(b.returns, most)
+	b.share = share
+	b.level = min(b.level, share.Capacity)
+	b.returns = min(b.returns, share.Returns)
 }
 
 // giveBack adds tokens that were not used. The amount is limited, whatever the age of
 // the grant: an ask may arrive long after it was sent, and a bucket that has refilled
 // in the meantime would otherwise grant the tokens a second time.
-func (b *bucket) giveBack(c Config, returned int64) {
-	accepted := min(float64(max(returned, 0)), b.returns, c.capacity(b.limit)-b.level)
+func (b *bucket) giveBack(returned int64) {
+	accepted := min(float64(max(returned, 0)), b.returns, b.share.Capacity-b.level)
 	b.returns -= accepted
 	b.level += accepted
 }
@@ -103,7 +103,7 @@
 	// overloadFrom and overloadFull are the shares of refused requests at which the
 	// floor begins to rise and is complete. Below its limit an organisation has fewer
 	// than 1 in 100 requests refused.
-	overloadFrom, overloadFull = 0.1, 0.3
+	overloadFrom, overloadFull = 0.3, 0.5
 	// largestTTL is how long a refused request counts as the largest.
 	largestTTL = 4 * time.Second
 )
@@ -111,28 +111,28 @@
 // floor returns the level below which requests of any size are refused. In overload it
 // is the size of the largest refused request: otherwise small requests, which arrive
 // before the bucket has enough for a large one, would take everything.
-func (b *bucket) floor(c Config, now time.Duration) float64 {
+func (b *bucket) floor(now time.Duration) float64 {
 	if now-b.largestAt > largestTTL {
 		return 0
 	}
 	share := min(max((b.refusedShare-overloadFrom)/(overloadFull-overloadFrom), 0), 1)
-	return share * min(float64(b.largest), largestPart*c.capacity(b.limit))
+	return share * min(float64(b.largest), largestPart*b.share.Capacity)
 }
 
 // take grants Least if the level allows it, and the rest of Amount from what is then
 // above the floor.
-func (b *bucket) take(c Config, now time.Duration, ask Ask) Grant {
+func (b *bucket) take(now time.Duration, ask Ask) Grant {
 	amount, least := max(ask.Amount, ask.Least, 0), max(ask.Least, 0)
 	if amount == 0 {
 		return Grant{}
 	}
-	floor := b.floor(c, now)
+	floor := b.floor(now)
 	required := max(float64(least), floor)
 	if least > 0 {
 		b.recordRequest(now, least, b.level < required)
 	}
 	if b.level < required {
-		return Grant{Wait: b.timeFor(c, required)}
+		return Grant{Wait: b.timeFor(required)}
 	}
 	extra := int64(max(b.level-float64(least)-floor, 0))
 	granted := least + min(amount-least, extra)
@@ -140,7 +140,7 @@
 	if granted == amount {
 		return Grant{Granted: granted}
 	}
-	return Grant{Granted: granted, Wait: b.timeFor(c, float64(amount-granted)+floor)}
+	return Grant{Granted: granted, Wait: b.timeFor(float64(amount-granted) + floor)}
 }
 
 // recordRequest counts a request for the floor.
@@ -159,11 +159,10 @@
 const maxWait = time.Minute
 
 // timeFor returns the time until the bucket holds an amount.
-func (b *bucket) timeFor(c Config, amount float64) time.Duration {
-	rate := c.rate(b.limit)
-	if rate <= 0 || amount > c.capacity(b.limit) {
+func (b *bucket) timeFor(amount float64) time.Duration {
+	if b.share.Rate <= 0 || amount > b.share.Capacity {
 		return maxWait
 	}
-	seconds := max(amount-b.level, 0) / rate
+	seconds := max(amount-b.level, 0) / b.share.Rate
 	return min(time.Duration(seconds*float64(time.Second)), maxWait)
 }
--- a/coord/quota/pool.go
+++ b/coord/quota/pool.go
@@ -191,7 +191,7 @@
 	// frequentRequests is the least number of requests within the lifetime of a grant
 	// for which tokens are asked ahead. With fewer of them more than a few in 100 of
 	// these tokens would expire.
-	frequentRequests = 4
+	frequentRequests = 8
 	// aheadShare is the part of a grant's lifetime whose demand is asked ahead. A larger
 	// one saves calls, a smaller one wastes fewer tokens when demand falls.
 	aheadShare = 0.5
--- a/entry/direct/quota.go
+++ b/entry/direct/quota.go
@@ -30,7 +30,8 @@
 	}
 	config := quota.Config{
 		Bound: limits.Config{
-			Window: s.QuotaWindow.Std(), Overage: s.QuotaOverage, Slack: s.QuotaSlack, Meters: quota.MetersPerCluster * s.clusterCount(),
+			Window: s.QuotaWindow.Std(), Overage: s.QuotaOverage, Slack: s.QuotaSlack,
+			Clusters: s.clusterCount(), MetersPerCluster: quota.MetersPerCluster,
 		},
 		Address: s.ControlAddress, Region: s.Region, Regions: s.clusterRegions(), TurnGap: s.OrderTurnGap.Std(), Now: now,
 	}
--- a/entry/quota/client.go
+++ b/entry/quota/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -31,22 +32,20 @@
 	ticket  quota.Ticket
 }
 
-// Counts are totals of an organisation at this instance. All but Refused, Unreachable,
-// Calls and Failures are in the organisation's unit.
+// Counts are the totals of an organisation at this instance.
 type Counts struct {
+	quota.Counts
 	// Held is what can be spent now.
 	Held int64
-	// Asked and Granted are what was asked of meters and granted by them, Spent is what
-	// requests took, and Reserve the part of it that no meter granted.
-	Asked, Granted, Spent, Reserve int64
-	// Returned is what requests that did not run gave back, ReturnedLate the tokens that
-	// expired and were returned to meters.
-	Returned, ReturnedLate int64
-	// Refused and Unreachable count requests over the quota, and those that were
-	// refused because no meter responded.
-	Refused, Unreachable int64
-	// Calls counts calls to meters, Failures those without a usable response.
-	Calls, Failures int64
+}
+
+// account is the state of one organisation.
+type account struct {
+	name string
+	mu   sync.Mutex
+	*quota.Account
+	// reported is the totals as of the last call of Client.Changed.
+	reported quota.Counts
 }
 
 // Client takes quota for the requests of one instance. It is safe for concurrent use.
@@ -76,9 +75,16 @@
 	if o == nil || o.Rate <= 0 {
 		return quota.Limit{}, false
 	}
-	return quota.Limit{Rate: o.Rate, Burst: o.Burst}, true
+	limit := quota.Limit{Rate: o.Rate, Burst: o.Burst, Largest: 1}
+	if o.Unit == routing.QuotaTokens {
+		limit.Largest = largestTokens
+	}
+	return limit, true
 }
 
+// largestTokens is the number of tokens that most requests don't exceed.
+const largestTokens = 8000
+
 // Take takes what a request with a number of tokens, or 0 if unknown, counts against the
 // quota of its organisation, which may be nil. Requests without a limit are admitted
 // without a call. The call returns within limit, if that is above zero.
@@ -92,51 +98,59 @@
 		return Spending{}, Result{Admitted: true}
 	}
 	a := c.account(o.Name)
-	now := c.config.Now()
 	a.mu.Lock()
-	a.limit = quotaLimit
-	a.pool.RecordDemand(now, need)
-	if len(a.waiting) == 0 {
-		if ticket, ok := a.pool.Spend(now, need); ok {
-			a.counts.Spent += need
-			c.startAsking(a, now)
-			a.mu.Unlock()
-			return Spending{a, ticket}, Result{Admitted: true}
-		}
+	now := c.config.Now()
+	a.SetLimit(quotaLimit)
+	ticket, ok := a.Take(now, need)
+	if ok {
+		c.sendAsks(a, now)
+		a.mu.Unlock()
+		return Spending{a, ticket}, Result{Admitted: true}
 	}
-	w := &waiter{need: need, done: make(chan outcome, 1)}
-	a.waiting = append(a.waiting, w)
-	c.startAsking(a, now)
+	decided := make(chan struct{})
+	request := a.Wait(need, func() { close(decided) })
+	c.sendAsks(a, now)
 	a.mu.Unlock()
-	return c.await(ctx, a, w, limit)
+	return c.await(ctx, a, request, decided, limit)
 }
 
-// await waits for the result of a request.
-func (c *Client) await(ctx context.Context, a *account, w *waiter, limit time.Duration) (Spending, Result) {
-	select {
-	case o := <-w.done:
-		return Spending{a, o.ticket}, o.result
-	default: // it takes a call
-	}
+// await waits for the decision on a request.
+func (c *Client) await(ctx context.Context, a *account, request *quota.Request, decided <-chan struct{}, limit time.Duration) (Spending, Result) {
 	if limit <= 0 || limit > maxTakeWait {
 		limit = maxTakeWait
 	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
-	case o := <-w.done:
-		return Spending{a, o.ticket}, o.result
+	case <-decided:
 	case <-ctx.Done():
 	case <-timer.C:
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.abandon(w) {
-		a.counts.Unreachable++
+	if a.Abandon(request) {
 		return Spending{}, Result{Unreachable: true, RetryAfter: spread(0)}
 	}
-	o := <-w.done
-	return Spending{a, o.ticket}, o.result
+	r := request.Result
+	if r.Admitted {
+		return Spending{a, r.Ticket}, Result{Admitted: true}
+	}
+	return Spending{}, Result{Unreachable: r.Unreachable, RetryAfter: spread(r.RetryAfter)}
+}
+
+// Bounds of the random extension of a Retry-After.
+const (
+	// spreadShare is the largest extension as a fraction of the wait, and minSpread the
+	// least range of the extension.
+	spreadShare = 0.5
+	minSpread   = 100 * time.Millisecond
+)
+
+// spread extends a wait at random, so that callers that were refused together do not
+// return together.
+func spread(wait time.Duration) time.Duration {
+	extension := max(time.Duration(spreadShare*float64(wait)), minSpread)
+	return wait + time.Duration(rand.Int64N(int64(extension)))
 }
 
 // account returns the account of an organisation.
@@ -150,73 +164,46 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a = c.accounts[name]; a == nil {
-		a = &account{name: name, order: c.finder.order(name), pool: quota.NewPool(c.config.Bound), meters: make([]meterState, len(c.finder.meters))}
+		a = &account{name: name, Account: quota.NewAccount(c.config.Bound, c.finder.refs(name), rand.IntN(MetersPerCluster))}
 		c.accounts[name] = a
 	}
 	return a
 }
 
-// startAsking resolves what it can and starts a goroutine for the calls that are needed.
-// a.mu must be held.
-func (c *Client) startAsking(a *account, now time.Duration) {
-	if a.asking {
-		return
-	}
-	next, needed := a.settle(c, now)
-	if !needed {
-		return
-	}
-	a.asking = true
-	go func() {
-		if recovery.Run(c.reportPanic, "quota", func() { c.askUntilSettled(a, next) }) {
-			c.stopAsking(a)
-		}
-	}()
-}
-
-// askUntilSettled asks meters until the account needs no call. Only one call of an
-// account is in progress at a time; requests that arrive meanwhile share its response.
-func (c *Client) askUntilSettled(a *account, next ask) {
-	for needed := true; needed; {
-		sentAt := c.config.Now()
-		response, err := c.finder.take(context.Background(), next.meter, []*clusterpb.QuotaAsk{
-			{Organisation: a.name, Amount: uint64(next.amount), Least: uint64(next.least), Returned: uint64(next.returned)},
-		})
-		if err != nil {
-			c.reportError(a.name, err)
+// sendAsks starts a goroutine for each ask that an account needs. a.mu must be held.
+func (c *Client) sendAsks(a *account, now time.Duration) {
+	for {
+		ask, needed := a.Next(now, c.instances())
+		if !needed {
+			return
 		}
-		next, needed = c.applyResponse(a, sentAt, next, response)
+		go func() {
+			if recovery.Run(c.reportPanic, "quota", func() { c.sendAsk(a, ask) }) {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				a.RefuseAll()
+			}
+		}()
 	}
 }
 
-// applyResponse applies the response to an ask, which is nil if there was none, and
-// returns the next ask, or false if none is needed.
-func (c *Client) applyResponse(a *account, sentAt time.Duration, sent ask, response *clusterpb.TakeQuotaResponse) (ask, bool) {
+// sendAsk asks a meter and applies the response.
+func (c *Client) sendAsk(a *account, ask quota.ToSend) {
+	response, err := c.finder.take(context.Background(), ask.Meter, []*clusterpb.QuotaAsk{
+		{Organisation: a.name, Amount: uint64(ask.Amount), Least: uint64(ask.Least), Returned: uint64(ask.Returned)},
+	})
+	if err != nil {
+		c.reportError(a.name, err)
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := c.config.Now()
-	a.counts.Calls++
-	a.counts.Asked += sent.amount
-	a.counts.ReturnedLate += sent.returned
 	if grants := response.GetGrants(); len(grants) == 1 && !grants[0].GetUnknown() {
-		a.applyGrant(now, sentAt, sent, boundedAmount(grants[0].GetGranted()), time.Duration(grants[0].GetWaitNs()))
+		a.HandleGrant(now, ask, quota.Grant{Granted: boundedAmount(grants[0].GetGranted()), Wait: time.Duration(grants[0].GetWaitNs())})
 	} else {
-		a.counts.Failures++
-		a.applyFailure(now, sent.meter)
-	}
-	next, needed := a.settle(c, now)
-	a.asking = needed
-	return next, needed
-}
-
-// stopAsking refuses what waits after a panic.
-func (c *Client) stopAsking(a *account) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.asking = false
-	for len(a.waiting) > 0 {
-		a.refuse(Result{Unreachable: true, RetryAfter: spread(0)})
+		a.HandleFailure(now, ask)
 	}
+	c.sendAsks(a, now)
 }
 
 // Return takes back the tokens of a request that has not run and never will.
@@ -226,8 +213,7 @@
 	}
 	s.account.mu.Lock()
 	defer s.account.mu.Unlock()
-	s.account.counts.Returned += s.ticket.Amount()
-	s.account.pool.Restore(c.config.Now(), s.ticket)
+	s.account.Restore(c.config.Now(), s.ticket)
 }
 
 // Expired reports whether the tokens of a request have expired, so that it may not start
@@ -240,7 +226,7 @@
 func (c *Client) Counts(f func(organisation string, counts Counts)) {
 	for _, a := range c.all() {
 		a.mu.Lock()
-		counts := a.total(c.config.Now())
+		counts := Counts{a.Account.Counts, a.Held(c.config.Now())}
 		a.mu.Unlock()
 		f(a.name, counts)
 	}
@@ -251,8 +237,9 @@
 func (c *Client) Changed(f func(organisation string, counts Counts)) {
 	for _, a := range c.all() {
 		a.mu.Lock()
-		counts, changed := a.total(c.config.Now()), a.counts != a.reported
-		a.reported = a.counts
+		counts := Counts{a.Account.Counts, a.Held(c.config.Now())}
+		changed := counts.Counts != a.reported
+		a.reported = counts.Counts
 		a.mu.Unlock()
 		if changed {
 			f(a.name, counts)
--- a/entry/quota/config.go
+++ b/entry/quota/config.go
@@ -70,12 +70,6 @@
 const (
 	ownRegionTimeout   = 60 * time.Millisecond
 	otherRegionTimeout = 150 * time.Millisecond
-	// failurePause is how long a meter is not asked after it could not be reached: its
-	// right passes on within seconds, and each attempt may cost a request a timeout.
-	failurePause = 500 * time.Millisecond
-	// minEmptyPause is the least time for which a meter that had too little is not
-	// asked again.
-	minEmptyPause = 5 * time.Millisecond
 	// maxTakeWait bounds how long a request waits for its tokens.
 	maxTakeWait = 300 * time.Millisecond
 )
--- a/entry/quota/meters.go
+++ b/entry/quota/meters.go
@@ -1,17 +1,16 @@
 package quota
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 
+	"github.com/bulrushwick/bulrushwick/coord/quota"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 )
 
@@ -52,27 +51,28 @@
 	return f
 }
 
-// order returns the indexes of the meters in the order in which they are asked for an
-// organisation: those of the own region before others, and within a region by
-// rendezvous hashing.
-func (f *meterFinder) order(organisation string) []int {
-	order := make([]int, len(f.meters))
-	for i := range order {
-		order[i] = i
+// refs returns the meters as an account of an organisation uses them.
+func (f *meterFinder) refs(organisation string) []quota.MeterRef {
+	refs := make([]quota.MeterRef, len(f.meters))
+	for i, m := range f.meters {
+		refs[i] = quota.MeterRef{Index: i, Choice: choice(m.region, m.right, organisation), Remote: !m.own}
 	}
-	score := func(i int) uint64 {
-		return xxhash.Sum64String(organisation + "\x00" + f.meters[i].region + "\x00" + f.meters[i].right)
+	return refs
+}
+
+// choice returns the position of a meter among those of its region, which rendezvous
+// hashing decides for each organisation.
+func choice(region, right, organisation string) int {
+	score := func(right string) uint64 {
+		return xxhash.Sum64String(organisation + "\x00" + region + "\x00" + right)
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		if f.meters[a].own != f.meters[b].own {
-			if f.meters[a].own {
-				return -1
-			}
-			return 1
+	own, position := score(right), 0
+	for _, other := range Rights() {
+		if score(other) > own {
+			position++
 		}
-		return cmp.Compare(score(a), score(b))
-	})
-	return order
+	}
+	return position
 }
 
 var (
--- a/entry/quota/server.go
+++ b/entry/quota/server.go
@@ -82,7 +82,8 @@
 	for _, ask := range in.GetAsks() {
 		grant := &clusterpb.QuotaGrant{Organisation: ask.GetOrganisation()}
 		if limit, known := s.limits(ask.GetOrganisation()); known {
-			g := meter.Take(now, ask.GetOrganisation(), limit, quota.Ask{
+			share := s.config.Bound.ShareOf(limit, choice(s.config.Region, in.GetMeter(), ask.GetOrganisation()))
+			g := meter.Take(now, ask.GetOrganisation(), share, quota.Ask{
 				Amount: boundedAmount(ask.GetAmount()), Least: boundedAmount(ask.GetLeast()), Returned: boundedAmount(ask.GetReturned()),
 			})
 			grant.Granted, grant.WaitNs = uint64(g.Granted), int64(g.Wait)
