--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -80,6 +80,10 @@
 // meterView is what an account knows of a meter.
 type meterView struct {
 	remote, busy bool
+	// level is an estimate of what the meter could grant when it last refused a request,
+	// at levelAt, less what it has granted since.
+	level   float64
+	levelAt time.Duration
 	// emptyUntil is when the meter has enough for the last request that it refused.
 	emptyUntil time.Duration
 	// askFrom is when the meter may be asked for a request, aheadFrom when for more than
@@ -181,7 +185,7 @@
 			a.refuse(Result{RetryAfter: impossibleRetryAfter})
 			continue
 		}
-		if meter := a.pick(now, head); meter >= 0 {
+		if meter := a.pick(now, head, part); meter >= 0 {
 			return a.askForRequests(now, meter, part), true
 		}
 		a.decideWithoutMeter(now, head, instances)
@@ -195,16 +199,26 @@
 	return slices.ContainsFunc(a.meters, func(m meterView) bool { return m.busy && !m.remote })
 }
 
-// pick returns the meter to ask for a request, or -1.
-func (a *Account) pick(now time.Duration, r *Request) int {
+// pick returns the meter to ask for a part of what a request needs, or -1.
+func (a *Account) pick(now time.Duration, r *Request, part int64) int {
 	if r.asks >= asksPerMeter*len(a.meters) {
 		return -1
 	}
 	return a.first(func(ref MeterRef) bool {
-		return a.usable(now, ref) && now >= a.meters[ref.Index].askFrom && r.tried&(1<<ref.Index) == 0
+		return a.usable(now, ref) && a.mayGrant(now, ref, part) && r.tried&(1<<ref.Index) == 0
 	})
 }
 
+// mayGrant reports whether a meter is worth asking for an amount: it has not refused a
+// request lately, or it refused a larger one.
+func (a *Account) mayGrant(now time.Duration, ref MeterRef, amount int64) bool {
+	m := &a.meters[ref.Index]
+	if now >= m.askFrom || m.remote && m.refusals > overloadRefusals {
+		return now >= m.askFrom
+	}
+	return m.level+a.config.ShareOf(a.limit, ref.Choice).Rate*(now-m.levelAt).Seconds() >= float64(amount)
+}
+
 // first returns the first meter in the order of asking for which accept returns true, or
 // -1.
 func (a *Account) first(accept func(MeterRef) bool) int {
@@ -294,6 +308,7 @@
 	a.pool.Add(sent.sentAt, sent.Meter, granted)
 	m := &a.meters[sent.Meter]
 	isRefused := granted < sent.Least
+	m.level -= float64(granted)
 	if !isRefused && sent.Least > 0 {
 		m.refusals = max(m.refusals-1, 0)
 	}
@@ -304,6 +319,7 @@
 	m.aheadFrom = now + min(wait, maxPause)
 	if isRefused {
 		m.emptyUntil = now + wait
+		m.level, m.levelAt = float64(sent.Least)-a.config.ShareOf(a.limit, 0).Rate*wait.Seconds(), now
 		m.askFrom = now + min(max(wait, m.refusalPause()), maxPause)
 		m.refusals = min(m.refusals+1, maxRefusals)
 	}
@@ -324,6 +340,9 @@
 	// region, and most calls from others are in vain.
 	remotePause = 50 * time.Millisecond
 	maxRefusals = 6
+	// overloadRefusals is the number of refusals above which a remote meter is in
+	// overload: what it had at the last refusal has gone to others.
+	overloadRefusals = 2
 )
 
 // refusalPause returns the least time before a meter that refused is asked again.
--- a/coord/quota/meter.go
+++ b/coord/quota/meter.go
@@ -101,9 +101,9 @@
 	// refusedShareWeight is the weight of one request in the average.
 	refusedShareWeight = 1.0 / 32
 	// overloadFrom and overloadFull are the shares of refused requests at which the
-	// floor begins to rise and is complete. Below its limit an organisation has fewer
-	// than 1 in 100 requests refused.
-	overloadFrom, overloadFull = 0.3, 0.5
+	// floor begins to rise and is complete. Near the limit the meters of one region often
+	// refuse a tenth of the asks, which meters of others then grant.
+	overloadFrom, overloadFull = 0.25, 0.4
 	// largestTTL is how long a refused request counts as the largest.
 	largestTTL = 4 * time.Second
 )
--- a/entry/quota/client.go
+++ b/entry/quota/client.go
@@ -226,7 +226,7 @@
 func (c *Client) Counts(f func(organisation string, counts Counts)) {
 	for _, a := range c.all() {
 		a.mu.Lock()
-		counts := Counts{a.Account.Counts, a.Held(c.config.Now())}
+		counts := Counts{a.Counts, a.Held(c.config.Now())}
 		a.mu.Unlock()
 		f(a.name, counts)
 	}
@@ -237,7 +237,7 @@
 func (c *Client) Changed(f func(organisation string, counts Counts)) {
 	for _, a := range c.all() {
 		a.mu.Lock()
-		counts := Counts{a.Account.Counts, a.Held(c.config.Now())}
+		counts := Counts{a.Counts, a.Held(c.config.Now())}
 		changed := counts.Counts != a.reported
 		a.reported = counts.Counts
 		a.mu.Unlock()
--- a/entry/quota/sim_test.go
+++ b/entry/quota/sim_test.go
@@ -56,11 +56,15 @@
 func (n *simNode) address() string { return fmt.Sprint("10.0.0.", n.index, ":1") }
 
 func (n *simNode) Held(right string) (uint64, bool) {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
 	fence, held := n.held[right]
 	return fence, held
 }
 
 func (n *simNode) Holder(right string) string {
+	n.world.mu.Lock()
+	defer n.world.mu.Unlock()
 	for _, other := range n.world.nodes {
 		if _, held := other.held[right]; held && other.region == n.region {
 			return other.address()
@@ -141,37 +145,6 @@
 	bySize                                   map[int][2]int
 }
 
-// ideal returns the share of requests that a single bucket with the capacity of all
-// meters refuses of the same load.
-func (w *simWorld) ideal(random *rand.Rand, l load) float64 {
-	capacity := w.limit.Burst + ((w.limit.Rate*simBound.Window.Seconds()+w.limit.Burst)*simBound.Overage+simBound.Slack)/2 +
-		(w.limit.Burst*simBound.Overage+simBound.Slack)/4
-	mean := 0.0
-	for size, weight := range l.sizes {
-		mean += weight * float64(size)
-	}
-	level, refused := capacity, 0
-	const requests = 1000000
-	for range requests {
-		level = min(capacity, level+random.ExpFloat64()*mean/l.share)
-		size, at := 0, random.Float64()
-		for s, weight := range l.sizes {
-			if at -= weight; at < 0 || size == 0 {
-				size = s
-				if at < 0 {
-					break
-				}
-			}
-		}
-		if level < float64(size) {
-			refused++
-		} else {
-			level -= float64(size)
-		}
-	}
-	return float64(refused) / requests
-}
-
 // play sends requests at random times for a duration.
 func (w *simWorld) play(random *rand.Rand, l load, duration time.Duration) *simResult {
 	organisation := &routing.Organisation{Name: "o", Unit: routing.QuotaTokens, Rate: w.limit.Rate, Burst: w.limit.Burst}
@@ -247,28 +220,48 @@
 }
 
 // TestServedShareOfTheQuota guards against quota that is lost between meters and
-// instances: with an organisation's requests at one instance or at all, 0.9 of its limit
-// is admitted but for 1 in 100 requests, and of 3 times the limit 0.9 to 1.0 of it.
+// instances, with an organisation's requests all at one instance or spread over all.
+//
+// A single bucket with the capacity of all meters refuses 1.2 in 100 of these requests at
+// 0.9 of a limit of 4,200 tokens per second, and 0.1 in 100 at 16,800: the requests are
+// large for the burst and the bound. Hence the higher limits on refusals there.
 func TestServedShareOfTheQuota(t *testing.T) {
-	mixed := map[int]float64{200: 0.5, 2400: 0.48, 7500: 0.02}
-	for _, rate := range []float64{4200, 8400, 16800, 42000, 420000} {
+	for _, rate := range []float64{4200, 16800, 42000, 420000} {
 		for _, spread := range []bool{false, true} {
 			for _, share := range []float64{0.55, 0.9, 3} {
 				t.Run(fmt.Sprint(rate, " spread ", spread, " share ", share), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						w := newSimWorld(76, quota.Limit{Rate: rate, Burst: rate, Largest: largestTokens})
-						time.Sleep(5 * time.Second)
-						duration := time.Duration(8e6/rate) * time.Second
-						r := w.play(rand.New(rand.NewPCG(1, 2)), load{share: share, spread: spread, sizes: mixed}, duration)
-						slices.Sort(r.waits)
-						t.Logf("refused %.4f (ideal %.4f) unreachable %d, served %.3f of the limit, calls per request %.2f, wait p50 %v p99 %v, window %.3f of the bound, by size %v",
-							float64(r.refused)/float64(r.requests), w.ideal(rand.New(rand.NewPCG(1, 2)), load{share: share, sizes: mixed}), r.unreachable, float64(r.admittedTokens)/(rate*duration.Seconds()), float64(w.callsMade)/float64(r.requests),
-							r.waits[len(r.waits)/2], r.waits[len(r.waits)*99/100], float64(w.mostSpent())/simBound.Bound(w.limit), r.bySize)
-						time.Sleep(time.Second) // calls in progress end
-						require.LessOrEqual(t, float64(w.mostSpent()), simBound.Bound(w.limit))
-					})
+					synctest.Test(t, func(t *testing.T) { checkServedShare(t, rate, spread, share) })
 				})
 			}
 		}
 	}
 }
+
+func checkServedShare(t *testing.T, rate float64, spread bool, share float64) {
+	defer time.Sleep(time.Second) // calls in progress end
+	w := newSimWorld(76, quota.Limit{Rate: rate, Burst: rate, Largest: largestTokens})
+	time.Sleep(5 * time.Second)
+	duration := time.Duration(8e6/rate) * time.Second
+	r := w.play(rand.New(rand.NewPCG(1, 2)), load{share: share, spread: spread, sizes: map[int]float64{200: 0.5, 2400: 0.48, 7500: 0.02}}, duration)
+	slices.Sort(r.waits)
+	refused, served := float64(r.refused+r.unreachable)/float64(r.requests), float64(r.admittedTokens)/(rate*duration.Seconds())
+	t.Logf("refused %.4f, served %.3f of the limit, calls per request %.2f, wait p50 %v p99 %v, window %.3f of the bound, by size %v",
+		refused, served, float64(w.callsMade)/float64(r.requests), r.waits[len(r.waits)/2], r.waits[len(r.waits)*99/100],
+		float64(w.mostSpent())/simBound.Bound(w.limit), r.bySize)
+	require.LessOrEqual(t, float64(w.mostSpent()), simBound.Bound(w.limit))
+	require.Zero(t, r.unreachable)
+	mostRefused := 0.01
+	if share > 0.55 && rate < 42000 {
+		mostRefused = 0.04
+	}
+	if share < 1 {
+		require.Less(t, refused, mostRefused)
+		return
+	}
+	// The buckets are full at the start.
+	full := (simBound.Bound(w.limit) - rate*simBound.Window.Seconds()) / (rate * duration.Seconds())
+	require.Greater(t, served, 0.9)
+	require.Less(t, served, 1+full)
+	require.Greater(t, float64(r.bySize[2400][1])/float64(r.bySize[2400][0]), 0.5*float64(r.bySize[200][1])/float64(r.bySize[200][0]),
+		"large requests are served as well")
+}
