Quotas: fewer calls where tokens are plentiful, and meters only under quota rights

An instance with two to eight requests per second of an organisation asked a meter for each of them. It now asks for 0.8 of a grant's lifetime ahead while meters grant all that is asked.

--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -56,6 +56,8 @@
 	turn         int
 	meters       []meterView // by index
 	waiting      []*Request
+	// scarceUntil is the time until which tokens are scarce.
+	scarceUntil time.Duration
 	// askingForRequests and askingAhead are set while such an ask is in progress.
 	askingForRequests, askingAhead bool
 	Counts                         Counts
@@ -246,7 +248,7 @@
 func (a *Account) askForRequests(now time.Duration, meter int, least int64) ToSend {
 	a.askingForRequests = true
 	a.waiting[0].asks++
-	amount := least + max(a.pool.Ahead(now), 0)
+	amount := least + a.pool.Batch(now, now < a.scarceUntil)
 	for i, r := range a.waiting {
 		r.inAsk = true
 		if i > 0 {
@@ -261,7 +263,7 @@
 	if a.askingAhead || a.askingForRequests {
 		return ToSend{}, false
 	}
-	ahead := a.pool.Ahead(now)
+	ahead := a.pool.Ahead(now, now < a.scarceUntil)
 	if ahead <= 0 {
 		return ToSend{}, false
 	}
@@ -317,6 +319,7 @@
 	}
 	wait := min(max(grant.Wait, minPause), maxWait)
 	m.aheadFrom = now + min(wait, maxPause)
+	a.scarceUntil = now + scarceFor
 	if isRefused {
 		m.emptyUntil = now + wait
 		m.level, m.levelAt = float64(sent.Least)-a.config.ShareOf(a.limit, 0).Rate*wait.Seconds(), now
@@ -330,6 +333,10 @@
 	}
 }
 
+// scarceFor is how long after a meter had too little fewer tokens are asked ahead: longer
+// than the fluctuations of demand that buckets level out.
+const scarceFor = 10 * time.Second
+
 // Pauses before a meter that had too little is asked again.
 const (
 	minPause = 5 * time.Millisecond
--- a/coord/quota/pool.go
+++ b/coord/quota/pool.go
@@ -172,29 +172,41 @@
 // RecordDemand counts a request for the forecast.
 func (p *Pool) RecordDemand(now time.Duration, amount int64) { p.demand.record(now, amount) }
 
-// Ahead returns how many tokens to ask for beyond those that waiting requests need, or
-// 0 if the pool holds enough for now or requests are too rare.
-func (p *Pool) Ahead(now time.Duration) int64 {
-	tokens, requests := p.demand.rates(now)
-	if requests*p.lifetime.Seconds() < frequentRequests {
-		return 0
-	}
+// Ahead returns how many tokens to ask for now, before the pool runs out, or 0 if it
+// holds enough or requests are too rare. scarce states that the meters had too few
+// lately.
+func (p *Pool) Ahead(now time.Duration, scarce bool) int64 {
+	tokens, _ := p.demand.rates(now)
 	available := p.Available(now)
 	if float64(available) >= tokens*refillBefore.Seconds() {
 		return 0
 	}
-	return int64(tokens*aheadShare*p.lifetime.Seconds()) - available
+	return max(p.Batch(now, scarce)-available, 0)
+}
+
+// Batch returns how many tokens to ask for beyond those that a waiting request needs.
+func (p *Pool) Batch(now time.Duration, scarce bool) int64 {
+	tokens, requests := p.demand.rates(now)
+	frequent, share := frequentRequests, aheadShare
+	if scarce {
+		frequent, share = frequentIfScarce, aheadIfScarce
+	}
+	if requests*p.lifetime.Seconds() < frequent {
+		return 0
+	}
+	return int64(tokens * share * p.lifetime.Seconds())
 }
 
-// Constants of the tokens that are asked for ahead of demand.
+// Constants of the tokens that are asked for ahead of demand. Those that are not needed
+// within the lifetime of a grant expire, which is no loss while the meters have more than
+// is asked for.
 const (
 	// frequentRequests is the least number of requests within the lifetime of a grant
-	// for which tokens are asked ahead. With fewer of them more than a few in 100 of
-	// these tokens would expire.
-	frequentRequests = 8
-	// aheadShare is the part of a grant's lifetime whose demand is asked ahead. A larger
-	// one saves calls, a smaller one wastes fewer tokens when demand falls.
-	aheadShare = 0.5
+	// for which tokens are asked ahead, and aheadShare the part of the lifetime whose
+	// demand is asked.
+	frequentRequests, aheadShare = 2.0, 0.8
+	// frequentIfScarce and aheadIfScarce replace them while tokens are scarce.
+	frequentIfScarce, aheadIfScarce = 8.0, 0.5
 	// refillBefore is how long before the tokens run out more are asked for: two round
 	// trips between regions.
 	refillBefore = 80 * time.Millisecond
--- a/entry/direct/quota.go
+++ b/entry/direct/quota.go
@@ -77,9 +77,9 @@
 		return spending, true
 	}
 	defer g.activeRequests.Add(-1)
-	status, reason := fasthttp.StatusTooManyRequests, reasonOverQuota
+	status, reason := fasthttp.StatusTooManyRequests, quotaReason(result)
 	if result.Unreachable {
-		status, reason = fasthttp.StatusServiceUnavailable, reasonQuotaUnreachable
+		status = fasthttp.StatusServiceUnavailable
 	}
 	g.metrics.countRefusal(reason)
 	g.log.Line(decision.Refused).Str(decision.FieldRequest, r.ID).Str(decision.FieldRoute, route.Name).Str(decision.FieldOrganisation, r.Organisation.Name).
@@ -90,6 +90,14 @@
 	return spending, false
 }
 
+// quotaReason returns the reason of a refusal.
+func quotaReason(r quota.Result) string {
+	if r.Unreachable {
+		return reasonQuotaUnreachable
+	}
+	return reasonOverQuota
+}
+
 // renewQuota takes quota again if the request waited for its worker for so long that
 // what it had taken expired. It returns a failure if there is none.
 func (c *call) renewQuota() *failure {
@@ -102,7 +110,7 @@
 	if result.Admitted {
 		return nil
 	}
-	return &failure{reason: reasonOverQuota, retryAfter: result.RetryAfter}
+	return &failure{reason: quotaReason(result), retryAfter: result.RetryAfter}
 }
 
 // updateQuotaMetrics updates the metrics of quotas, and starts the meters whose right
--- a/entry/quota/config.go
+++ b/entry/quota/config.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/quota"
@@ -17,17 +16,11 @@
 // organisation keeps half of its region's share while a right passes on.
 const MetersPerCluster = 2
 
-// Rights returns the names of the rights to run the meters of a cluster.
-func Rights() []string {
-	rights := make([]string, MetersPerCluster)
-	for i := range rights {
-		rights[i] = rightPrefix + strconv.Itoa(i)
-	}
-	return rights
-}
+// rights are the names of the rights to run the meters of a cluster.
+var rights = [MetersPerCluster]string{ReservedDataCentre + "/0", ReservedDataCentre + "/1"}
 
-// rightPrefix begins the names of the rights.
-const rightPrefix = ReservedDataCentre + "/"
+// Rights returns the names of the rights to run the meters of a cluster.
+func Rights() []string { return rights[:] }
 
 // ReservedDataCentre is the name that no data centre may have, because the rights over
 // its workers would have the names of those of the meters.
--- a/entry/quota/server.go
+++ b/entry/quota/server.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 func (s *Server) Take(in *clusterpb.TakeQuotaRequest) *clusterpb.TakeQuotaResponse {
 	now := s.config.Now()
 	fence, held := s.peers.Held(in.GetMeter())
-	if !held {
+	if !held || !slices.Contains(Rights(), in.GetMeter()) {
 		return &clusterpb.TakeQuotaResponse{NotHeld: true, Holder: s.peers.Holder(in.GetMeter())}
 	}
 	response := &clusterpb.TakeQuotaResponse{ConfigVersion: s.version()}
