entry/quota: the simulated calls are counted under the lock

go test -race found that the tests read the count while calls were in progress. With the lock go test -race ./entry/quota ./coord/quota passes.

--- a/entry/quota/calls_test.go
+++ b/entry/quota/calls_test.go
@@ -24,7 +24,7 @@
 					time.Sleep(5 * time.Second)
 					r := w.play(rand.New(rand.NewPCG(1, 2)), load{share: 0.55, spread: true, sizes: map[int]float64{200: 0.5, 2400: 0.48, 7500: 0.02}},
 						time.Duration(1.6e7/rate*float64(time.Second)))
-					calls := float64(w.callsMade) / float64(r.requests)
+					calls := float64(w.calls()) / float64(r.requests)
 					t.Logf("%.2f calls per request", calls)
 					require.Less(t, calls, 1.1)
 					require.Zero(t, r.refused+r.unreachable)
--- a/entry/quota/client_test.go
+++ b/entry/quota/client_test.go
@@ -29,7 +29,7 @@
 			_, result := w.nodes[3].client.Take(context.Background(), o, 100, 0)
 			require.True(t, result.Admitted)
 		}
-		require.Zero(t, w.callsMade)
+		require.Zero(t, w.calls())
 	})
 }
 
@@ -48,7 +48,7 @@
 			})
 		}
 		group.Wait()
-		require.LessOrEqual(t, w.callsMade, 2)
+		require.LessOrEqual(t, w.calls(), 2)
 	})
 }
 
@@ -65,7 +65,7 @@
 			require.True(t, result.Admitted)
 			c.Return(spending)
 		}
-		require.LessOrEqual(t, w.callsMade, 3)
+		require.LessOrEqual(t, w.calls(), 3)
 		spending, result := c.Take(context.Background(), tokens(ordinary), 2400, 0)
 		require.True(t, result.Admitted)
 		require.False(t, c.Expired(spending))
@@ -81,9 +81,9 @@
 		defer time.Sleep(time.Second) // calls in progress end
 		w := newSimWorld(76, ordinary)
 		time.Sleep(5 * time.Second)
-		w.cut = func(_, to *simNode) bool { return to == w.nodes[1] }
+		w.setCut(func(_, to *simNode) bool { return to == w.nodes[1] })
 		r := w.play(rand.New(rand.NewPCG(3, 4)), load{share: 0.55, spread: true, sizes: map[int]float64{200: 0.5, 2400: 0.5}}, 60*time.Second)
-		t.Logf("refused %d, unreachable %d of %d, calls per request %.2f", r.refused, r.unreachable, r.requests, float64(w.callsMade)/float64(r.requests))
+		t.Logf("refused %d, unreachable %d of %d, calls per request %.2f", r.refused, r.unreachable, r.requests, float64(w.calls())/float64(r.requests))
 		require.LessOrEqual(t, r.refused+r.unreachable, r.requests/100)
 	})
 }
@@ -97,7 +97,7 @@
 		w := newSimWorld(76, ordinary)
 		time.Sleep(5 * time.Second)
 		lost := w.nodes[75]
-		w.cut = func(from, to *simNode) bool { return from.region != to.region || from == lost }
+		w.setCut(func(from, to *simNode) bool { return from.region != to.region || from == lost })
 		r := w.play(rand.New(rand.NewPCG(5, 6)), load{share: 3, spread: true, sizes: map[int]float64{200: 0.5, 2400: 0.5}}, 40*time.Second)
 		require.LessOrEqual(t, float64(w.mostSpent()), simBound.Bound(w.limit))
 		require.Greater(t, float64(r.admittedTokens), 0.9*w.limit.Rate*40)
--- a/entry/quota/sim_test.go
+++ b/entry/quota/sim_test.go
@@ -105,6 +105,20 @@
 	return response, ctx.Err()
 }
 
+// calls returns the number of calls between instances so far.
+func (w *simWorld) calls() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.callsMade
+}
+
+// setCut sets which calls get no response.
+func (w *simWorld) setCut(cut func(from, to *simNode) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
 func newSimWorld(instances int, limit quota.Limit) *simWorld {
 	w := &simWorld{began: time.Now(), limit: limit}
 	for i := range instances {
@@ -246,7 +260,7 @@
 	slices.Sort(r.waits)
 	refused, served := float64(r.refused+r.unreachable)/float64(r.requests), float64(r.admittedTokens)/(rate*duration.Seconds())
 	t.Logf("refused %.4f, served %.3f of the limit, calls per request %.2f, wait p50 %v p99 %v, window %.3f of the bound, by size %v",
-		refused, served, float64(w.callsMade)/float64(r.requests), r.waits[len(r.waits)/2], r.waits[len(r.waits)*99/100],
+		refused, served, float64(w.calls())/float64(r.requests), r.waits[len(r.waits)/2], r.waits[len(r.waits)*99/100],
 		float64(w.mostSpent())/simBound.Bound(w.limit), r.bySize)
 	require.LessOrEqual(t, float64(w.mostSpent()), simBound.Bound(w.limit))
 	require.Zero(t, r.unreachable)
