--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -35,17 +35,15 @@
 // Instance is one process that dispatches requests directly to workers. Its
 // methods are safe for concurrent use, but Run must be called once only.
 type Instance struct {
-	settings   Settings
-	ports      Ports
-	log        *decision.Log
-	metrics    *metrics
-	fleet      *fleet
-	cluster    *cluster.Cluster
-	orderWatch *orderWatch
-	orders     *orderDispatcher
-	gateway    *gateway
-	// quotaServer runs quota meters; nil if quotas are not enforced.
-	quotaServer  *quota.Server
+	settings     Settings
+	ports        Ports
+	log          *decision.Log
+	metrics      *metrics
+	fleet        *fleet
+	cluster      *cluster.Cluster
+	orderWatch   *orderWatch
+	orders       *orderDispatcher
+	gateway      *gateway
 	callerServer *fasthttp.Server
 	// cancelCalls ends every call in progress.
 	cancelCalls context.CancelCauseFunc
@@ -54,6 +52,9 @@
 	versionLag    versionLag
 	fetches       *fetchLimiter
 	rejected      rejectedEntries
+
+	// quotaServer runs quota meters; nil if quotas are not enforced.
+	quotaServer *quota.Server
 }
 
 // orderInFlightTime is added to the operators' gap between the orders of two
