--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -80,6 +80,23 @@
 	FieldReplaced      Field = "replaced"
 )
 
+// Fields of the quotas of organisations.
+const (
+	FieldOrganisation      Field = "organisation"
+	FieldQuotaHeld         Field = "quota_held"
+	FieldQuotaAsked        Field = "quota_asked"
+	FieldQuotaGranted      Field = "quota_granted"
+	FieldQuotaSpent        Field = "quota_spent"
+	FieldQuotaReserve      Field = "quota_reserve"
+	FieldQuotaReturned     Field = "quota_returned"
+	FieldQuotaReturnedLate Field = "quota_returned_late"
+	FieldQuotaRefused      Field = "quota_refused"
+	FieldQuotaUnreachable  Field = "quota_unreachable"
+	FieldQuotaCalls        Field = "quota_calls"
+	FieldQuotaFailures     Field = "quota_failures"
+	FieldQuotaLevel        Field = "quota_level"
+)
+
 // explanation describes an event or a field.
 type explanation[T ~string] struct {
 	name T
@@ -162,4 +179,17 @@
 	{name: FieldRequests, text: "requests in progress"},
 	{name: FieldCut, text: "requests that were still in progress at the end"},
 	{name: FieldReplaced, text: "lines that were overwritten because the output was too slow"},
+	{name: FieldOrganisation, text: "organisation of the request or the quota"},
+	{name: FieldQuotaHeld, text: "tokens that can be spent now"},
+	{name: FieldQuotaAsked, text: "tokens asked of meters"},
+	{name: FieldQuotaGranted, text: "tokens granted by meters"},
+	{name: FieldQuotaSpent, text: "tokens taken by requests"},
+	{name: FieldQuotaReserve, text: "tokens taken by requests while no meter responded"},
+	{name: FieldQuotaReturned, text: "tokens given back by requests that did not run"},
+	{name: FieldQuotaReturnedLate, text: "tokens that expired and were returned to their meter"},
+	{name: FieldQuotaRefused, text: "requests refused because they were over the quota"},
+	{name: FieldQuotaUnreachable, text: "requests refused because no meter responded"},
+	{name: FieldQuotaCalls, text: "calls to meters"},
+	{name: FieldQuotaFailures, text: "calls to meters without a usable response"},
+	{name: FieldQuotaLevel, text: "tokens in the bucket as of the last call"},
 }
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
@@ -52,6 +53,9 @@
 	versionLag    versionLag
 	fetches       *fetchLimiter
 	rejected      rejectedEntries
+
+	// quotaServer runs quota meters; nil if quotas are not enforced.
+	quotaServer *quota.Server
 }
 
 // orderInFlightTime is added to the operators' gap between the orders of two
@@ -73,7 +77,7 @@
 		leaseConfig, heartbeatConfig = quorum.RegionConfig(turnGap), cluster.RegionConfig()
 	}
 	i.orderWatch = newOrderWatch(i.fleet, ports.Orderer, s.controlledDataCentres())
-	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
+	machine := quorum.NewMachine(now(), self, s.Seeds, append(rightsOf(s.controlledDataCentres()), s.quotaRights()...), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
 	c, err := cluster.New(heartbeatConfig, machine, now, i)
 	if err != nil {
 		return nil, err
@@ -90,6 +94,7 @@
 		versionLag: &i.versionLag,
 	}
 	i.gateway.revocation = revocation.New(revocationConfig(s), now, i)
+	i.startQuota()
 	i.gateway.guard.reportPanic, i.orderWatch.reportPanic = i.gateway.reportPanic, i.gateway.reportPanic
 	return i, nil
 }
@@ -319,6 +324,7 @@
 		if at-summaryAt >= logSummaryInterval {
 			summaryAt = at
 			i.gateway.pool.CloseExpired(time.Now())
+			i.logQuota()
 			i.log.Summarize()
 		}
 	}
