Admission: judge the expected wait without the preference against suspect workers

Choice has the wait beside the estimate, and a request that would be refused at the preferred worker goes to the one with the shortest wait.

The soak tells a refusal from a configuration that is not in force; both fail a run.

The soak was not run on it yet.

--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -107,6 +109,9 @@
 // errLateConfig means that a published configuration did not take effect in time.
 var errLateConfig = errors.New("the newest configuration is not in force in time")
 
+// errNewestRefused means that it did, but that requests for its route were not served.
+var errNewestRefused = errors.New("the newest configuration is in force, but its requests are not served in time")
+
 // probeDelay is the time until a probe shows that a configuration is in force.
 const probeDelay = 400 * time.Millisecond
 
@@ -122,34 +127,53 @@
 	d.publish()
 	deadline := time.Now().Add(direct.DefaultSettings().ConfigApplyLimit.Std() + probeDelay)
 	for {
-		late := c.behind(d.newest())
+		late, refused := c.behind(d.newest())
 		if late == "" {
 			return nil
 		}
 		if ctx.Err() != nil || time.Now().After(deadline) {
+			if refused != "" {
+				return fmt.Errorf("%w: %s: %s", errNewestRefused, late, refused)
+			}
 			return fmt.Errorf("%w: %s", errLateConfig, late)
 		}
 		time.Sleep(probePause)
 	}
 }
 
-// behind returns the name of an instance that has not served the route of a
-// version, or "" if all have.
-func (c *callers) behind(version int) string {
+// behind returns the name of an instance that has not served the route of a version, or
+// "" if all have. refused is its last response to a request for that route if the
+// response shows that the version is in force there.
+func (c *callers) behind(version int) (late, refused string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	served := make(map[string]bool)
+	served, refusals := make(map[string]bool), make(map[string]string)
 	for _, r := range c.results {
-		if r.kind == markKind && r.version == version && r.status == okStatus {
+		if r.kind != markKind || r.version != version {
+			continue
+		}
+		switch {
+		case r.status == okStatus:
 			served[r.instance] = true
+		case r.showsRoute():
+			refusals[r.instance] = fmt.Sprintf("%d %s", r.status, strings.TrimSpace(r.body))
 		}
 	}
 	for _, i := range c.deployment.instances {
-		if !served[i.settings.Instance] {
-			return i.settings.Instance
+		if name := i.settings.Instance; !served[name] {
+			return name, refusals[name]
 		}
 	}
-	return ""
+	return "", ""
+}
+
+// startingReason is in the response of an instance that looks up no route, because it
+// has no configuration or is about to exit.
+const startingReason = "starting or stopping"
+
+// showsRoute reports whether the instance that failed a request knew its route.
+func (r result) showsRoute() bool {
+	return r.status >= http.StatusInternalServerError && !strings.Contains(r.body, startingReason)
 }
 
 // awaitServed waits until every instance has served a request of every kind that
--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -119,7 +119,8 @@
 	// FullCost is added if the batch is full, and again if the cache is full. For the
 	// batch it grows with the number of requests beyond the batch size.
 	FullCost time.Duration
-	// SuspectCost is added for suspect workers.
+	// SuspectCost is added for suspect workers. It is a preference for other workers and
+	// no part of the expected wait.
 	SuspectCost time.Duration
 }
 
@@ -143,8 +144,12 @@
 // Choice is the result of a pick.
 type Choice struct {
 	Candidate *Candidate
-	// Estimate is the expected time until the response begins.
+	// Estimate is the expected time until the response begins, with the costs that only
+	// make other workers preferred.
 	Estimate time.Duration
+	// Wait is the expected time until the response begins, without SuspectCost: a request
+	// to a suspect worker does not wait for the suspicion to end.
+	Wait time.Duration
 }
 
 // Pick returns the eligible candidate with the lowest estimate, or false if none is
@@ -157,14 +162,43 @@
 		if !isEligible(r, candidate) {
 			continue
 		}
-		estimate := c.estimate(r, candidate, positions[i])
-		if best.Candidate == nil || estimate < best.Estimate {
-			best = Choice{Candidate: candidate, Estimate: estimate}
+		choice := c.choice(r, candidate, positions[i])
+		if best.Candidate == nil || choice.Estimate < best.Estimate {
+			best = choice
 		}
 	}
 	return best, best.Candidate != nil
 }
 
+// PickSoonest returns the eligible candidate with the shortest wait, whether it is suspect
+// or not; false if none is eligible. It is for requests that would come too late at the
+// candidate that Pick prefers.
+func (c Config) PickSoonest(r Request, candidates []Candidate) (Choice, bool) {
+	positions := c.rendezvousPositions(r, candidates)
+	var best Choice
+	for i := range candidates {
+		candidate := &candidates[i]
+		if !isEligible(r, candidate) {
+			continue
+		}
+		choice := c.choice(r, candidate, positions[i])
+		if best.Candidate == nil || choice.Wait < best.Wait {
+			best = choice
+		}
+	}
+	return best, best.Candidate != nil
+}
+
+// choice returns the choice of a candidate.
+func (c Config) choice(r Request, candidate *Candidate, position int) Choice {
+	wait := c.wait(r, candidate, position)
+	choice := Choice{Candidate: candidate, Estimate: wait, Wait: wait}
+	if candidate.Suspect {
+		choice.Estimate += c.SuspectCost
+	}
+	return choice
+}
+
 // ShortestHoldOff returns how long it takes until the first candidate that could serve
 // the request otherwise may be sent one; false if none is only held off.
 func ShortestHoldOff(candidates []Candidate) (time.Duration, bool) {
@@ -189,8 +223,8 @@
 	return r.Adapter == "" || c.Residency != Absent || c.Orderable
 }
 
-// estimate returns the expected time until the response begins.
-func (c Config) estimate(r Request, w *Candidate, position int) time.Duration {
+// wait returns the expected time until the response begins.
+func (c Config) wait(r Request, w *Candidate, position int) time.Duration {
 	work := time.Duration(w.Running) * c.StepCost
 	if w.CacheCapacity > 0 {
 		work += c.prefillTime(w.WaitingTokens + r.Tokens)
@@ -206,9 +240,6 @@
 	if w.CacheCapacity > 0 && w.CacheTokens+r.Tokens > w.CacheCapacity {
 		total += c.FullCost
 	}
-	if w.Suspect {
-		total += c.SuspectCost
-	}
 	if w.HeldOffFromPeers {
 		total += c.FullCost
 	}
--- a/entry/direct/admission.go
+++ b/entry/direct/admission.go
@@ -8,7 +8,7 @@
 
 // admission refuses requests that would be answered after their deadline.
 type admission struct {
-	// deadlineShare is the fraction of the remaining time that the estimate of
+	// deadlineShare is the fraction of the remaining time that the wait for
 	// the first byte may take.
 	deadlineShare float64
 }
@@ -17,12 +17,12 @@
 // estimate.
 func defaultAdmission() admission { return admission{deadlineShare: 0.8} }
 
-// refuse returns a failure if the estimate exceeds the request's share of the
+// refuse returns a failure if the expected wait exceeds the request's share of the
 // remaining time, and nil otherwise.
 func (a admission) refuse(c *call, choice balance.Choice) *failure {
 	timeLeft := c.timeLeft()
-	if choice.Estimate <= time.Duration(a.deadlineShare*float64(timeLeft)) {
+	if choice.Wait <= time.Duration(a.deadlineShare*float64(timeLeft)) {
 		return nil
 	}
-	return &failure{reason: "the estimated wait exceeds the time left", retryAfter: min(choice.Estimate/2, timeLeft/3)}
+	return &failure{reason: "the estimated wait exceeds the time left", retryAfter: min(choice.Wait/2, timeLeft/3)}
 }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -347,11 +347,8 @@
 	at := now()
 	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
 	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
-	choice, found := c.fleet.balance.Pick(request, candidates)
-	if !found {
-		return choice, noWorkerFailure(candidates)
-	}
-	if refusal := c.admission.refuse(c, choice); refusal != nil {
+	choice, refusal := c.choose(request, candidates)
+	if refusal != nil {
 		return choice, refusal
 	}
 	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
@@ -363,6 +360,23 @@
 	return choice, nil
 }
 
+// choose picks one of the candidates, or returns why the request is refused. A suspect
+// worker is picked where the preferred one would answer too late.
+func (c *call) choose(request balance.Request, candidates []balance.Candidate) (balance.Choice, *failure) {
+	choice, found := c.fleet.balance.Pick(request, candidates)
+	if !found {
+		return choice, noWorkerFailure(candidates)
+	}
+	refusal := c.admission.refuse(c, choice)
+	if refusal == nil {
+		return choice, nil
+	}
+	if soonest, _ := c.fleet.balance.PickSoonest(request, candidates); c.admission.refuse(c, soonest) == nil {
+		return soonest, nil
+	}
+	return choice, refusal
+}
+
 // noWorkerRetryAfter is the Retry-After if no worker is usable; recovering one
 // takes seconds.
 const noWorkerRetryAfter = 500 * time.Millisecond
