Fair shares of organisations under scarcity: decisions and their places

coord/fairshare decides by rank, by use relative to a weighted share and by the time remaining of the target. Admission, the wait for adapter slots, the order of loads and the engine's priority use it; the use by organisation travels in heartbeats. Without organisations the order of loads and the priorities are as before.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -150,6 +150,8 @@
 	// Wait is the expected time until the response begins, without SuspectCost: a request
 	// to a suspect worker does not wait for the suspicion to end.
 	Wait time.Duration
+	// Contention is the part of the wait that other requests cause.
+	Contention time.Duration
 }
 
 // Pick returns the eligible candidate with the lowest estimate, or false if none is
@@ -191,8 +193,9 @@
 
 // choice returns the choice of a candidate.
 func (c Config) choice(r Request, candidate *Candidate, position int) Choice {
-	wait := c.wait(r, candidate, position)
-	choice := Choice{Candidate: candidate, Estimate: wait, Wait: wait}
+	contention := c.contention(r, candidate)
+	wait := c.uncontendedWait(r, candidate, position) + contention
+	choice := Choice{Candidate: candidate, Estimate: wait, Wait: wait, Contention: contention}
 	if candidate.Suspect {
 		choice.Estimate += c.SuspectCost
 	}
@@ -223,17 +226,24 @@
 	return r.Adapter == "" || c.Residency != Absent || c.Orderable
 }
 
-// wait returns the expected time until the response begins.
-func (c Config) wait(r Request, w *Candidate, position int) time.Duration {
-	work := time.Duration(w.Running) * c.StepCost
+// uncontendedWait returns the expected time until the response begins, without the part
+// that other requests cause.
+func (c Config) uncontendedWait(r Request, w *Candidate, position int) time.Duration {
+	work := time.Duration(0)
 	if w.CacheCapacity > 0 {
-		work += c.prefillTime(w.WaitingTokens + r.Tokens)
+		work += c.prefillTime(r.Tokens)
 		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
 	}
-	if w.Pace > 0 {
-		work = time.Duration(w.Pace * float64(work))
+	return w.RTT + atPace(w, work) + c.loadCost(r, w, position)
+}
+
+// contention returns the part of the wait that other requests at the worker cause.
+func (c Config) contention(r Request, w *Candidate) time.Duration {
+	work := time.Duration(w.Running) * c.StepCost
+	if w.CacheCapacity > 0 {
+		work += c.prefillTime(w.WaitingTokens)
 	}
-	total := w.RTT + work
+	total := atPace(w, work)
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
 		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
@@ -243,7 +253,18 @@
 	if w.HeldOffFromPeers {
 		total += c.FullCost
 	}
-	return total + c.loadCost(r, w, position)
+	if r.Adapter != "" && w.Residency == Absent && w.FreeSlots+w.IdleSlots == 0 {
+		total += c.EvictionWait
+	}
+	return total
+}
+
+// atPace returns the time that work takes at a worker's pace.
+func atPace(w *Candidate, work time.Duration) time.Duration {
+	if w.Pace > 0 {
+		return time.Duration(w.Pace * float64(work))
+	}
+	return work
 }
 
 // prefillTime returns the time that reading prompt tokens takes at the usual pace.
@@ -251,7 +272,7 @@
 	return time.Duration(float64(tokens) / c.TokensPerMS * float64(time.Millisecond))
 }
 
-// loadCost returns the expected wait for the adapter.
+// loadCost returns the expected wait for the adapter, without that for a slot.
 func (c Config) loadCost(r Request, w *Candidate, position int) time.Duration {
 	switch {
 	case r.Adapter == "" || w.Residency == Resident:
@@ -260,11 +281,7 @@
 		return c.LoadingCost
 	}
 	spread := time.Duration(float64(c.SpreadCost) * float64(position) / (1 + r.Demand))
-	cost := c.PreferredCost + min(spread, c.MaxSpreadCost)
-	if w.FreeSlots+w.IdleSlots == 0 {
-		cost += c.EvictionWait
-	}
-	return cost
+	return c.PreferredCost + min(spread, c.MaxSpreadCost)
 }
 
 // rendezvousPositions returns for each candidate its position behind the preferred
--- a/coord/slots/planner.go
+++ b/coord/slots/planner.go
@@ -49,11 +49,26 @@
 	ahead int
 	// extraRequests is the number of requests for the adapter after the first.
 	extraRequests int
-	rank          int
+	priority      Priority
 	since         time.Duration
 	expiresAt     time.Duration
 }
 
+// Priority orders the requests that wait for adapter slots.
+type Priority struct {
+	// Rank is the rank of the request; 0 is the most urgent of routes.
+	Rank int
+	// Share orders requests of a rank by the use of their organisation relative to its
+	// share, the lowest first; 0 without organisations.
+	Share int
+}
+
+// ahead reports whether a want of priority p waits before one of priority other, or beside
+// it.
+func (p Priority) ahead(other Priority) bool {
+	return p.Rank < other.Rank || p.Rank == other.Rank && p.Share <= other.Share
+}
+
 // Order is a command to a worker: load the model, load an adapter or unload one.
 type Order struct {
 	Unload bool
@@ -200,18 +215,21 @@
 	p.warm = nil
 }
 
-// Want records that a request of the given rank needs an adapter until a time.
-// Of several requests for an adapter, the most urgent rank, the earliest start and
-// the latest end apply. Rank 0 is the most urgent.
-func (p *Planner) Want(now time.Duration, adapter string, rank int, until time.Duration) {
+// Want records that a request of the given priority needs an adapter until a time.
+// Of several requests for an adapter, the first priority, the earliest start and
+// the latest end apply.
+func (p *Planner) Want(now time.Duration, adapter string, priority Priority, until time.Duration) {
 	p.cancelDraining(now, adapter)
 	w := p.wants[adapter]
 	if w == nil {
-		p.wants[adapter] = &want{rank: rank, since: now, expiresAt: until, ahead: p.countAhead(rank)}
+		p.wants[adapter] = &want{priority: priority, since: now, expiresAt: until, ahead: p.countAhead(priority)}
 		return
 	}
 	w.extraRequests++
-	w.rank, w.expiresAt = min(w.rank, rank), max(w.expiresAt, until)
+	w.expiresAt = max(w.expiresAt, until)
+	if priority.ahead(w.priority) {
+		w.priority = priority
+	}
 }
 
 // cancelDraining makes a wanted adapter that drains available again.
@@ -247,26 +265,26 @@
 	return s.useScore * math.Exp2(-float64(now-s.scoredAt)/float64(p.config.UseHalfLife))
 }
 
-// Accepts reports whether to accept a want of the given rank: fewer than
+// Accepts reports whether to accept a want of the given priority: fewer than
 // Config.MaxWaiting others wait before it, and the adapter is expected to be loaded
 // within wait. Adapters that are already held, loading or wanted are accepted.
-func (p *Planner) Accepts(adapter string, rank int, wait time.Duration) bool {
+func (p *Planner) Accepts(adapter string, priority Priority, wait time.Duration) bool {
 	if p.slots[adapter] != nil || p.wants[adapter] != nil {
 		return true
 	}
-	ahead := p.countAhead(rank)
+	ahead := p.countAhead(priority)
 	if p.loadTime(adapter)+time.Duration(ahead)*p.turnover > wait {
 		return false
 	}
 	return ahead < p.config.MaxWaiting
 }
 
-// countAhead counts the wants of the given or a more urgent rank that wait for a
+// countAhead counts the wants of the given priority or before it that wait for a
 // slot.
-func (p *Planner) countAhead(rank int) int {
+func (p *Planner) countAhead(priority Priority) int {
 	count := 0
 	for waiting, w := range p.wants {
-		if p.slots[waiting] == nil && w.rank <= rank {
+		if p.slots[waiting] == nil && w.priority.ahead(priority) {
 			count++
 		}
 	}
@@ -394,7 +412,7 @@
 	if adapter := p.loadToCheck(now); adapter != "" {
 		return Order{Model: p.model, Adapter: adapter}, true
 	}
-	for _, adapter := range p.wantsByPriority() {
+	for _, adapter := range p.wantsByPriority(now) {
 		if p.slots[adapter] != nil {
 			continue
 		}
--- a/coord/slots/planner_test.go
+++ b/coord/slots/planner_test.go
@@ -35,14 +35,14 @@
 
 func TestNothingIsOrderedBeforeAReport(t *testing.T) {
 	p := NewPlanner(DefaultConfig(2), "m", time.Second)
-	p.Want(0, "a", 0, time.Minute)
+	p.Want(0, "a", Priority{}, time.Minute)
 	requireNoOrder(t, p, time.Second)
 }
 
 func TestTheModelIsLoadedFirst(t *testing.T) {
 	p := NewPlanner(DefaultConfig(2), "m", time.Second)
 	p.HandleReport(0, WorkerState{})
-	p.Want(0, "a", 0, time.Minute)
+	p.Want(0, "a", Priority{}, time.Minute)
 	require.Equal(t, Order{Model: "m", FromStore: true}, requireOrder(t, p, 0))
 	p.HandleResult(0, Accepted)
 	requireNoOrder(t, p, 10*ms)
@@ -52,7 +52,7 @@
 
 func TestALoadIsReadyOnlyWhenTheWorkerConfirmsIt(t *testing.T) {
 	p := syncedPlanner(2)
-	p.Want(0, "a", 0, time.Minute)
+	p.Want(0, "a", Priority{}, time.Minute)
 	requireOrder(t, p, 0)
 	p.HandleResult(0, Accepted)
 	require.False(t, p.Ready("a"))
@@ -69,10 +69,10 @@
 // unload of an adapter in transit but load it nevertheless.
 func TestAnAdapterInTransitIsNotEvicted(t *testing.T) {
 	p := syncedPlanner(1)
-	p.Want(0, "a", 0, 100*ms)
+	p.Want(0, "a", Priority{}, 100*ms)
 	requireOrder(t, p, 0)
 	p.HandleResult(0, Accepted)
-	p.Want(200*ms, "b", 0, time.Minute)
+	p.Want(200*ms, "b", Priority{}, time.Minute)
 	for at := 200 * ms; at < 2*time.Second; at += 10 * ms {
 		order, ok := p.Next(at)
 		if !ok {
@@ -87,14 +87,14 @@
 // an eviction: the planner took its adapter as held and ordered its load again.
 func TestALateReportDoesNotRestoreAnEvictedAdapter(t *testing.T) {
 	p := syncedPlanner(1, "a")
-	p.Want(time.Second, "b", 0, time.Minute)
+	p.Want(time.Second, "b", Priority{}, time.Minute)
 	require.Equal(t, Order{Unload: true, Model: "m", Adapter: "a"}, requireOrder(t, p, time.Second))
 	p.HandleResult(time.Second, Done)
 	requireOrder(t, p, time.Second)
 	p.HandleResult(time.Second, Accepted)
 	p.HandleReport(1100*ms, WorkerState{HasModel: true, Adapters: []string{"a"}, Pending: []string{"b"}})
 	p.MarkMissing(1110*ms, "a")
-	p.Want(1110*ms, "a", 0, time.Minute)
+	p.Want(1110*ms, "a", Priority{}, time.Minute)
 	for at := 1110 * ms; at < 1240*ms; at += 10 * ms {
 		requireNoOrder(t, p, at)
 	}
@@ -105,7 +105,7 @@
 func TestAnAdapterInUseIsDrainedBeforeItsEviction(t *testing.T) {
 	p := syncedPlanner(1, "a")
 	p.SetRunning(time.Second, map[string]int{"a": 3})
-	p.Want(time.Second, "b", 0, time.Minute)
+	p.Want(time.Second, "b", Priority{}, time.Minute)
 	requireNoOrder(t, p, time.Second)
 	require.Empty(t, p.Slots(), "a draining adapter gets no new request")
 	p.SetRunning(2*time.Second, nil)
@@ -115,14 +115,14 @@
 
 func TestTheMostUrgentWantGoesFirst(t *testing.T) {
 	p := syncedPlanner(2)
-	p.Want(0, "late", 2, time.Minute)
-	p.Want(1, "soon", 0, time.Minute)
+	p.Want(0, "late", Priority{Rank: 2}, time.Minute)
+	p.Want(1, "soon", Priority{}, time.Minute)
 	require.Equal(t, "soon", requireOrder(t, p, 10).Adapter)
 }
 
 func TestOrdersToAnUnreachableWorkerBackOff(t *testing.T) {
 	p := syncedPlanner(1)
-	p.Want(0, "a", 0, time.Minute)
+	p.Want(0, "a", Priority{}, time.Minute)
 	requireOrder(t, p, 0)
 	p.HandleResult(0, Unreachable)
 	requireNoOrder(t, p, unreachableBackoff-ms)
@@ -196,7 +196,7 @@
 			age := min(len(reports)-1, rapid.IntRange(0, 60).Draw(t, "lag"))
 			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0, 1, 2:
-				p.Want(now, names.Draw(t, "wanted"), rapid.IntRange(0, 2).Draw(t, "rank"), now+time.Second)
+				p.Want(now, names.Draw(t, "wanted"), Priority{Rank: rapid.IntRange(0, 2).Draw(t, "rank"), Share: rapid.IntRange(0, 4).Draw(t, "share")}, now+time.Second)
 			case 3:
 				p.MarkMissing(now, names.Draw(t, "missing"))
 			case 4:
@@ -275,7 +275,7 @@
 	p.AssumeOrder(10 * time.Second)
 	usableFrom := 10*time.Second + p.config.ReportLag
 	require.Equal(t, usableFrom, p.ReportsUsableFrom())
-	p.Want(10*time.Second, "b", 0, time.Minute)
+	p.Want(10*time.Second, "b", Priority{}, time.Minute)
 	p.HandleReport(usableFrom-ms, WorkerState{HasModel: true})
 	requireNoOrder(t, p, usableFrom)
 	p.HandleReport(usableFrom, WorkerState{HasModel: true, Adapters: []string{"a"}})
@@ -286,12 +286,12 @@
 // sent since then have reached the new process.
 func TestAWorkerThatLostItsModelIsReadAnew(t *testing.T) {
 	p := syncedPlanner(1)
-	p.Want(2*time.Second, "a", 0, time.Minute)
+	p.Want(2*time.Second, "a", Priority{}, time.Minute)
 	requireOrder(t, p, 2*time.Second)
 	p.HandleResult(2*time.Second, Accepted)
 	p.HandleReport(2100*ms, WorkerState{})
 	require.False(t, p.Synced())
-	p.Want(2100*ms, "b", 0, time.Minute)
+	p.Want(2100*ms, "b", Priority{}, time.Minute)
 	p.HandleReport(2200*ms, WorkerState{HasModel: true})
 	requireNoOrder(t, p, 2200*ms)
 	p.HandleReport(3*time.Second, WorkerState{HasModel: true, Adapters: []string{"a"}})
@@ -305,7 +305,7 @@
 	p.HandleReport(0, WorkerState{})
 	requireOrder(t, p, 0)
 	p.HandleResult(2*time.Second, Done)
-	p.Want(2*time.Second, "a", 0, time.Minute)
+	p.Want(2*time.Second, "a", Priority{}, time.Minute)
 	requireOrder(t, p, 2*time.Second)
 	p.HandleResult(2*time.Second, Accepted)
 	p.HandleReport(2100*ms, WorkerState{})
--- a/coord/slots/room.go
+++ b/coord/slots/room.go
@@ -8,15 +8,43 @@
 )
 
 // wantsByPriority lists the wanted adapters: those with the most requests first,
-// then by rank, then the oldest.
-func (p *Planner) wantsByPriority() []string {
-	names := slices.Sorted(maps.Keys(p.wants))
-	slices.SortStableFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.wants[b].extraRequests, p.wants[a].extraRequests), cmp.Compare(p.wants[a].rank, p.wants[b].rank), cmp.Compare(p.wants[a].since, p.wants[b].since))
-	})
+// then by rank, then the oldest. With organisations, rank and share come first.
+func (p *Planner) wantsByPriority(now time.Duration) []string {
+	compare, names := compareWants, slices.Sorted(maps.Keys(p.wants))
+	for _, w := range p.wants {
+		if w.priority.Share > 0 {
+			compare = func(a, b *want) int { return compareSharedWants(now, a, b) }
+		}
+	}
+	slices.SortStableFunc(names, func(a, b string) int { return compare(p.wants[a], p.wants[b]) })
 	return names
 }
 
+// compareWants orders wants of requests without organisations.
+func compareWants(a, b *want) int {
+	return cmp.Or(cmp.Compare(b.extraRequests, a.extraRequests), cmp.Compare(a.priority.Rank, b.priority.Rank), cmp.Compare(a.since, b.since))
+}
+
+// compareSharedWants orders wants of organisations' requests: by rank, then by the use of
+// the organisation, then those with the most requests, then those that expire first. A
+// want that has used up half of its time goes before the others of its share, and of the
+// rank below a more urgent one, so that no rank and no rare adapter starves.
+func compareSharedWants(now time.Duration, a, b *want) int {
+	lateA, lateB := a.late(now), b.late(now)
+	return cmp.Or(
+		cmp.Compare(a.priority.Rank-lateA, b.priority.Rank-lateB), cmp.Compare(a.priority.Share, b.priority.Share),
+		cmp.Compare(lateB, lateA), cmp.Compare(b.extraRequests, a.extraRequests), cmp.Compare(a.expiresAt, b.expiresAt),
+	)
+}
+
+// late returns 1 if less than half of the time of the want is left, and 0 otherwise.
+func (w *want) late(now time.Duration) int {
+	if now-w.since > (w.expiresAt-w.since)/2 {
+		return 1
+	}
+	return 0
+}
+
 // loadOrEvict returns the order to load an adapter if a slot is free, and otherwise
 // the order to evict another one. If none is idle, it starts to drain one.
 func (p *Planner) loadOrEvict(now time.Duration, adapter string) (Order, bool) {
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -26,6 +26,11 @@
 	FieldNewsAgeMS     Field = "news_age_ms"
 	FieldCandidates    Field = "candidates"
 	FieldEstimateMS    Field = "estimate_ms"
+	FieldWaitMS        Field = "wait_ms"
+	FieldContentionMS  Field = "contention_ms"
+	FieldOrganisation  Field = "organisation"
+	FieldShareRatio    Field = "share_ratio"
+	FieldShareClass    Field = "share_class"
 	FieldLeftMS        Field = "left_ms"
 	FieldDenied        Field = "denied"
 	FieldReady         Field = "ready"
@@ -110,6 +115,11 @@
 	{name: FieldNewsAgeMS, text: "age of the latest state update from another instance"},
 	{name: FieldCandidates, text: "number of workers of the service"},
 	{name: FieldEstimateMS, text: "expected time until the response begins"},
+	{name: FieldWaitMS, text: "expected time until the response begins, without preferences between workers"},
+	{name: FieldContentionMS, text: "the part of it that other requests cause"},
+	{name: FieldOrganisation, text: "name of the organisation that sent the request, or empty"},
+	{name: FieldShareRatio, text: "use of workers by the organisation relative to its share, 1 at the share"},
+	{name: FieldShareClass, text: "order among the requests of a rank that wait for an adapter: 0 without organisations, 1 up to the share, more above it"},
 	{name: FieldLeftMS, text: "time until the final response is due"},
 	{name: FieldDenied, text: "the worker itself reported that it does not hold the adapter"},
 	{name: FieldReady, text: "the adapter was loaded in time"},
--- a/entry/direct/admission.go
+++ b/entry/direct/admission.go
@@ -1,28 +1,86 @@
 package direct
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/fairshare"
+	"github.com/bulrushwick/bulrushwick/entry/decision"
 )
 
-// admission refuses requests that would be answered after their deadline.
+// admission refuses requests that would be answered after their deadline, or that would
+// take scarce capacity from others; see coord/fairshare.
 type admission struct {
-	// deadlineShare is the fraction of the remaining time that the wait for
-	// the first byte may take.
-	deadlineShare float64
+	policy fairshare.Policy
 }
 
-// defaultAdmission leaves a fifth of the remaining time for errors of the
-// estimate.
-func defaultAdmission() admission { return admission{deadlineShare: 0.8} }
+func defaultAdmission() admission { return admission{policy: fairshare.DefaultPolicy()} }
+
+// refusalReasons are the reasons of refusals by verdict.
+var refusalReasons = map[fairshare.Verdict]string{
+	fairshare.TooLate:    "the estimated wait exceeds the time left",
+	fairshare.AboveShare: "the organisation is above its share of busy workers",
+	fairshare.Yielding:   "more urgent requests are refused",
+}
 
-// refuse returns a failure if the expected wait exceeds the request's share of the
-// remaining time, and nil otherwise.
+// refuse returns a failure if the request should not wait for the chosen worker, and nil
+// otherwise.
 func (a admission) refuse(c *call, choice balance.Choice) *failure {
-	timeLeft := c.timeLeft()
-	if choice.Wait <= time.Duration(a.deadlineShare*float64(timeLeft)) {
+	request := c.shareRequest(choice)
+	c.judged = request
+	verdict := c.fleet.organisations.decide(now(), a.policy, c.service.Name, request)
+	if verdict == fairshare.Admitted {
 		return nil
 	}
-	return &failure{reason: "the estimated wait exceeds the time left", retryAfter: min(choice.Wait/2, timeLeft/3)}
+	refusal := &failure{reason: refusalReasons[verdict], scarce: request.Scarce(verdict)}
+	if request.HasOrganisation {
+		refusal.retryAfter = a.policy.RetryAfter(request, verdict, rand.Float64())
+	} else {
+		refusal.retryAfter = min(choice.Wait/2, c.timeLeft()/3)
+	}
+	return refusal
+}
+
+// shareRequest returns what decisions under scarcity depend on.
+func (c *call) shareRequest(choice balance.Choice) fairshare.Request {
+	at := now()
+	r := fairshare.Request{
+		Rank: c.rank(), Wait: choice.Wait, Contention: choice.Contention, Left: c.deadline - at, FullTime: c.deadline - c.arrivedAt,
+		Target: c.route.TargetLatency, TargetLeft: c.arrivedAt + c.route.TargetLatency - at,
+	}
+	table := c.fleet.config.table()
+	if table != nil && table.RequiresKeys() {
+		r.HasOrganisation, r.Ratio = true, c.fleet.organisations.ratio(at, table, c.request.organisationName())
+	}
+	return r
+}
+
+// expectedWork returns the time that the request is expected to occupy a worker.
+func (c *call) expectedWork() time.Duration {
+	batch := 0
+	if c.service.Engine != nil {
+		batch = max(c.service.Engine.BatchSize, 1)
+	}
+	return fairshare.Work(c.request.PromptTokens, c.request.OutputTokens, batch)
+}
+
+// recordOutcome counts for the order of ranks whether the request got a worker. Refusals
+// for other reasons than scarcity do not count.
+func (c *call) recordOutcome(refusal *failure) {
+	if refusal == nil || refusal.scarce {
+		c.fleet.organisations.record(now(), c.service.Name, c.rank(), refusal == nil)
+	}
+}
+
+// addContention adds what the last decision of admission depended on to a log line.
+func (c *call) addContention(line *zerolog.Event) *zerolog.Event {
+	line = line.Dur(decision.FieldWaitMS, c.judged.Wait).Dur(decision.FieldContentionMS, c.judged.Contention)
+	if !c.judged.HasOrganisation {
+		return line
+	}
+	return line.Str(decision.FieldOrganisation, c.request.organisationName()).Float64(decision.FieldShareRatio, math.Round(c.judged.Ratio*100)/100)
 }
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -173,7 +173,7 @@
 	ctx.SetStatusCode(status)
 	ctx.SetBodyString(f.reason + "\n")
 	c.metrics.countRefusal(f.reason)
-	c.log.Line(decision.Refused).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldService, c.service.Name).
+	c.addContention(c.log.Line(decision.Refused)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldService, c.service.Name).
 		Int(decision.FieldStatus, status).Str(decision.FieldReason, f.reason).Bool(decision.FieldMayHaveRun, c.mayHaveRun).Int(decision.FieldSends, c.sends).
 		Str(decision.FieldWorker, c.workerID).Dur(decision.FieldRetryAfterMS, f.retryAfter).Dur(decision.FieldTookMS, now()-c.arrivedAt).Uint64(decision.FieldConfig, c.configVersion).Send()
 	c.finish("failed", status)
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/fairshare"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
@@ -59,6 +60,8 @@
 	workerID   string
 	target     worker.Worker
 	finished   bool
+	// judged is what the last decision of admission depended on.
+	judged fairshare.Request
 }
 
 // abort ends a request whose state may be inconsistent: the connection to its worker
--- a/entry/direct/controlloop.go
+++ b/entry/direct/controlloop.go
@@ -72,11 +72,11 @@
 		done <- true
 		return done
 	}
-	if !w.planner.Accepts(load.adapter, load.rank, load.deadline-at) {
+	if !w.planner.Accepts(load.adapter, load.priority, load.deadline-at) {
 		done <- false
 		return done
 	}
-	w.planner.Want(at, load.adapter, load.rank, load.deadline)
+	w.planner.Want(at, load.adapter, load.priority, load.deadline)
 	w.waiters[load.adapter] = append(w.waiters[load.adapter], done)
 	select {
 	case w.wake <- struct{}{}:
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -33,6 +33,8 @@
 	residency  *residency
 	versions   *adapterVersions
 	demand     *demand
+	// organisations holds the work of organisations; it is empty without them.
+	organisations *organisations
 	// instanceCount is the number of instances in the cluster, this one
 	// included.
 	instanceCount atomic.Int64
@@ -41,7 +43,7 @@
 func newFleet(s Settings) *fleet {
 	f := &fleet{
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
-		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
+		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s), organisations: newOrganisations(s),
 	}
 	f.setInstanceCount(1)
 	return f
@@ -68,9 +70,13 @@
 
 // beginAttempt counts an attempt as in progress at a worker until end is called on
 // the result.
-func (f *fleet) beginAttempt(id string, r *Request) *attemptUse {
+func (f *fleet) beginAttempt(id string, r *Request, work time.Duration) *attemptUse {
 	f.conditions.sent(id)
-	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() { f.conditions.ended(id) })
+	endWork := f.organisations.begin(f.config.table(), r, work)
+	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() {
+		f.conditions.ended(id)
+		endWork()
+	})
 }
 
 // claim reports whether a worker process may be sent a request at this moment. What
@@ -84,6 +90,7 @@
 // heartbeat.
 func (f *fleet) applyPeerUpdate(at time.Duration, peer string, update *clusterpb.News) {
 	f.usage.apply(at, peer, update)
+	f.organisations.apply(at, peer, update)
 	f.residency.apply(at, update)
 }
 
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -11,7 +11,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/fairshare"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
@@ -173,6 +175,8 @@
 type failure struct {
 	reason     string
 	retryAfter time.Duration
+	// scarce is set if the request was refused for want of workers or adapter slots.
+	scarce bool
 }
 
 // checkRetry returns nil if the request may be sent again; it has taken a retry
@@ -236,7 +240,7 @@
 		if c.ctx.Err() != nil {
 			return target, &failure{reason: context.Cause(c.ctx).Error()}
 		}
-		refusal = &failure{reason: reason, retryAfter: busyRetryAfter}
+		refusal = &failure{reason: reason, retryAfter: busyRetryAfter, scarce: true}
 		if now()-began > maxQuickRefusal {
 			break
 		}
@@ -287,6 +291,7 @@
 // attempt sends the request to one worker and handles the response.
 func (c *call) attempt(ctx *fasthttp.RequestCtx) nextAction {
 	target, refusal := c.prepareWorker()
+	c.recordOutcome(refusal)
 	if refusal != nil {
 		c.fail(ctx, *refusal)
 		return actionDone
@@ -307,7 +312,7 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.beginAttempt(target.ID, r)
+	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.expectedWork())
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
@@ -321,13 +326,13 @@
 	return exchange, err
 }
 
-// enginePriority returns the engine's priority for the route's rank, or -1 for
-// a service without an engine.
+// enginePriority returns the engine's priority for the request, or -1 for a service without
+// an engine.
 func (c *call) enginePriority() int {
 	if c.service.Engine == nil {
 		return -1
 	}
-	return min(c.rank(), 2)*3 + 1
+	return fairshare.EnginePriority(c.shareRequest(balance.Choice{}))
 }
 
 // requiredAdapterVersion returns the newest known version of the request's
@@ -351,7 +356,7 @@
 	if refusal != nil {
 		return choice, refusal
 	}
-	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
+	c.addContention(c.log.Line(decision.Placed)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
 		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
@@ -401,12 +406,15 @@
 const minLoadWait = 400 * time.Millisecond
 
 // loadWaitLimit returns how long the request waits for its adapter: as long as
-// it can still begin within its route's goal.
-func (c *call) loadWaitLimit() time.Duration {
+// it can still begin within its route's goal. Where workers have no free slot it is less
+// for organisations above their share.
+func (c *call) loadWaitLimit(choice balance.Choice) time.Duration {
 	prefill := time.Duration(float64(c.request.PromptTokens) / c.fleet.balance.TokensPerMS * float64(time.Millisecond))
 	limit := c.route.TargetLatency - (now() - c.arrivedAt) - prefill
 	if c.resuming {
 		limit = resumeTimeout
+	} else if choice.Candidate.FreeSlots+choice.Candidate.IdleSlots == 0 {
+		limit = c.admission.policy.LoadWait(c.shareRequest(choice), limit, minLoadWait)
 	}
 	return min(max(limit, minLoadWait), c.timeLeft())
 }
@@ -432,12 +440,12 @@
 	}
 	began := now()
 	c.workerID = choice.Candidate.ID
-	wait := c.loadWaitLimit()
+	wait := c.loadWaitLimit(choice)
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	load := loadRequest{
-		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.loadRank(),
-		deadline: began + wait, denied: denied,
+		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter,
+		priority: slots.Priority{Rank: c.loadRank(), Share: fairshare.ShareClass(c.shareRequest(choice))}, deadline: began + wait, denied: denied,
 	}
 	ready, reason = c.loader.requestLoad(ctx, c.request, load)
 	took := now() - began
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -343,7 +343,8 @@
 	}
 	response, err := i.cluster.LoadAdapter(ctx, holder, &clusterpb.LoadAdapterRequest{
 		RequestId: r.ID, Worker: load.worker, Born: load.born, Model: r.Model, Adapter: load.adapter,
-		Rank: uint32(load.rank - resumeRank), WaitNs: int64(load.deadline - now()), Missing: load.denied,
+		Rank: uint32(load.priority.Rank - resumeRank), WaitNs: int64(load.deadline - now()), Missing: load.denied,
+		Organisation: r.organisationName(), Share: uint32(load.priority.Share),
 	})
 	if err != nil {
 		i.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, r.ID).Str(decision.FieldHolder, holder).Str(decision.FieldCall, "load_adapter").Send()
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -68,6 +68,7 @@
 	if age := f.config.age(at); age > 0 {
 		m.setGauge("config_age_seconds", age.Seconds())
 	}
+	m.setGauge("organisations_above_share", float64(f.organisations.countAbove(at, f.config.table())))
 	m.setGauge("peer_news_age_seconds", f.usage.oldestAge(at).Seconds())
 	m.setGauge("repeats_left", f.demand.retriesLeft(at, instances))
 }
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -22,6 +23,7 @@
 	update := i.peerUpdate()
 	at := now()
 	i.fleet.usage.appendOwn(at, update, i.fleet.conditions.holdOffs(at))
+	i.fleet.organisations.appendOwn(at, update)
 	return update
 }
 
@@ -31,6 +33,7 @@
 	update := i.peerUpdate()
 	heldRights := toSet(i.cluster.HeldRights())
 	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), i.fleet.conditions.holdOffs(at), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
+	i.fleet.organisations.appendExcept(at, update, peer, heldRights)
 	return update
 }
 
@@ -105,11 +108,12 @@
 	defer cancel()
 	began := now()
 	ready, reason := i.orders.loadAdapter(ctx, loadRequest{
-		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(), rank: int(in.GetRank()) + resumeRank,
-		deadline: began + wait, denied: in.GetMissing(),
+		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(),
+		priority: slots.Priority{Rank: int(in.GetRank()) + resumeRank, Share: int(in.GetShare())}, deadline: began + wait, denied: in.GetMissing(),
 	})
 	i.log.Line(decision.LoadServed).Str(decision.FieldRequest, in.GetRequestId()).Str(decision.FieldWorker, in.GetWorker()).
 		Str(decision.FieldAdapter, in.GetAdapter()).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).
+		Str(decision.FieldOrganisation, in.GetOrganisation()).Uint32(decision.FieldShareClass, in.GetShare()).
 		Int(decision.FieldWaiting, i.orders.waitingAdapters(in.GetWorker(), in.GetBorn())).Dur(decision.FieldTookMS, now()-began).Send()
 	return &clusterpb.LoadAdapterResponse{Ready: ready, Reason: reason}, nil
 }
--- a/entry/direct/orders.go
+++ b/entry/direct/orders.go
@@ -229,7 +229,7 @@
 	// born identifies the worker's process by its start, in Unix milliseconds.
 	born     int64
 	adapter  string
-	rank     int
+	priority slots.Priority
 	deadline time.Duration
 	// denied is set if the worker itself reported that it does not hold the
 	// adapter.
