--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -28,7 +28,6 @@
 	FieldEstimateMS    Field = "estimate_ms"
 	FieldWaitMS        Field = "wait_ms"
 	FieldContentionMS  Field = "contention_ms"
-	FieldOrganisation  Field = "organisation"
 	FieldShareRatio    Field = "share_ratio"
 	FieldShareClass    Field = "share_class"
 	FieldLeftMS        Field = "left_ms"
@@ -85,6 +84,23 @@
 	FieldReplaced      Field = "replaced"
 )
 
+// Fields of the quotas of organisations.
+const (
+	FieldOrganisation      Field = "organisation"
+	FieldQuotaHeld         Field = "quota_held"
+	FieldQuotaAsked        Field = "quota_asked"
+	FieldQuotaGranted      Field = "quota_granted"
+	FieldQuotaSpent        Field = "quota_spent"
+	FieldQuotaReserve      Field = "quota_reserve"
+	FieldQuotaReturned     Field = "quota_returned"
+	FieldQuotaReturnedLate Field = "quota_returned_late"
+	FieldQuotaRefused      Field = "quota_refused"
+	FieldQuotaUnreachable  Field = "quota_unreachable"
+	FieldQuotaCalls        Field = "quota_calls"
+	FieldQuotaFailures     Field = "quota_failures"
+	FieldQuotaLevel        Field = "quota_level"
+)
+
 // explanation describes an event or a field.
 type explanation[T ~string] struct {
 	name T
@@ -117,7 +133,6 @@
 	{name: FieldEstimateMS, text: "expected time until the response begins"},
 	{name: FieldWaitMS, text: "expected time until the response begins, without preferences between workers"},
 	{name: FieldContentionMS, text: "the part of it that other requests cause"},
-	{name: FieldOrganisation, text: "name of the organisation that sent the request, or empty"},
 	{name: FieldShareRatio, text: "use of workers by the organisation relative to its share, 1 at the share"},
 	{name: FieldShareClass, text: "order among the requests of a rank that wait for an adapter: 0 without organisations, 1 up to the share, more above it"},
 	{name: FieldLeftMS, text: "time until the final response is due"},
@@ -172,4 +187,17 @@
 	{name: FieldRequests, text: "requests in progress"},
 	{name: FieldCut, text: "requests that were still in progress at the end"},
 	{name: FieldReplaced, text: "lines that were overwritten because the output was too slow"},
+	{name: FieldOrganisation, text: "organisation of the request or the quota; empty for a request without a key"},
+	{name: FieldQuotaHeld, text: "tokens that can be spent now"},
+	{name: FieldQuotaAsked, text: "tokens asked of meters"},
+	{name: FieldQuotaGranted, text: "tokens granted by meters"},
+	{name: FieldQuotaSpent, text: "tokens taken by requests"},
+	{name: FieldQuotaReserve, text: "tokens taken by requests while no meter responded"},
+	{name: FieldQuotaReturned, text: "tokens given back by requests that did not run"},
+	{name: FieldQuotaReturnedLate, text: "tokens that expired and were returned to their meter"},
+	{name: FieldQuotaRefused, text: "requests refused because they were over the quota"},
+	{name: FieldQuotaUnreachable, text: "requests refused because no meter responded"},
+	{name: FieldQuotaCalls, text: "calls to meters"},
+	{name: FieldQuotaFailures, text: "calls to meters without a usable response"},
+	{name: FieldQuotaLevel, text: "tokens in the bucket as of the last call"},
 }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -16,7 +16,9 @@
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
+	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -40,7 +42,12 @@
 	workerLeaves func(w worker.Worker, request string)
 	admission    admission
 	guard        *promptGuard
-	draining     atomic.Bool
+	// revocation knows whether keys may be judged by the configuration in force.
+	revocation *revocation.Checker
+	versionLag *versionLag
+	// quota is nil if quotas are not enforced.
+	quota    *quota.Client
+	draining atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed atomic.Bool
@@ -69,7 +76,7 @@
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	table := g.fleet.config.table()
+	table := g.servingTable()
 	if table == nil || g.closed.Load() {
 		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the instance is starting or stopping")
 		return
@@ -89,16 +96,19 @@
 		g.refuseEarly(ctx, fasthttp.StatusNotFound, "no route for this host and path")
 		return
 	}
-	if !authenticate(table, route, request) {
-		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
-		g.refuseEarly(ctx, fasthttp.StatusUnauthorized, "the request has no valid key")
+	if !g.admitKey(ctx, table, route, request) {
 		return
 	}
 	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
 		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
 		return
 	}
+	spending, admitted := g.takeQuota(ctx, route, request)
+	if !admitted {
+		return
+	}
 	c = g.newCall(ctx, table, route, request, arrived)
+	c.spending = spending
 	g.serve(ctx, c)
 }
 
@@ -129,7 +139,7 @@
 	g.metrics.countRefusal(strconv.Itoa(status))
 	g.log.Line(decision.Refused).Int(decision.FieldStatus, status).Str(decision.FieldReason, reason).Bytes(decision.FieldHost, ctx.Host()).
 		Bytes(decision.FieldPath, ctx.Path()).Uint64(decision.FieldConfig, g.configVersion()).Send()
-	if status == fasthttp.StatusServiceUnavailable {
+	if status == fasthttp.StatusServiceUnavailable && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
 		setRetryAfter(ctx, unavailableRetryAfter)
 	}
 	ctx.SetStatusCode(status)
@@ -231,9 +241,9 @@
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
-			claimed, quarantined := c.claim(target)
-			if claimed || quarantined != nil {
-				return target, quarantined
+			claimed, refused := c.claim(target)
+			if claimed || refused != nil {
+				return target, refused
 			}
 			reason = "the chosen worker leaves or asked for a pause"
 		}
@@ -250,11 +260,15 @@
 }
 
 // claim reports whether the request may be sent to a worker that has its adapter. What
-// is known of the worker and of the prompt may have changed during the load.
+// is known of the worker and of the prompt may have changed during the load, and the quota
+// that was taken may have expired.
 func (c *call) claim(target worker.Worker) (bool, *failure) {
 	if quarantined := c.checkQuarantine(); quarantined != nil {
 		return false, quarantined
 	}
+	if refused := c.renewQuota(); refused != nil {
+		return false, refused
+	}
 	return c.fleet.claim(now(), target), nil
 }
 
