--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -193,9 +193,8 @@
 
 // choice returns the choice of a candidate.
 func (c Config) choice(r Request, candidate *Candidate, position int) Choice {
-	contention := c.contention(r, candidate)
-	wait := c.uncontendedWait(r, candidate, position) + contention
-	choice := Choice{Candidate: candidate, Estimate: wait, Wait: wait, Contention: contention}
+	wait := c.wait(r, candidate, position)
+	choice := Choice{Candidate: candidate, Estimate: wait, Wait: wait, Contention: c.contention(r, candidate)}
 	if candidate.Suspect {
 		choice.Estimate += c.SuspectCost
 	}
@@ -226,18 +225,14 @@
 	return r.Adapter == "" || c.Residency != Absent || c.Orderable
 }
 
-// uncontendedWait returns the expected time until the response begins, without the part
-// that other requests cause.
-func (c Config) uncontendedWait(r Request, w *Candidate, position int) time.Duration {
-	work := time.Duration(0)
-	if w.BatchSize > 0 {
-		work += time.Duration(w.Running) * c.StepCost
-	}
+// wait returns the expected time until the response begins.
+func (c Config) wait(r Request, w *Candidate, position int) time.Duration {
+	work := time.Duration(w.Running) * c.StepCost
 	if w.CacheCapacity > 0 {
-		work += c.prefillTime(r.Tokens)
+		work += c.prefillTime(w.WaitingTokens + r.Tokens)
 		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
 	}
-	return w.RTT + atPace(w, work) + c.loadCost(r, w, position)
+	return w.RTT + atPace(w, work) + c.scarcityCost(r, w) + c.loadCost(r, w, position)
 }
 
 // contention returns the part of the wait that other requests at the worker cause. That
@@ -250,7 +245,12 @@
 	if w.CacheCapacity > 0 {
 		work += c.prefillTime(w.WaitingTokens)
 	}
-	total := atPace(w, work)
+	return atPace(w, work) + c.scarcityCost(r, w)
+}
+
+// scarcityCost returns the wait for room at the worker, for what other requests hold of it.
+func (c Config) scarcityCost(r Request, w *Candidate) time.Duration {
+	total := time.Duration(0)
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
 		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
--- a/coord/fairshare/load_test.go
+++ b/coord/fairshare/load_test.go
@@ -143,7 +143,7 @@
 		for _, before := range []bool{true, false} {
 			var sum [2]float64
 			for seed := range uint64(simSeeds) {
-				s := simulation{workers: 4, lostWorkers: tc.lost, seed: seed, asBefore: before}
+				s := simulation{workers: 4, lostWorkers: tc.lost, organisations: true, seed: seed, asBefore: before}
 				s.sources = []simSource{
 					{rank: 0, perSecond: 36, target: time.Second, deadline: tc.deadlines[0], prompt: 500, flood: tc.flood[0]},
 					{rank: 2, perSecond: 24, target: 2 * time.Second, deadline: tc.deadlines[1], prompt: 500, flood: tc.flood[1]},
--- a/coord/fairshare/policy.go
+++ b/coord/fairshare/policy.go
@@ -64,7 +64,8 @@
 	// that is above its share, however far. It is the delay below which there is no
 	// scarcity.
 	LeastContention float64
-	// RanksYield is set if less urgent ranks leave capacity to more urgent ones.
+	// RanksYield is set if less urgent ranks leave capacity to more urgent ones. It has no
+	// effect without organisations, where a request is rejected by its wait only.
 	RanksYield bool
 }
 
@@ -74,12 +75,12 @@
 }
 
 // Decide decides on a request at the worker chosen for it. outcomes are those of the
-// request's service.
+// request's service; they may be nil without organisations.
 func (p Policy) Decide(at time.Duration, r Request, outcomes *Outcomes) Verdict {
 	switch {
 	case r.Wait > time.Duration(p.DeadlineShare*float64(r.Left)):
 		return TooLate
-	case r.Started:
+	case r.Started || !r.HasOrganisation:
 		return Admitted
 	case r.AboveShare() && r.Contention > p.tolerance(r):
 		return AboveShare
@@ -149,15 +150,16 @@
 // most urgent. Within a rank, organisations above their share come last and requests that
 // have little of their target left first.
 func EnginePriority(r Request) int {
-	priority := min(max(r.Rank, 0), ranksOfEngines-1)*stepsPerRank + 1
+	priority := min(r.Rank, ranksOfEngines-1)*stepsPerRank + 1
 	switch {
 	case !r.HasOrganisation:
+		return priority
 	case r.AboveShare():
 		priority++
 	case r.TargetLeft < r.Target/3:
 		priority--
 	}
-	return priority
+	return max(priority, 0)
 }
 
 // ShareClass returns the order of a request among those of its rank, for the wait for an
--- a/coord/fairshare/policy_test.go
+++ b/coord/fairshare/policy_test.go
@@ -1,6 +1,7 @@
 package fairshare_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -99,3 +100,36 @@
 		t.Fatalf("still at %v times its share", got)
 	}
 }
+
+// Where a configuration has no organisations the rules for them must not change which
+// requests are admitted, nor their place in an engine's queue: a less urgent rank yielded
+// there as well. The expected results are the rules from before this package.
+func TestWithoutOrganisationsOnlyTheWaitDecides(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
+	policy := fairshare.DefaultPolicy()
+	for range 20_000 {
+		r := fairshare.Request{
+			Ratio: random.Float64() * 10, Rank: random.IntN(6) - 1, Wait: upTo(5 * time.Second), Left: upTo(7*time.Second) - time.Second,
+			FullTime: 6 * time.Second, Target: upTo(3 * time.Second), TargetLeft: upTo(3*time.Second) - time.Second, Started: random.IntN(4) == 0,
+		}
+		r.Contention = time.Duration(random.Float64() * float64(r.Wait))
+		outcomes := &fairshare.Outcomes{}
+		for range random.IntN(40) {
+			outcomes.Record(0, random.IntN(4), random.IntN(2) == 0)
+		}
+		want := fairshare.Admitted
+		if r.Wait > time.Duration(0.8*float64(r.Left)) {
+			want = fairshare.TooLate
+		}
+		if got := policy.Decide(0, r, outcomes); got != want {
+			t.Fatalf("%+v got %d, before %d", r, got, want)
+		}
+		if got, before := fairshare.EnginePriority(r), min(r.Rank, 2)*3+1; got != before {
+			t.Fatalf("rank %d has priority %d, before %d", r.Rank, got, before)
+		}
+		if class, wait := fairshare.ShareClass(r), policy.LoadWait(r, r.Wait, time.Second); class != 0 || wait != r.Wait {
+			t.Fatalf("%+v has class %d and waits %v", r, class, wait)
+		}
+	}
+}
--- a/coord/slots/room.go
+++ b/coord/slots/room.go
@@ -8,7 +8,8 @@
 )
 
 // wantsByPriority lists the wanted adapters: those with the most requests first,
-// then by rank, then the oldest. With organisations, rank and share come first.
+// then by rank, then the oldest. With organisations, rank and share
+// come first; without, the order is that of compareWants alone.
 func (p *Planner) wantsByPriority(now time.Duration) []string {
 	compare, names := compareWants, slices.Sorted(maps.Keys(p.wants))
 	for _, w := range p.wants {
--- a/entry/direct/admission.go
+++ b/entry/direct/admission.go
@@ -32,7 +32,7 @@
 func (a admission) refuse(c *call, choice balance.Choice) *failure {
 	request := c.shareRequest(choice)
 	c.judged = request
-	verdict := c.fleet.organisations.decide(now(), a.policy, c.service.Name, request)
+	verdict := a.decide(c, request)
 	if verdict == fairshare.Admitted {
 		return nil
 	}
@@ -45,6 +45,14 @@
 	return refusal
 }
 
+// decide decides on a request. Without organisations no outcomes are counted.
+func (a admission) decide(c *call, request fairshare.Request) fairshare.Verdict {
+	if !request.HasOrganisation {
+		return a.policy.Decide(now(), request, nil)
+	}
+	return c.fleet.organisations.decide(now(), a.policy, c.service.Name, request)
+}
+
 // shareRequest returns what decisions under scarcity depend on.
 func (c *call) shareRequest(choice balance.Choice) fairshare.Request {
 	at, target := now(), c.route.TargetLatency
@@ -75,6 +83,9 @@
 // for other reasons than scarcity do not count, nor those of an organisation above its
 // share.
 func (c *call) recordOutcome(refusal *failure) {
+	if !c.judged.HasOrganisation {
+		return
+	}
 	if refusal == nil || refusal.scarce && !c.judged.AboveShare() {
 		c.fleet.organisations.record(now(), c.service.Name, c.rank(), refusal == nil)
 	}
--- a/entry/direct/admission_test.go
+++ b/entry/direct/admission_test.go
@@ -1,9 +1,13 @@
 package direct
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 )
@@ -53,3 +57,51 @@
 	emptyChoice = balance.Choice{}
 	busyChoice  = balance.Choice{Wait: 700 * time.Millisecond, Contention: 650 * time.Millisecond}
 )
+
+// formerRefusal is the admission from before requests had organisations.
+func formerRefusal(choice balance.Choice, timeLeft time.Duration) *failure {
+	if choice.Estimate <= time.Duration(0.8*float64(timeLeft)) {
+		return nil
+	}
+	return &failure{reason: "the estimated wait exceeds the time left", retryAfter: min(choice.Estimate/2, timeLeft/3)}
+}
+
+// Where a configuration has no organisations, a less urgent rank must not yield, and what was
+// refused before must not have another Retry-After. Rejections of an urgent rank come first.
+// Suspect workers are left out: for these admission differs on purpose.
+func TestWithoutOrganisationsAdmissionIsAsBefore(t *testing.T) {
+	const margin = 200 * time.Millisecond // the clock goes on between the two results
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 2000 {
+		left := time.Duration(500+random.IntN(4500)) * time.Millisecond
+		c := newTestCall(left)
+		c.fleet.config.install(tableOf().Config, nil)
+		for range random.IntN(10) {
+			c.recordOutcome(&failure{scarce: true})
+		}
+		c.route.Rank = random.IntN(4)
+		for range random.IntN(10) {
+			c.recordOutcome(nil)
+		}
+		var candidates []balance.Candidate
+		for i := range 1 + random.IntN(5) {
+			candidates = append(candidates, balance.Candidate{
+				ID: strconv.Itoa(i), Usable: true, Running: random.IntN(12), BatchSize: 8, CacheCapacity: 12_000,
+				WaitingTokens: random.IntN(60_000), CacheTokens: random.IntN(9000),
+			})
+		}
+		request := balance.Request{Tokens: random.IntN(9000)}
+		former, _ := c.fleet.balance.Pick(request, candidates)
+		if limit := time.Duration(0.8 * float64(left)); former.Estimate > limit-margin && former.Estimate <= limit {
+			continue
+		}
+		before := formerRefusal(former, left)
+		choice, refusal := c.choose(request, candidates)
+		require.Same(t, former.Candidate, choice.Candidate)
+		require.Equal(t, before == nil, refusal == nil)
+		if refusal != nil {
+			require.Equal(t, before.reason, refusal.reason)
+			require.InDelta(t, before.retryAfter, refusal.retryAfter, float64(margin))
+		}
+	}
+}
