--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -119,7 +119,8 @@
 	// FullCost is added if the batch is full, and again if the cache is full. For the
 	// batch it grows with the number of requests beyond the batch size.
 	FullCost time.Duration
-	// SuspectCost is added for suspect workers.
+	// SuspectCost is added for suspect workers. It is a preference for other workers and
+	// no part of the expected wait.
 	SuspectCost time.Duration
 }
 
@@ -143,8 +144,14 @@
 // Choice is the result of a pick.
 type Choice struct {
 	Candidate *Candidate
-	// Estimate is the expected time until the response begins.
+	// Estimate is the expected time until the response begins, with the costs that only
+	// make other workers preferred.
 	Estimate time.Duration
+	// Wait is the expected time until the response begins, without SuspectCost: a request
+	// to a suspect worker does not wait for the suspicion to end.
+	Wait time.Duration
+	// Contention is the part of the wait that other requests cause.
+	Contention time.Duration
 }
 
 // Pick returns the eligible candidate with the lowest estimate, or false if none is
@@ -157,14 +164,43 @@
 		if !isEligible(r, candidate) {
 			continue
 		}
-		estimate := c.estimate(r, candidate, positions[i])
-		if best.Candidate == nil || estimate < best.Estimate {
-			best = Choice{Candidate: candidate, Estimate: estimate}
+		choice := c.choice(r, candidate, positions[i])
+		if best.Candidate == nil || choice.Estimate < best.Estimate {
+			best = choice
 		}
 	}
 	return best, best.Candidate != nil
 }
 
+// PickSoonest returns the eligible candidate with the shortest wait, whether it is suspect
+// or not; false if none is eligible. It is for requests that would come too late at the
+// candidate that Pick prefers.
+func (c Config) PickSoonest(r Request, candidates []Candidate) (Choice, bool) {
+	positions := c.rendezvousPositions(r, candidates)
+	var best Choice
+	for i := range candidates {
+		candidate := &candidates[i]
+		if !isEligible(r, candidate) {
+			continue
+		}
+		choice := c.choice(r, candidate, positions[i])
+		if best.Candidate == nil || choice.Wait < best.Wait {
+			best = choice
+		}
+	}
+	return best, best.Candidate != nil
+}
+
+// choice returns the choice of a candidate.
+func (c Config) choice(r Request, candidate *Candidate, position int) Choice {
+	wait := c.wait(r, candidate, position)
+	choice := Choice{Candidate: candidate, Estimate: wait, Wait: wait, Contention: c.contention(r, candidate)}
+	if candidate.Suspect {
+		choice.Estimate += c.SuspectCost
+	}
+	return choice
+}
+
 // ShortestHoldOff returns how long it takes until the first candidate that could serve
 // the request otherwise may be sent one; false if none is only held off.
 func ShortestHoldOff(candidates []Candidate) (time.Duration, bool) {
@@ -189,30 +225,53 @@
 	return r.Adapter == "" || c.Residency != Absent || c.Orderable
 }
 
-// estimate returns the expected time until the response begins.
-func (c Config) estimate(r Request, w *Candidate, position int) time.Duration {
+// wait returns the expected time until the response begins.
+func (c Config) wait(r Request, w *Candidate, position int) time.Duration {
 	work := time.Duration(w.Running) * c.StepCost
 	if w.CacheCapacity > 0 {
 		work += c.prefillTime(w.WaitingTokens + r.Tokens)
 		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
 	}
-	if w.Pace > 0 {
-		work = time.Duration(w.Pace * float64(work))
+	return w.RTT + atPace(w, work) + c.scarcityCost(r, w) + c.loadCost(r, w, position)
+}
+
+// contention returns the part of the wait that other requests at the worker cause. That
+// running requests slow each other is no sign of scarcity while the batch has room.
+func (c Config) contention(r Request, w *Candidate) time.Duration {
+	work := time.Duration(0)
+	if w.BatchSize <= 0 {
+		work += time.Duration(w.Running) * c.StepCost
 	}
-	total := w.RTT + work
+	if w.CacheCapacity > 0 {
+		work += c.prefillTime(w.WaitingTokens)
+	}
+	return atPace(w, work) + c.scarcityCost(r, w)
+}
+
+// scarcityCost returns the wait for room at the worker, for what other requests hold of it.
+func (c Config) scarcityCost(r Request, w *Candidate) time.Duration {
+	total := time.Duration(0)
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
 		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
 	if w.CacheCapacity > 0 && w.CacheTokens+r.Tokens > w.CacheCapacity {
 		total += c.FullCost
 	}
-	if w.Suspect {
-		total += c.SuspectCost
-	}
 	if w.HeldOffFromPeers {
 		total += c.FullCost
 	}
-	return total + c.loadCost(r, w, position)
+	if r.Adapter != "" && w.Residency == Absent && w.FreeSlots+w.IdleSlots == 0 {
+		total += c.EvictionWait
+	}
+	return total
+}
+
+// atPace returns the time that work takes at a worker's pace.
+func atPace(w *Candidate, work time.Duration) time.Duration {
+	if w.Pace > 0 {
+		return time.Duration(w.Pace * float64(work))
+	}
+	return work
 }
 
 // prefillTime returns the time that reading prompt tokens takes at the usual pace.
@@ -220,7 +279,7 @@
 	return time.Duration(float64(tokens) / c.TokensPerMS * float64(time.Millisecond))
 }
 
-// loadCost returns the expected wait for the adapter.
+// loadCost returns the expected wait for the adapter, without that for a slot.
 func (c Config) loadCost(r Request, w *Candidate, position int) time.Duration {
 	switch {
 	case r.Adapter == "" || w.Residency == Resident:
@@ -229,11 +288,7 @@
 		return c.LoadingCost
 	}
 	spread := time.Duration(float64(c.SpreadCost) * float64(position) / (1 + r.Demand))
-	cost := c.PreferredCost + min(spread, c.MaxSpreadCost)
-	if w.FreeSlots+w.IdleSlots == 0 {
-		cost += c.EvictionWait
-	}
-	return cost
+	return c.PreferredCost + min(spread, c.MaxSpreadCost)
 }
 
 // rendezvousPositions returns for each candidate its position behind the preferred
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -26,6 +26,10 @@
 	FieldNewsAgeMS     Field = "news_age_ms"
 	FieldCandidates    Field = "candidates"
 	FieldEstimateMS    Field = "estimate_ms"
+	FieldWaitMS        Field = "wait_ms"
+	FieldContentionMS  Field = "contention_ms"
+	FieldShareRatio    Field = "share_ratio"
+	FieldShareClass    Field = "share_class"
 	FieldLeftMS        Field = "left_ms"
 	FieldDenied        Field = "denied"
 	FieldReady         Field = "ready"
@@ -127,6 +131,10 @@
 	{name: FieldNewsAgeMS, text: "age of the latest state update from another instance"},
 	{name: FieldCandidates, text: "number of workers of the service"},
 	{name: FieldEstimateMS, text: "expected time until the response begins"},
+	{name: FieldWaitMS, text: "expected time until the response begins, without preferences between workers"},
+	{name: FieldContentionMS, text: "the part of it that other requests cause"},
+	{name: FieldShareRatio, text: "use of workers by the organisation relative to its share, 1 at the share"},
+	{name: FieldShareClass, text: "order among the requests of a rank that wait for an adapter: 0 without organisations, 1 up to the share, more above it"},
 	{name: FieldLeftMS, text: "time until the final response is due"},
 	{name: FieldDenied, text: "the worker itself reported that it does not hold the adapter"},
 	{name: FieldReady, text: "the adapter was loaded in time"},
@@ -179,7 +187,7 @@
 	{name: FieldRequests, text: "requests in progress"},
 	{name: FieldCut, text: "requests that were still in progress at the end"},
 	{name: FieldReplaced, text: "lines that were overwritten because the output was too slow"},
-	{name: FieldOrganisation, text: "organisation of the request or the quota"},
+	{name: FieldOrganisation, text: "organisation of the request or the quota; empty for a request without a key"},
 	{name: FieldQuotaHeld, text: "tokens that can be spent now"},
 	{name: FieldQuotaAsked, text: "tokens asked of meters"},
 	{name: FieldQuotaGranted, text: "tokens granted by meters"},
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/fairshare"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
@@ -60,6 +61,8 @@
 	workerID   string
 	target     worker.Worker
 	finished   bool
+	// judged is what the last decision of admission depended on.
+	judged fairshare.Request
 	// spending is what the request has taken of its organisation's quota.
 	spending quota.Spending
 }
