memlimit: count the unread bytes of all sockets of the process

Cause: only callers' sockets were counted, so responses that wait in the sockets to workers were not. Stricter, load and bounds are unchanged.

--- a/cmd/memlimit/process_test.go
+++ b/cmd/memlimit/process_test.go
@@ -4,14 +4,12 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -63,8 +61,7 @@
 	exited  chan struct{}
 	// limit is the memory of its machine in bytes.
 	limit int64
-	// unread is the size of the requests that its sockets have received and the process
-	// has not read, at most.
+	// peak is the peak of memory with unread bytes.
 	peak, peakUnread, peakDescriptors atomic.Int64
 }
 
@@ -213,18 +210,23 @@
 	return kilobytes << 10
 }
 
-// unreadBytes returns the bytes that callers' sockets of the instance have received and
-// the process has not read.
+// unreadBytes returns the bytes that the sockets of the instance, those to workers
+// included, have received and the process has not read.
 func (i *instance) unreadBytes() int64 {
-	address := netip.MustParseAddrPort(i.callers)
-	ip := address.Addr().As4()
-	local := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(ip[:]), address.Port())
+	own := make(map[string]bool)
+	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", i.pid))
+	for _, entry := range entries {
+		target, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", i.pid, entry.Name()))
+		if inode, found := strings.CutPrefix(target, "socket:["); found {
+			own[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
 	text, _ := os.ReadFile("/proc/net/tcp")
 	var total int64
 	for line := range strings.Lines(string(text)) {
 		fields := strings.Fields(line)
-		const established = "01"
-		if len(fields) < 5 || fields[1] != local || fields[3] != established {
+		const established, inodeField = "01", 9
+		if len(fields) <= inodeField || fields[3] != established || !own[fields[inodeField]] {
 			continue
 		}
 		_, received, _ := strings.Cut(fields[4], ":")
