direct: one byte budget for callers, bounded connections and headers

Cause: each connection read a body of up to 8 MB before its route was known, with no bound over all connections; unfinished bodies of legal size alone exceeded the memory of the machine.

Bodies are streamed and read by entry/intake under the budget of coord/bytebudget, a quarter of memoryLimitMB. Reading stops when it is short, and the connection with the least progress is closed. A body over maxBodyBytes is refused with 413 at its announcement, or at its first byte beyond. The number of connections, the kernel's buffers of each and the bodies at one worker are bounded, and headerTimeoutMs is applied. A body is sent from where it was read, without the copies of ParseRequest and AppendRequest.

--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -124,6 +124,7 @@
 		}
 		return c.handleUnusableResponse(err)
 	}
+	c.intake.Hold(ctx, body.Len())
 	at := now()
 	c.fleet.conditions.recordResult(at, c.workerID, response.Status < 500)
 	if response.Status < 300 {
@@ -142,7 +143,7 @@
 	c.stopWatch()
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(response.Status)
-	ctx.SetBody(body.Bytes())
+	ctx.Response.SetBodyRaw(body.Bytes())
 	c.recordFirstByte(at)
 	c.finish("answered", response.Status)
 	return actionDone
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -33,6 +33,7 @@
 	residency  *residency
 	versions   *adapterVersions
 	demand     *demand
+	bodies     *workerBodies
 	// instanceCount is the number of instances in the cluster, this one
 	// included.
 	instanceCount atomic.Int64
@@ -41,7 +42,7 @@
 func newFleet(s Settings) *fleet {
 	f := &fleet{
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
-		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
+		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s), bodies: newWorkerBodies(s.MaxWorkerBodyMB),
 	}
 	f.setInstanceCount(1)
 	return f
@@ -70,7 +71,11 @@
 // the result.
 func (f *fleet) beginAttempt(id string, r *Request) *attemptUse {
 	f.conditions.sent(id)
-	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() { f.conditions.ended(id) })
+	endBody := f.bodies.begin(id, len(r.Body))
+	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() {
+		endBody()
+		f.conditions.ended(id)
+	})
 }
 
 // claim reports whether a worker process may be sent a request at this moment. What
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
@@ -38,7 +39,9 @@
 	workerLeaves func(w worker.Worker, request string)
 	admission    admission
 	guard        *promptGuard
-	draining     atomic.Bool
+	// intake reads the bodies of requests and bounds callers' memory.
+	intake   *intake.Intake
+	draining atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed atomic.Bool
@@ -92,8 +95,7 @@
 		g.refuseEarly(ctx, fasthttp.StatusUnauthorized, "the request has no valid key")
 		return
 	}
-	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
-		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
+	if !g.readBody(ctx, table, request) {
 		return
 	}
 	c = g.newCall(ctx, table, route, request, arrived)
@@ -224,6 +226,11 @@
 		if !known {
 			continue
 		}
+		if !c.fleet.bodies.fits(target.ID, len(c.request.Body)) {
+			refusal = &failure{reason: "the bodies in progress at the worker are at the limit", retryAfter: busyRetryAfter}
+			c.skippedWorkers[target.ID] = true
+			continue
+		}
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
@@ -312,7 +319,7 @@
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
 	exchange, err := c.pool.Send(c.ctx, target.Address, upstream.Request{
-		ID: r.ID, Bytes: c.codec.AppendRequest(nil, r, attempt),
+		ID: r.ID, Bytes: c.codec.AppendHead(nil, r, attempt), Body: r.Body,
 		Attribute: func(h *fasthttp.ResponseHeader) upstream.Attribution { return c.codec.Attribute(r, h) },
 	})
 	if err != nil {
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -19,6 +19,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
@@ -87,6 +88,7 @@
 		baseContext: baseContext, fleet: i.fleet, codec: ports.Codec, pool: pool, loader: i,
 		log: decisions, metrics: i.metrics, workerLeaves: i.workerLeaves, admission: defaultAdmission(), guard: newPromptGuard(decisions, pool.CanConnect),
 	}
+	i.gateway.intake = intake.New(i.intakeConfig())
 	i.gateway.guard.reportPanic, i.orderWatch.reportPanic = i.gateway.reportPanic, i.gateway.reportPanic
 	return i, nil
 }
@@ -123,10 +125,8 @@
 	// maxCallerHeaderBytes bounds a request's header before the configuration's
 	// own limit is checked: twice what the operators' documents allow.
 	maxCallerHeaderBytes = 32 << 10
-	// maxCallerBodyBytes bounds a request's body before its route is known.
-	maxCallerBodyBytes = 8 << 20
-	// callerReadTimeout bounds the reading of one request, and the idle time of
-	// a connection while no configuration is in force.
+	// callerReadTimeout bounds the reading of a header, and the idle time of a connection,
+	// while no configuration is in force.
 	callerReadTimeout = 60 * time.Second
 	// callerWriteTimeout is how long a caller may read nothing of its response.
 	callerWriteTimeout = 20 * time.Second
@@ -184,12 +184,13 @@
 func (i *Instance) serveAll(l listeners, failed chan<- error) {
 	i.callerServer = &fasthttp.Server{
 		Handler: i.gateway.handle, Name: "bulrushwick", NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		DisableHeaderNamesNormalizing: true, ReadBufferSize: maxCallerHeaderBytes, MaxRequestBodySize: maxCallerBodyBytes,
-		IdleTimeout: callerReadTimeout, ReadTimeout: callerReadTimeout, DisablePreParseMultipartForm: true, StreamRequestBody: false,
+		DisableHeaderNamesNormalizing: true, ReadBufferSize: maxCallerHeaderBytes,
+		IdleTimeout: callerReadTimeout, ReadTimeout: callerReadTimeout, DisablePreParseMultipartForm: true,
 		ReduceMemoryUsage: true, CloseOnShutdown: true, Logger: i.log,
+		StreamRequestBody: true, HeaderReceived: i.gateway.intake.HeaderReceived, ConnState: intake.ConnState, ErrorHandler: intake.HandleReadError,
 	}
 	go func() {
-		failed <- i.callerServer.Serve(httpx.WatchIdleListener(l.callers, callerWriteTimeout, i.callerIdleTimeout))
+		failed <- i.callerServer.Serve(httpx.WatchIdleListener(i.gateway.intake.Listener(l.callers), callerWriteTimeout, i.callerIdleTimeout))
 	}()
 	serve := func(listener net.Listener, handler http.Handler) {
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(i.log, "", 0)}
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -23,6 +23,7 @@
 	waiting, inTransit := i.orders.countAdapters()
 	m.setGauge("adapters_waiting", float64(waiting))
 	m.setGauge("adapters_in_transit", float64(inTransit))
+	i.updateMemoryGauges()
 	i.fleet.updateGauges(at, m, i.instanceCount())
 }
 
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -102,10 +102,12 @@
 // Codec translates between this package and the wire formats of callers and
 // workers. It must be safe for concurrent use.
 type Codec interface {
-	// ParseRequest returns an error if the request is malformed.
+	// ParseRequest parses the header of a request, and takes its body if that is not
+	// streamed. It returns an error if the request is malformed.
 	ParseRequest(*fasthttp.RequestCtx) (*Request, error)
-	// AppendRequest appends the request of one attempt to dst.
-	AppendRequest(dst []byte, r *Request, a Attempt) []byte
+	// AppendHead appends the header of one attempt, with its end, to dst. The body
+	// follows it unchanged.
+	AppendHead(dst []byte, r *Request, a Attempt) []byte
 	// Attribute returns the request that a response to r, or to an earlier request on
 	// the same connection, belongs to.
 	Attribute(r *Request, response *fasthttp.ResponseHeader) upstream.Attribution
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -37,6 +37,17 @@
 	StoreAddress string `json:"storeAddress"`
 	// MemoryLimitMB is the memory that the process may use, in megabytes.
 	MemoryLimitMB int `json:"memoryLimitMB"`
+	// CallerBudgetMB is the memory for callers' bodies and unread responses, in megabytes;
+	// 0 for a quarter of MemoryLimitMB.
+	CallerBudgetMB int `json:"callerBudgetMB"`
+	// MaxCallerConnections is the most connections of callers; 0 for the number that a
+	// quarter of MemoryLimitMB and the file descriptors of the process allow.
+	MaxCallerConnections int `json:"maxCallerConnections"`
+	// BodyTimeout bounds the reading of one body.
+	BodyTimeout settings.Duration `json:"bodyTimeout"`
+	// MaxWorkerBodyMB bounds the bodies that this instance has in progress at one worker,
+	// in megabytes. One body is always allowed.
+	MaxWorkerBodyMB int `json:"maxWorkerBodyMB"`
 	// CPUShare is the processor time that the process may use, in cores.
 	CPUShare float64 `json:"cpuShare"`
 	// OrderTurnGap is the least time between orders of two instances to one
@@ -58,6 +69,8 @@
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryLimitMB:    256,
+		BodyTimeout:      settings.Duration(time.Minute),
+		MaxWorkerBodyMB:  32,
 		CPUShare:         1,
 		OrderTurnGap:     settings.Duration(3 * time.Second),
 		ConfigApplyLimit: settings.Duration(2500 * time.Millisecond),
@@ -101,6 +114,7 @@
 	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
 		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
+		"bodyTimeout": s.BodyTimeout,
 	} {
 		if value <= 0 {
 			find(field, "must be above zero")
@@ -109,6 +123,12 @@
 	if s.MemoryLimitMB < 1 {
 		find("memoryLimitMB", "must be at least 1")
 	}
+	if s.CallerBudgetMB < 0 || s.MaxCallerConnections < 0 {
+		find("callerBudgetMB", "and maxCallerConnections must not be negative")
+	}
+	if s.MaxWorkerBodyMB < 1 {
+		find("maxWorkerBodyMB", "must be at least 1")
+	}
 	if s.CPUShare <= 0 {
 		find("cpuShare", "must be above zero")
 	}
--- a/entry/httpx/watch.go
+++ b/entry/httpx/watch.go
@@ -61,6 +61,15 @@
 	return watched, cancel, conn.watch(func() { cancel(ErrCallerDisconnected) })
 }
 
+// Unwatched returns the connection that a WatchListener's own listener accepted, or conn
+// itself if it comes from another listener.
+func Unwatched(conn net.Conn) net.Conn {
+	if watched, ok := conn.(*watchedConn); ok {
+		return watched.Conn
+	}
+	return conn
+}
+
 // watchedConn can wait for the end of the connection while a request is
 // handled. A byte that arrives meanwhile is buffered for the next Read.
 type watchedConn struct {
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http/httputil"
 	"sync/atomic"
 	"time"
@@ -82,8 +83,10 @@
 	// ID identifies the request. A connection never carries the same ID twice, since
 	// a late copy of the response to the earlier one could not be told apart.
 	ID string
-	// Bytes is the encoded request.
+	// Bytes is the encoded request, or its header if there is a Body.
 	Bytes []byte
+	// Body follows Bytes. It must not change until the exchange has ended.
+	Body []byte
 	// Attribute returns the request that a response belongs to.
 	Attribute func(*fasthttp.ResponseHeader) Attribution
 }
@@ -130,15 +133,16 @@
 // responses to other requests. One that belongs to no known request ends the attempt:
 // it proves nothing about this one.
 func (x *Exchange) roundTrip(request Request) error {
-	if len(request.Bytes) <= maxSyncWriteBytes {
-		_, err := x.conn.net.Write(request.Bytes)
+	if len(request.Bytes)+len(request.Body) <= maxSyncWriteBytes {
+		_, err := x.conn.net.Write(append(request.Bytes, request.Body...))
 		x.writeResult <- err
 		if err != nil {
 			return err
 		}
 	} else {
 		go func() {
-			_, err := x.conn.net.Write(request.Bytes)
+			buffers := net.Buffers{request.Bytes, request.Body} // avoids a copy of the body
+			_, err := buffers.WriteTo(x.conn.net)
 			x.writeResult <- err
 		}()
 	}
--- a/entry/upstream/pool.go
+++ b/entry/upstream/pool.go
@@ -122,6 +122,10 @@
 	return nil
 }
 
+// receiveBuffer is the size of the kernel's buffer for responses that have not been read,
+// which it doubles. By default it grows to megabytes while a slow caller holds up reading.
+const receiveBuffer = 64 << 10
+
 // dial opens a connection. Its error means that no byte was sent.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.config.ConnectTimeout}
@@ -129,6 +133,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(receiveBuffer) // a failure leaves the kernel's own size
+	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
