--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -226,13 +226,8 @@
 		if !known {
 			continue
 		}
-		if !c.fleet.bodies.fits(target.ID, len(c.request.Body)) {
-			refusal = &failure{reason: "the bodies in progress at the worker are at the limit", retryAfter: busyRetryAfter}
-			c.skippedWorkers[target.ID] = true
-			continue
-		}
 		began := now()
-		ready, reason := c.ensureAdapter(choice, target.Born)
+		ready, reason := c.prepareAt(choice, target)
 		if ready {
 			claimed, quarantined := c.claim(target)
 			if claimed || quarantined != nil {
@@ -252,6 +247,14 @@
 	return worker.Worker{}, refusal
 }
 
+// prepareAt has the adapter loaded at a worker that has room for the body.
+func (c *call) prepareAt(choice balance.Choice, target worker.Worker) (ready bool, reason string) {
+	if !c.fleet.bodies.fits(target.ID, len(c.request.Body)) {
+		return false, "the bodies in progress at the worker are at the limit"
+	}
+	return c.ensureAdapter(choice, target.Born)
+}
+
 // claim reports whether the request may be sent to a worker that has its adapter. What
 // is known of the worker and of the prompt may have changed during the load.
 func (c *call) claim(target worker.Worker) (bool, *failure) {
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -111,7 +111,6 @@
 	since atomic.Int64
 	// account is guarded by the intake's mutex.
 	account bytebudget.Account
-	closed  atomic.Bool
 }
 
 // of returns the connection of a request, or nil if the server has another listener.
