Tests of memory for serve, and its setting memoryLimitMB

Cause: serve bounds one body, and nothing over all connections. The setting is read and not applied yet.

--- a/cmd/memlimit/direct_test.go
+++ b/cmd/memlimit/direct_test.go
@@ -57,7 +57,7 @@
 	}
 	wait.Wait()
 	time.Sleep(holdTime)
-	i.awaitAnswer(ordinaryRead)
+	i.awaitAnswer(i.ordinary)
 	stop()
 	i.requireWithin(descriptorBound)
 }
--- a/cmd/memlimit/process_test.go
+++ b/cmd/memlimit/process_test.go
@@ -59,6 +59,8 @@
 	callers string
 	pid     int
 	exited  chan struct{}
+	// ordinary is a request that is served at all times.
+	ordinary string
 	// limit is the memory of its machine in bytes.
 	limit int64
 	// peak is the peak of memory with unread bytes.
@@ -103,7 +105,8 @@
 	encoded, err := json.Marshal(s)
 	require.NoError(t, err)
 	i := start(t, "direct", encoded, memoryMB, s.CallerAddress)
-	i.awaitAnswer(ordinaryRead)
+	i.ordinary = ordinaryRead
+	i.awaitAnswer(i.ordinary)
 	return i
 }
 
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -77,6 +77,7 @@
 		{"storeTransit", s.StoreTransit},
 		{"queueLimit", s.QueueLimit},
 		{"bodyLimit", s.BodyLimit},
+		{"memoryLimitMB", s.MemoryLimitMB},
 		{"dispatchConcurrency", s.DispatchConcurrency},
 		{"controlConcurrency", s.ControlConcurrency},
 		{"processors", s.Processors},
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -106,6 +106,9 @@
 	QueueLimit int `json:"queueLimit"`
 	// BodyLimit is the largest size of a request body, in bytes. Default: 1 MiB.
 	BodyLimit int `json:"bodyLimit"`
+	// MemoryLimitMB is the memory that the process may use, in megabytes. A quarter
+	// of it is for the bodies of requests. Default: 512.
+	MemoryLimitMB int `json:"memoryLimitMB"`
 	// DispatchConcurrency is the most calls to endpoints that run at once.
 	// Default: 1,024.
 	DispatchConcurrency int `json:"dispatchConcurrency"`
@@ -154,6 +157,7 @@
 		StoreTransit:        8,
 		QueueLimit:          1000,
 		BodyLimit:           1 << 20,
+		MemoryLimitMB:       512,
 		DispatchConcurrency: 1024,
 		ControlConcurrency:  64,
 		Processors:          2,
