serve: bodies of callers and peers under a byte budget

Cause: serve read each body of up to bodyLimit whole, and took its announced length at once, with no bound over all connections. The kernel kept megabytes of unread bytes for each connection.

--- a/cmd/bulrushwick/main.go
+++ b/cmd/bulrushwick/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/rs/zerolog"
@@ -55,6 +56,7 @@
 		return err
 	}
 	runtime.GOMAXPROCS(s.Processors)
+	debug.SetMemoryLimit(int64(float64(s.MemoryLimitMB) * memoryShare * megabyte))
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return err
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/bulrushwick/bulrushwick/entry/forward"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/ingress"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/keys"
 	"github.com/bulrushwick/bulrushwick/entry/lease"
 	"github.com/bulrushwick/bulrushwick/entry/operator"
@@ -45,7 +46,9 @@
 const (
 	headerReadTimeout = 10 * time.Second
 	idleTimeout       = 60 * time.Second
-	callerConnsLimit  = 65536
+	// connsLimit bounds the connections of one listener; those of callers have a lower
+	// limit of their own.
+	connsLimit = 65536
 	// stallTimeout is how long a caller may go without reading any of its response.
 	stallTimeout = 30 * time.Second
 )
@@ -70,6 +73,8 @@
 	telemetry *telemetry.Telemetry
 	operator  *http.Server
 
+	memory intakes
+
 	listeners []net.Listener
 }
 
@@ -112,7 +117,8 @@
 		return nil, err
 	}
 	peers := forward.NewClient(clients)
-	ingressServer := ingress.NewServer(f, own, peers, sampled(log), recovery.Log(log))
+	memory := newIntakes(s)
+	ingressServer := ingress.NewServer(f, own, peers, ingress.ReadBody(memory.callers, s.BodyLimit), sampled(log), recovery.Log(log))
 	observed, err := newTelemetry(s, own, peers, ingressServer)
 	if err != nil {
 		return nil, err
@@ -130,6 +136,7 @@
 		telemetry: observed,
 		operator:  newOperator(operator.NewServer(f, ingressServer, observed.Handler())),
 		settings:  s,
+		memory:    memory,
 		log:       log,
 		fleet:     f,
 		owner:     own,
@@ -139,8 +146,8 @@
 		keeper:    keeper,
 		platform:  platformClient,
 		reader:    platform.NewReader(platformClient, f, s.WatchWait.Std(), log),
-		callers:   newServer(ingressServer.Handle, s.BodyLimit, log),
-		peers:     newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), recovery.Log(log)), s.BodyLimit, log),
+		callers:   newServer(ingressServer.Handle, memory.callers, log),
+		peers:     newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), ingress.ReadBody(memory.peers, s.BodyLimit), recovery.Log(log)), memory.peers, log),
 		control:   newControl(f, records, keeper, own),
 	}, nil
 }
@@ -163,18 +170,20 @@
 	return tables.Config{Replica: config, Concurrency: s.ControlConcurrency}
 }
 
-// newServer returns a server for requests of callers or forwarded requests, with
-// bodies of at most bodyLimit bytes.
-func newServer(handler fasthttp.RequestHandler, bodyLimit int, log zerolog.Logger) *fasthttp.Server {
+// newServer returns a server for requests of callers or forwarded requests, whose bodies
+// are read through an intake.
+func newServer(handler fasthttp.RequestHandler, i *intake.Intake, log zerolog.Logger) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      confinePanics(log, handler),
 		ErrorHandler:                 ingress.HandleReadError,
 		Logger:                       serverLog{log: sampled(log)},
 		NoDefaultServerHeader:        true,
-		MaxRequestBodySize:           bodyLimit,
+		StreamRequestBody:            true,
+		HeaderReceived:               i.HeaderReceived,
+		ConnState:                    intake.ConnState,
 		ReadTimeout:                  headerReadTimeout,
 		IdleTimeout:                  idleTimeout,
-		Concurrency:                  callerConnsLimit,
+		Concurrency:                  connsLimit,
 		DisablePreParseMultipartForm: true,
 		CloseOnShutdown:              true,
 	}
@@ -187,7 +196,7 @@
 	if d.settings.OperatorAddress != "" {
 		wanted = append(wanted, d.settings.OperatorAddress)
 	}
-	listeners, err := listenAll(wanted...)
+	listeners, err := listenAll(d.wrapListener, wanted...)
 	if err != nil {
 		return Addresses{}, err
 	}
@@ -297,10 +306,22 @@
 	}
 }
 
-// listenAll opens a listener at each address, or none if one of them fails.
-func listenAll(addresses ...string) ([]net.Listener, error) {
+// wrapListener has the connections of callers and of peers belong to their intakes.
+func (d *Daemon) wrapListener(index int, inner net.Listener) net.Listener {
+	switch index {
+	case 0:
+		return d.memory.callers.Listener(inner)
+	case 1:
+		return d.memory.peers.Listener(inner)
+	}
+	return inner
+}
+
+// listenAll opens a listener at each address, or none if one of them fails. wrap wraps
+// the listener with an index.
+func listenAll(wrap func(int, net.Listener) net.Listener, addresses ...string) ([]net.Listener, error) {
 	listeners := make([]net.Listener, 0, len(addresses))
-	for _, address := range addresses {
+	for n, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			for _, open := range listeners {
@@ -308,7 +329,7 @@
 			}
 			return nil, oops.Code("listen_failed").With("address", address).Wrap(err)
 		}
-		listeners = append(listeners, httpx.WatchListener(listener, stallTimeout))
+		listeners = append(listeners, httpx.WatchListener(wrap(n, listener), stallTimeout))
 	}
 	return listeners, nil
 }
--- a/entry/daemon/observe.go
+++ b/entry/daemon/observe.go
@@ -84,6 +84,7 @@
 			s.Owned = instance.Workers
 		}
 	}
+	d.recordMemory(&s)
 	t := d.fleet.Table()
 	if t == nil {
 		return s
--- a/entry/forward/codec.go
+++ b/entry/forward/codec.go
@@ -52,7 +52,7 @@
 	to.SetBodyRaw(r.Body)
 }
 
-// decode reads a forwarded request; the body is copied.
+// decode reads a forwarded request; the body is copied, unless it is streamed.
 func decode(from *fasthttp.Request) (*call.Request, error) {
 	h := &from.Header
 	header := func(name string) string { return string(h.Peek(name)) }
@@ -86,7 +86,6 @@
 		Method:      header(httpx.MethodHeader),
 		Path:        header(httpx.PathHeader),
 		ContentType: string(h.ContentType()),
-		Body:        append([]byte(nil), from.Body()...),
 		Rank:        rank,
 		Caller:      header(httpx.CallerHeader),
 		Key:         header(httpx.IdempotencyKey),
@@ -97,6 +96,9 @@
 		Deadline:    time.Now().Add(time.Duration(remainingMs) * time.Millisecond),
 		Trace:       header(httpx.Traceparent),
 	}
+	if !from.IsBodyStream() {
+		r.Body = append([]byte(nil), from.Body()...)
+	}
 	if adapter := header(httpx.Adapter); adapter != "" {
 		if r.Adapter, err = table.ParseAdapterVersion(adapter); err != nil {
 			return nil, err
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -31,7 +31,8 @@
 // Handler returns the request handler of the peer listener. It passes forwarded
 // attempts to workers, and forwarded requests with an idempotency key to keyed. The
 // panics of response bodies go to report.
-func Handler(workers, keyed Server, report recovery.Reporter) fasthttp.RequestHandler {
+// readBody reads the bodies of requests.
+func Handler(workers, keyed Server, readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem), report recovery.Reporter) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		server := workers
 		switch string(ctx.Path()) {
@@ -53,6 +54,14 @@
 			problem.Write(ctx)
 			return
 		}
+		body, problem := readBody(ctx)
+		if problem != nil {
+			problem.Write(ctx)
+			return
+		}
+		if body != nil {
+			r.Body = body
+		}
 		ctx.Response.Header.Set(httpx.RequestID, r.ID)
 		ctx.Response.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
 		stop := httpx.SendProcessing(ctx, processingInterval)
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -186,6 +186,10 @@
 	return host
 }
 
+// receiveBuffer is the size of the kernel's buffer for responses that have not been read,
+// which it doubles. By default it grows to megabytes while a slow caller holds up reading.
+const receiveBuffer = 64 << 10
+
 // newHost returns an empty connection pool for an address.
 func (c *Client) newHost(address string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
@@ -193,7 +197,11 @@
 		MaxConns:            maxConnsPerHost,
 		MaxIdleConnDuration: maxIdleReuse,
 		Dial: func(address string) (net.Conn, error) {
-			return net.DialTimeout("tcp", address, c.config.ConnectTimeout)
+			conn, err := net.DialTimeout("tcp", address, c.config.ConnectTimeout)
+			if tcp, ok := conn.(*net.TCPConn); ok && err == nil {
+				_ = tcp.SetReadBuffer(receiveBuffer) // a failure leaves the kernel's own size
+			}
+			return conn, err
 		},
 	}
 }
--- a/entry/ingress/parse.go
+++ b/entry/ingress/parse.go
@@ -33,14 +33,14 @@
 }
 
 // parse builds the internal request from a caller's HTTP request and resolves
-// its route in table t. The body is copied.
-func parse(ctx *fasthttp.RequestCtx, t *table.Table) (*call.Request, *table.Route, *httpx.Problem) {
+// its route in table t.
+func parse(ctx *fasthttp.RequestCtx, t *table.Table, body []byte) (*call.Request, *table.Route, *httpx.Problem) {
 	r := &call.Request{
 		ID:          uuid.NewString(),
 		Method:      string(ctx.Method()),
 		Path:        string(ctx.RequestURI()),
 		ContentType: string(ctx.Request.Header.ContentType()),
-		Body:        append([]byte(nil), ctx.PostBody()...),
+		Body:        body,
 		Caller:      string(ctx.Request.Header.Peek(httpx.CallerHeader)),
 		Key:         string(ctx.Request.Header.Peek(httpx.IdempotencyKey)),
 		Home:        string(ctx.Request.Header.Peek(httpx.HomeHeader)),
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -50,7 +50,9 @@
 	local  Local
 	remote Remote
 	picker *placement.Picker
-	log    zerolog.Logger
+	// readBody reads the body of a request.
+	readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem)
+	log      zerolog.Logger
 	// reportPanic takes the panics of response bodies.
 	reportPanic recovery.Reporter
 
@@ -66,12 +68,13 @@
 
 // NewServer returns a server that sends attempts through local if this instance
 // owns the worker or the pool is a service, and through remote otherwise. The panics of
-// response bodies go to reportPanic.
-func NewServer(f *fleet.Fleet, local Local, remote Remote, log zerolog.Logger, reportPanic recovery.Reporter) *Server {
+// response bodies go to reportPanic. readBody reads the bodies of requests.
+func NewServer(f *fleet.Fleet, local Local, remote Remote, readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem), log zerolog.Logger, reportPanic recovery.Reporter) *Server {
 	return &Server{
 		fleet:       f,
 		local:       local,
 		remote:      remote,
+		readBody:    readBody,
 		picker:      placement.NewPicker(placement.DefaultConfig()),
 		log:         log,
 		reportPanic: reportPanic,
@@ -119,7 +122,12 @@
 	}
 	ctx.Response.Header.Set(httpx.Revision, strconv.FormatUint(t.Revision, 10))
 	ctx.Response.Header.Set(httpx.Instance, s.fleet.Self())
-	r, route, problem := parse(ctx, t)
+	body, problem := s.readBody(ctx)
+	if problem != nil {
+		problem.Write(ctx)
+		return
+	}
+	r, route, problem := parse(ctx, t, body)
 	if problem != nil {
 		problem.Write(ctx)
 		return
--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -15,10 +15,10 @@
 type Refusal struct {
 	Status int
 	Reason string
+	// Code is the short, stable name of the cause.
+	Code string
 	// RetryAfter is set with 503.
 	RetryAfter time.Duration
-	// Disconnected is set if the caller cannot be reached any more.
-	Disconnected bool
 }
 
 // Sizes of the buffer of a body.
@@ -59,7 +59,10 @@
 	if limit > 0 && length > limit {
 		return nil, i.tooLong()
 	}
-	conn.enter(phaseBody)
+	if conn.phase.Load() != phaseBody {
+		conn.enter(phaseBody)
+		_ = conn.Conn.SetReadDeadline(time.Now().Add(i.config.BodyTimeout)) // the read reports a closed connection
+	}
 	r := &reader{Intake: i, conn: conn, source: ctx.RequestBodyStream(), length: length, limit: limit}
 	i.mu.Lock()
 	i.budget.Begin(&conn.account, i.now())
@@ -88,11 +91,11 @@
 	i.budget.Take(&conn.account, int64(n))
 }
 
-var disconnected = &Refusal{Status: fasthttp.StatusBadRequest, Reason: "the body broke off", Disconnected: true}
+var disconnected = &Refusal{Status: fasthttp.StatusBadRequest, Code: "body_broken", Reason: "the body broke off"}
 
 func (i *Intake) tooLong() *Refusal {
 	i.counts.TooLong.Add(1)
-	return &Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Reason: "the body is over the limit"}
+	return &Refusal{Status: fasthttp.StatusRequestEntityTooLarge, Code: "body_too_large", Reason: "the body is over the limit"}
 }
 
 // reader reads one body. It is used by one goroutine.
@@ -184,7 +187,7 @@
 
 func (i *Intake) noRoom() *Refusal {
 	i.counts.NoRoom.Add(1)
-	return &Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: "no memory for the body", RetryAfter: retryAfter}
+	return &Refusal{Status: fasthttp.StatusServiceUnavailable, Code: "no_memory", Reason: "no memory for the body", RetryAfter: retryAfter}
 }
 
 // reserve takes n bytes, waits for them if they are short, and closes connections that
@@ -244,10 +247,10 @@
 func refusalOf(err error) *Refusal {
 	var networkErr net.Error
 	if errors.As(err, &networkErr) && networkErr.Timeout() {
-		return &Refusal{Status: fasthttp.StatusRequestTimeout, Reason: "the body did not arrive in time"}
+		return &Refusal{Status: fasthttp.StatusRequestTimeout, Code: "request_too_slow", Reason: "the body did not arrive in time"}
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return disconnected
 	}
-	return &Refusal{Status: fasthttp.StatusBadRequest, Reason: "the body is malformed"}
+	return &Refusal{Status: fasthttp.StatusBadRequest, Code: "malformed_body", Reason: "the body is malformed"}
 }
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -19,6 +19,9 @@
 	if s.StoreLoadsPerSecond <= 0 {
 		report("storeLoadsPerSecond", "must be above zero")
 	}
+	if s.MaxCallerConnections < 0 {
+		report("maxCallerConnections", "must not be negative")
+	}
 	s.checkAddresses(report)
 	s.checkDurations(report)
 	s.checkCounts(report)
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -109,6 +109,9 @@
 	// MemoryLimitMB is the memory that the process may use, in megabytes. A quarter
 	// of it is for the bodies of requests. Default: 512.
 	MemoryLimitMB int `json:"memoryLimitMB"`
+	// MaxCallerConnections is the most connections of callers; 0 for what a quarter
+	// of MemoryLimitMB and the file descriptors of the process allow. Default: 0.
+	MaxCallerConnections int `json:"maxCallerConnections"`
 	// DispatchConcurrency is the most calls to endpoints that run at once.
 	// Default: 1,024.
 	DispatchConcurrency int `json:"dispatchConcurrency"`
--- a/entry/telemetry/metrics.go
+++ b/entry/telemetry/metrics.go
@@ -28,7 +28,8 @@
 
 // stateGauges are the gauges that are set from a State.
 type stateGauges struct {
-	revision, rejected, platformCalls, owned, running, capacity, usable, silent tally.Gauge
+	revision, rejected, platformCalls, owned, running, capacity, usable, silent,
+	bodyBudget, bodyHeld, bodiesRefused, connectionsClosed, callerConnections tally.Gauge
 }
 
 // Bucket bounds of the histograms: 5 ms to 82 s for requests, 50 ms to 51 s for
@@ -55,6 +56,12 @@
 			capacity:      scope.Gauge("batch_capacity"),
 			usable:        scope.Gauge("instances_usable"),
 			silent:        scope.Gauge("instances_silent"),
+
+			bodyBudget:        scope.Gauge("body_budget_bytes"),
+			bodyHeld:          scope.Gauge("body_held_bytes"),
+			bodiesRefused:     scope.Gauge("bodies_refused"),
+			connectionsClosed: scope.Gauge("connections_closed"),
+			callerConnections: scope.Gauge("caller_connections"),
 		},
 	}
 	for _, rank := range table.Ranks {
@@ -100,6 +107,14 @@
 	// requests, and those whose heartbeats have stopped.
 	Usable int
 	Silent int
+	// BodyBudget is the number of bytes that may be held for bodies, and BodyHeld the
+	// number held, for callers and peers together.
+	BodyBudget, BodyHeld int64
+	// BodiesRefused counts bodies over the limit or without room, and
+	// ConnectionsClosed the connections closed for want of memory, since the start.
+	BodiesRefused, ConnectionsClosed uint64
+	// CallerConnections is the number of connections of callers.
+	CallerConnections int
 }
 
 // RecordState sets the state gauges.
@@ -116,6 +131,11 @@
 	g.capacity.Update(float64(s.Capacity))
 	g.usable.Update(float64(s.Usable))
 	g.silent.Update(float64(s.Silent))
+	g.bodyBudget.Update(float64(s.BodyBudget))
+	g.bodyHeld.Update(float64(s.BodyHeld))
+	g.bodiesRefused.Update(float64(s.BodiesRefused))
+	g.connectionsClosed.Update(float64(s.ConnectionsClosed))
+	g.callerConnections.Update(float64(s.CallerConnections))
 }
 
 // recordLoad records the duration and the result of a load order.
