--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -129,9 +129,6 @@
 	}
 	ingressServer.UseKeyed(keyed)
 	keeper.Handle(ownership.KeyRightPrefix, keyed)
-	withCatchUp := func(inner forward.Server) forward.Server {
-		return tables.NewCatchUp(f, inner, s.TableCatchUp.Std())
-	}
 	return &Daemon{
 		telemetry: observed,
 		operator:  newOperator(operator.NewServer(f, ingressServer, observed.Handler())),
@@ -147,11 +144,19 @@
 		platform:  platformClient,
 		reader:    platform.NewReader(platformClient, f, s.WatchWait.Std(), log),
 		callers:   newServer(ingressServer.Handle, memory.callers, log),
-		peers:     newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), ingress.ReadBody(memory.peers, s.BodyLimit), recovery.Log(log)), memory.peers, log),
+		peers:     newPeerServer(s, f, own, keyed, memory.peers, log),
 		control:   newControl(f, records, keeper, own),
 	}, nil
 }
 
+// newPeerServer returns the server for requests that peers forward.
+func newPeerServer(s settings.Settings, f *fleet.Fleet, own, keyed forward.Server, i *intake.Intake, log zerolog.Logger) *fasthttp.Server {
+	withCatchUp := func(inner forward.Server) forward.Server {
+		return tables.NewCatchUp(f, inner, s.TableCatchUp.Std())
+	}
+	return newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), ingress.ReadBody(i, s.BodyLimit), recovery.Log(log)), i, log)
+}
+
 // newControl returns the server for the control calls of peers.
 func newControl(f *fleet.Fleet, records *peer.Records, voter peer.Voter, lender peer.Lender) *http.Server {
 	control := peer.NewServer(f, records, voter)
--- a/entry/direct/callermemory.go
+++ b/entry/direct/callermemory.go
@@ -36,9 +36,11 @@
 // readBody reads the body of a routed request, or refuses it. A request whose body is
 // being read does not hold up a stop.
 func (g *gateway) readBody(ctx *fasthttp.RequestCtx, table *routing.Table, r *Request) bool {
-	g.activeRequests.Add(-1)
-	body, refusal := g.intake.ReadBody(ctx, table.Config.Limits.MaxBodyBytes)
-	g.activeRequests.Add(1)
+	body, refusal := func() ([]byte, *intake.Refusal) {
+		g.activeRequests.Add(-1)
+		defer g.activeRequests.Add(1)
+		return g.intake.ReadBody(ctx, table.Config.Limits.MaxBodyBytes)
+	}()
 	if refusal == nil && g.closed.Load() {
 		refusal = &intake.Refusal{Status: fasthttp.StatusServiceUnavailable, Reason: "the instance is starting or stopping", RetryAfter: unavailableRetryAfter}
 	}
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -59,7 +59,6 @@
 
 // handle receives, routes and serves one request.
 func (g *gateway) handle(ctx *fasthttp.RequestCtx) {
-	arrived := now()
 	g.activeRequests.Add(1)
 	var c *call
 	defer func() {
@@ -98,7 +97,7 @@
 	if !g.readBody(ctx, table, request) {
 		return
 	}
-	c = g.newCall(ctx, table, route, request, arrived)
+	c = g.newCall(ctx, table, route, request, now())
 	g.serve(ctx, c)
 }
 
--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -57,6 +57,7 @@
 		return nil, nil
 	}
 	if limit > 0 && length > limit {
+		conn.refused.Store(true)
 		return nil, i.tooLong()
 	}
 	if conn.phase.Load() != phaseBody {
@@ -76,6 +77,8 @@
 	}
 	if refusal == nil {
 		conn.enter(phaseServing)
+	} else {
+		conn.refused.Store(refusal.Status != fasthttp.StatusBadRequest)
 	}
 	return body, refusal
 }
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -111,6 +111,8 @@
 	since atomic.Int64
 	// account is guarded by the intake's mutex.
 	account bytebudget.Account
+	// refused is set once a body was refused of which more may arrive.
+	refused atomic.Bool
 }
 
 // of returns the connection of a request, or nil if the server has another listener.
@@ -152,9 +154,37 @@
 	return n, err
 }
 
+// Bounds on what is read and dropped after the refusal of a body.
+const (
+	discardTime  = 200 * time.Millisecond
+	discardBytes = 1 << 20
+)
+
+// discard reads and drops what still arrives of a refused body for a short time. Closing a
+// connection with unread input makes the kernel send a reset, and the caller may lose the
+// response.
+func (c *Conn) discard() {
+	if tcp, ok := c.Conn.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	if c.Conn.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	var buffer [4 << 10]byte
+	for total := 0; total < discardBytes; {
+		n, err := c.Conn.Read(buffer[:])
+		if total += n; err != nil {
+			return
+		}
+	}
+}
+
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.release()
+	if c.refused.Load() {
+		c.discard()
+	}
 	c.intake.mu.Lock()
 	delete(c.intake.conns, c)
 	c.intake.mu.Unlock()
