--- a/cmd/e2e/settings_page_test.go
+++ b/cmd/e2e/settings_page_test.go
@@ -14,15 +14,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bulrushwick/bulrushwick/entry/direct"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
 
 // TestSettingsPageSaysWhatTheCodeSays guards against a settings page that was not
-// updated with the code: it must have one row per setting, with the default and
+// updated with the code: it must have one row per setting of serve, then of direct, with the default and
 // the doc comment from the code, and no other row.
 func TestSettingsPageSaysWhatTheCodeSays(t *testing.T) {
-	comments := settingComments(t)
-	want := settingRows(t, comments, "", reflect.ValueOf(settings.Default()))
+	want := settingRows(t, settingComments(t, "entry/settings"), "", reflect.ValueOf(settings.Default()))
+	want = append(want, settingRows(t, settingComments(t, "entry/direct"), "", reflect.ValueOf(direct.DefaultSettings()))...)
 	text, err := os.ReadFile(filepath.Join(repoRoot, "docs/operate/settings.md"))
 	require.NoError(t, err)
 	var got []string
@@ -54,12 +55,12 @@
 	return rows
 }
 
-// settingComments returns the doc comment of each struct field by Type.Field, on
+// settingComments returns the doc comment of each struct field of a package by Type.Field, on
 // one line and without the default, which has a column of its own.
-func settingComments(t *testing.T) map[string]string {
+func settingComments(t *testing.T, dir string) map[string]string {
 	t.Helper()
 	comments := make(map[string]string)
-	files, err := filepath.Glob(filepath.Join(repoRoot, "entry/settings/*.go"))
+	files, err := filepath.Glob(filepath.Join(repoRoot, dir, "*.go"))
 	require.NoError(t, err)
 	for _, file := range files {
 		parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ParseComments)
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -15,9 +15,10 @@
 type Settings struct {
 	// Instance is this instance's name.
 	Instance string `json:"instance"`
-	// DataCentre and Region are where the instance runs.
+	// DataCentre is where the instance runs.
 	DataCentre string `json:"dataCentre"`
-	Region     string `json:"region"`
+	// Region is the region of DataCentre.
+	Region string `json:"region"`
 	// DataCentres maps every data centre to its region.
 	DataCentres map[string]string `json:"dataCentres"`
 	// CallerAddress is where callers' requests are received, IP:port.
@@ -58,10 +59,12 @@
 	ConfigApplyLimit settings.Duration `json:"configApplyLimit"`
 	// StopGrace is the time between the signal to stop and the kill.
 	StopGrace settings.Duration `json:"stopGrace"`
-	// RepeatRatio, RepeatSlack and RepeatWindow bound the retries of all
-	// instances together; see retry.Config.
-	RepeatRatio  float64           `json:"repeatRatio"`
-	RepeatSlack  float64           `json:"repeatSlack"`
+	// RepeatRatio is the fraction of the requests of a window that all instances
+	// together may retry.
+	RepeatRatio float64 `json:"repeatRatio"`
+	// RepeatSlack is the number of retries per window that are allowed on top.
+	RepeatSlack float64 `json:"repeatSlack"`
+	// RepeatWindow is the window of RepeatRatio and RepeatSlack.
 	RepeatWindow settings.Duration `json:"repeatWindow"`
 }
 
