--- a/cmd/memlimit/direct_test.go
+++ b/cmd/memlimit/direct_test.go
@@ -25,13 +25,13 @@
 	crowdTime = 5 * time.Second
 	// holdTime is how long all connections stay open after the last byte.
 	holdTime = 500 * time.Millisecond
-	// descriptorBound is a descriptor for each caller, one to a worker for each, and those
-	// of the instance itself.
-	descriptorBound = 2*crowd + 100
+	// ownDescriptors bounds the descriptors that are neither a caller's connection nor one
+	// to a worker for it.
+	ownDescriptors = 100
 )
 
-func head(kind, path string, n int, framing string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: abuse-%d\r\n%s\r\n\r\n", kind, path, standin.Host, n, framing)
+func head(path string, n int, framing string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: abuse-%d\r\n%s\r\n\r\n", path, standin.Host, n, framing)
 }
 
 // sender writes the request of one caller.
@@ -40,13 +40,23 @@
 // abuse has each caller of a crowd send on a connection of its own, and returns when all
 // have ended; the connections stay open until the end of the test.
 func (i *instance) abuse(send sender) {
+	i.t.Helper()
+	i.abuseBy(crowd, 0, send)
+}
+
+// abuseBy is abuse with a number of callers whose receive buffers are as small as the
+// kernel allows if callersBuffer is not 0.
+func (i *instance) abuseBy(callers, callersBuffer int, send sender) {
 	i.t.Helper()
 	stop := i.sample()
 	var wait sync.WaitGroup
-	for n := range crowd {
+	for n := range callers {
 		conn, err := net.Dial("tcp", i.callers)
 		require.NoError(i.t, err)
 		i.t.Cleanup(func() { _ = conn.Close() })
+		if callersBuffer > 0 {
+			require.NoError(i.t, conn.(*net.TCPConn).SetReadBuffer(callersBuffer))
+		}
 		require.NoError(i.t, conn.SetDeadline(time.Now().Add(crowdTime)))
 		wait.Go(func() {
 			send(n, func(text string) bool {
@@ -59,7 +69,7 @@
 	time.Sleep(holdTime)
 	i.awaitAnswer(i.ordinary)
 	stop()
-	i.requireWithin(descriptorBound)
+	i.requireWithin(int64(2*callers + ownDescriptors))
 }
 
 // completes reports whether a caller sends its whole body; most stop just before the end.
@@ -71,7 +81,7 @@
 	i := startDirect(t, smallMemory, smallBody, nil)
 	body := strings.Repeat("x", smallBody-1)
 	i.abuse(func(n int, write func(string) bool) {
-		if write(head("POST", "/r/x", n, fmt.Sprintf("Content-Length: %d", smallBody))) && write(body) && completes(n) {
+		if write(head("/r/x", n, fmt.Sprintf("Content-Length: %d", smallBody))) && write(body) && completes(n) {
 			write("x")
 		}
 	})
@@ -84,7 +94,7 @@
 	const pieces = 128
 	piece := strings.Repeat("x", smallBody/pieces)
 	i.abuse(func(n int, write func(string) bool) {
-		sent := write(head("POST", "/r/x", n, fmt.Sprintf("Content-Length: %d", smallBody)))
+		sent := write(head("/r/x", n, fmt.Sprintf("Content-Length: %d", smallBody)))
 		for k := 0; sent && k < pieces-1; k++ {
 			sent = write(piece)
 			time.Sleep(time.Millisecond)
@@ -101,7 +111,7 @@
 	const chunks = smallBody * 3 / 4
 	block := strings.Repeat("1\r\nx\r\n", chunks/256)
 	i.abuse(func(n int, write func(string) bool) {
-		sent := write(head("POST", "/r/x", n, "Transfer-Encoding: chunked"))
+		sent := write(head("/r/x", n, "Transfer-Encoding: chunked"))
 		for k := 0; sent && k < 256; k++ {
 			sent = write(block)
 		}
@@ -116,7 +126,7 @@
 	i := startDirect(t, smallMemory, smallBody, nil)
 	chunk := standin.Chunk(strings.Repeat("x", 1<<20))
 	i.abuse(func(n int, write func(string) bool) {
-		sent := write(head("POST", "/r/x", n, "Transfer-Encoding: chunked"))
+		sent := write(head("/r/x", n, "Transfer-Encoding: chunked"))
 		for k := 0; sent && k < 12; k++ {
 			sent = write(chunk)
 		}
@@ -128,7 +138,7 @@
 	i := startDirect(t, smallMemory, smallBody, nil)
 	part := strings.Repeat("x", 1<<20)
 	i.abuse(func(n int, write func(string) bool) {
-		sent := write(head("POST", "/r/x", n, "Content-Length: 7340032"))
+		sent := write(head("/r/x", n, "Content-Length: 7340032"))
 		for k := 0; sent && k < 6; k++ {
 			sent = write(part)
 		}
@@ -140,7 +150,7 @@
 func TestDirectAnnouncedOnly(t *testing.T) {
 	i := startDirect(t, smallMemory, smallBody, nil)
 	i.abuse(func(n int, write func(string) bool) {
-		write(head("POST", "/r/x", n, fmt.Sprintf("Content-Length: %d", smallBody)) + strings.Repeat("x", 10<<10))
+		write(head("/r/x", n, fmt.Sprintf("Content-Length: %d", smallBody)) + strings.Repeat("x", 10<<10))
 	})
 }
 
@@ -169,11 +179,28 @@
 func TestDirectSmallestMachine(t *testing.T) {
 	const memory, limit = 144, 4 << 20
 	i := startDirect(t, memory, limit, nil)
-	i.awaitAnswer(head("POST", "/r/x", 0, fmt.Sprintf("Connection: close\r\nContent-Length: %d", limit)) + strings.Repeat("x", limit))
+	i.awaitAnswer(head("/r/x", 0, fmt.Sprintf("Connection: close\r\nContent-Length: %d", limit)) + strings.Repeat("x", limit))
 	body := strings.Repeat("x", limit-1)
 	i.abuse(func(n int, write func(string) bool) {
-		if write(head("POST", "/r/x", n, fmt.Sprintf("Content-Length: %d", limit))) && write(body) && completes(n) {
+		if write(head("/r/x", n, fmt.Sprintf("Content-Length: %d", limit))) && write(body) && completes(n) {
 			write("x")
 		}
 	})
 }
+
+// TestDirectSlowReadersOfWholeResponses guards against responses that are read whole for
+// callers that read nothing.
+func TestDirectSlowReadersOfWholeResponses(t *testing.T) {
+	const callers, size = 300, 250 << 10
+	long := strings.Repeat("x", size)
+	i := startDirect(t, smallMemory, smallBody, func(conn net.Conn, r standin.ReceivedRequest) bool {
+		if r.Target == "/r/long" {
+			return standin.Write(conn, standin.SignedResponse(r, long))
+		}
+		return standin.Write(conn, standin.SignedResponse(r, "ok"))
+	})
+	i.abuseBy(callers, 1, func(n int, write func(string) bool) {
+		write(head("/r/long", n, "Content-Length: 0"))
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/cmd/memlimit/serve_test.go
+++ b/cmd/memlimit/serve_test.go
@@ -24,8 +24,9 @@
 const ordinaryLabel = "GET /labels/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 
 // startServe starts an instance of serve with one engine and one plain service.
-func startServe(t *testing.T, memoryMB, maxBody int) *instance {
+func startServe(t *testing.T) *instance {
 	t.Helper()
+	const memoryMB, maxBody = smallMemory, smallBody
 	platform, err := outside.StartPlatform("127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = platform.Close() })
@@ -75,7 +76,7 @@
 
 // TestServeLegalBodies is TestDirectLegalBodies for serve.
 func TestServeLegalBodies(t *testing.T) {
-	i := startServe(t, smallMemory, smallBody)
+	i := startServe(t)
 	body := strings.Repeat("x", smallBody-1)
 	i.abuse(func(n int, write func(string) bool) {
 		if write(serveHead(fmt.Sprintf("Content-Length: %d", smallBody))) && write(body) && completes(n) {
@@ -86,7 +87,7 @@
 
 // TestServeLegalBodiesInPieces is TestDirectLegalBodiesInPieces for serve.
 func TestServeLegalBodiesInPieces(t *testing.T) {
-	i := startServe(t, smallMemory, smallBody)
+	i := startServe(t)
 	const pieces = 128
 	piece := strings.Repeat("x", smallBody/pieces)
 	i.abuse(func(n int, write func(string) bool) {
@@ -103,7 +104,7 @@
 
 // TestServeSmallChunks is TestDirectSmallChunks for serve.
 func TestServeSmallChunks(t *testing.T) {
-	i := startServe(t, smallMemory, smallBody)
+	i := startServe(t)
 	const chunks = smallBody * 3 / 4
 	block := strings.Repeat("1\r\nx\r\n", chunks/256)
 	i.abuse(func(n int, write func(string) bool) {
@@ -120,7 +121,7 @@
 // TestServeTooLong guards against a body over the limit that is read, sent in large chunks
 // by every second caller and announced by the others.
 func TestServeTooLong(t *testing.T) {
-	i := startServe(t, smallMemory, smallBody)
+	i := startServe(t)
 	part := strings.Repeat("x", 1<<20)
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
 	i.abuse(func(n int, write func(string) bool) {
@@ -137,7 +138,7 @@
 
 // TestServeAnnouncedOnly is TestDirectAnnouncedOnly for serve.
 func TestServeAnnouncedOnly(t *testing.T) {
-	i := startServe(t, smallMemory, smallBody)
+	i := startServe(t)
 	i.abuse(func(_ int, write func(string) bool) {
 		write(serveHead(fmt.Sprintf("Content-Length: %d", smallBody)) + strings.Repeat("x", 10<<10))
 	})
@@ -146,7 +147,7 @@
 // TestServeSlowReaders guards against responses that pile up for callers that read
 // nothing: the service sends as much as is read.
 func TestServeSlowReaders(t *testing.T) {
-	i := startServe(t, smallMemory, smallBody)
+	i := startServe(t)
 	body := strings.Repeat("x", smallBody)
 	i.abuse(func(_ int, write func(string) bool) {
 		for range 4 {
