direct: responses that are held whole take bytes from the budget

Cause: a response of up to 256 KB was held whole for each caller that does not read it, without a bound over all connections. Without room it is now forwarded as it is read.

--- a/coord/bytebudget/budget.go
+++ b/coord/bytebudget/budget.go
@@ -13,6 +13,9 @@
 	SmallShare float64
 	// Small is the size of an account up to which a reservation is small.
 	Small int64
+	// ResponseShare is the part of Limit, from 0 to 1, up to which responses are held. A
+	// caller that does not read its response keeps it for many seconds.
+	ResponseShare float64
 	// Step is the number of bytes that an account has to receive to have made progress. A
 	// caller that sends single bytes at intervals makes none for a long time.
 	Step int64
@@ -23,7 +26,7 @@
 
 // DefaultConfig returns the configuration for a limit.
 func DefaultConfig(limit int64) Config {
-	return Config{Limit: limit, SmallShare: 0.125, Small: 64 << 10, Step: 16 << 10, StallTime: time.Second}
+	return Config{Limit: limit, SmallShare: 0.125, ResponseShare: 0.5, Small: 64 << 10, Step: 16 << 10, StallTime: time.Second}
 }
 
 // Budget counts the bytes held by accounts. It is not safe for concurrent use.
@@ -107,11 +110,14 @@
 // Fits reports whether n bytes for one account would fit if nothing else was held.
 func (b *Budget) Fits(n int64) bool { return n <= b.limitOf(&Account{}, n) }
 
-// Take takes n bytes without regard to the limit, for what has arrived already and must
-// be delivered.
-func (b *Budget) Take(a *Account, n int64) {
+// ReserveResponse takes n bytes for a response and reports whether it could.
+func (b *Budget) ReserveResponse(a *Account, n int64) bool {
+	if b.held+n > int64(float64(b.config.Limit)*b.config.ResponseShare) {
+		return false
+	}
 	a.held += n
 	b.held += n
+	return true
 }
 
 // Release returns n bytes.
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -116,22 +117,21 @@
 // large for that. A server error of an idempotent request is retried instead while
 // the budget allows.
 func (c *call) forwardBuffered(ctx *fasthttp.RequestCtx, x *upstream.Exchange, response ResponseInfo) nextAction {
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(x, maxBufferedBody+1)); err != nil {
+	body, whole, err := c.readBuffered(ctx, x)
+	if err != nil {
 		c.discardExchange(x)
 		if c.ctx.Err() != nil {
 			return c.handleNoResponse(ctx, &upstream.SendError{Sent: true, Cause: err})
 		}
 		return c.handleUnusableResponse(err)
 	}
-	c.intake.Hold(ctx, body.Len())
 	at := now()
 	c.fleet.conditions.recordResult(at, c.workerID, response.Status < 500)
 	if response.Status < 300 {
 		c.guard.recordSuccess(c.parts)
 	}
-	if body.Len() > maxBufferedBody {
-		return c.forwardLarge(ctx, x, response, body.Bytes())
+	if !whole {
+		return c.forwardLarge(ctx, x, response, body)
 	}
 	c.finishExchange(x, response)
 	if response.Status >= 500 && c.route.Retryable() && len(c.attemptsByWorker) < c.route.MaxWorkers &&
@@ -143,12 +143,28 @@
 	c.stopWatch()
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(response.Status)
-	ctx.Response.SetBodyRaw(body.Bytes())
+	ctx.Response.SetBodyRaw(body)
 	c.recordFirstByte(at)
 	c.finish("answered", response.Status)
 	return actionDone
 }
 
+// readBuffered reads a response whole, or the first bytes of one that is too large or for
+// which there is no memory.
+func (c *call) readBuffered(ctx *fasthttp.RequestCtx, x *upstream.Exchange) (body []byte, whole bool, err error) {
+	var buffer bytes.Buffer
+	_, err = buffer.ReadFrom(io.LimitReader(x, intake.SmallResponse+1))
+	if err != nil || buffer.Len() <= intake.SmallResponse {
+		return buffer.Bytes(), true, err
+	}
+	if !c.intake.ReserveResponse(ctx, maxBufferedBody) {
+		return buffer.Bytes(), false, nil
+	}
+	_, err = buffer.ReadFrom(io.LimitReader(x, maxBufferedBody+1-int64(buffer.Len())))
+	c.intake.ReturnResponse(ctx, max(maxBufferedBody-buffer.Len(), 0))
+	return buffer.Bytes(), buffer.Len() <= maxBufferedBody, err
+}
+
 // retryPaid retries without taking a retry from the budget, because the caller
 // of retryPaid has taken one.
 func retryPaid(c *call) nextAction {
--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -83,15 +83,32 @@
 	return body, refusal
 }
 
-// Hold counts n bytes of a response that is held for the caller until the request ends.
-func (i *Intake) Hold(ctx *fasthttp.RequestCtx, n int) {
+// SmallResponse is the size up to which a response may be held without a reservation: it
+// is covered by the memory of a connection.
+const SmallResponse = 8 << 10
+
+// ReserveResponse takes n bytes for a response that is held whole until the caller has
+// read it, and reports whether it could.
+func (i *Intake) ReserveResponse(ctx *fasthttp.RequestCtx, n int) bool {
+	conn := of(ctx.Conn())
+	if conn == nil {
+		return true
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.budget.ReserveResponse(&conn.account, int64(n))
+}
+
+// ReturnResponse returns n of the bytes that ReserveResponse has taken.
+func (i *Intake) ReturnResponse(ctx *fasthttp.RequestCtx, n int) {
 	conn := of(ctx.Conn())
-	if conn == nil || n < wholeBuffer/8 {
-		return // small ones are covered by what a connection takes
+	if conn == nil {
+		return
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.budget.Take(&conn.account, int64(n))
+	i.budget.Release(&conn.account, int64(n))
+	i.wake()
 }
 
 var disconnected = &Refusal{Status: fasthttp.StatusBadRequest, Code: "body_broken", Reason: "the body broke off"}
