--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -60,7 +60,7 @@
 		conn.refused.Store(true)
 		return nil, i.tooLong()
 	}
-	if conn.phase.Load() != phaseBody {
+	if conn.phase.Load() != phaseBody || ctx.Request.MayContinue() { // the idle time began with the interim response
 		conn.enter(phaseBody)
 		_ = conn.Conn.SetReadDeadline(time.Now().Add(i.config.BodyTimeout)) // the read reports a closed connection
 	}
