--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -32,6 +32,7 @@
 	demand     *demand
 	// organisations holds the work of organisations; it is empty without them.
 	organisations *organisations
+	bodies        *workerBodies
 	// instanceCount is the number of instances in the cluster, this one
 	// included.
 	instanceCount atomic.Int64
@@ -41,6 +42,7 @@
 	f := &fleet{
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
 		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s), organisations: newOrganisations(s),
+		bodies: newWorkerBodies(s.MaxWorkerBodyMB),
 	}
 	f.setInstanceCount(1)
 	return f
@@ -69,8 +71,10 @@
 // the result.
 func (f *fleet) beginAttempt(id string, r *Request, work time.Duration) *attemptUse {
 	f.conditions.sent(id)
+	endBody := f.bodies.begin(id, len(r.Body))
 	endWork := f.organisations.begin(f.config.table(), r, work)
 	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() {
+		endBody()
 		f.conditions.ended(id)
 		endWork()
 	})
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/revocation"
@@ -46,7 +47,9 @@
 	revocation *revocation.Checker
 	versionLag *versionLag
 	// quota is nil if quotas are not enforced.
-	quota    *quota.Client
+	quota *quota.Client
+	// intake reads the bodies of requests and bounds callers' memory.
+	intake   *intake.Intake
 	draining atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
@@ -65,7 +68,6 @@
 
 // handle receives, routes and serves one request.
 func (g *gateway) handle(ctx *fasthttp.RequestCtx) {
-	arrived := now()
 	g.activeRequests.Add(1)
 	var c *call
 	defer func() {
@@ -99,10 +101,10 @@
 	if !g.admitKey(ctx, table, route, request) {
 		return
 	}
-	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
-		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
+	if !g.readBody(ctx, table, request) {
 		return
 	}
+	arrived := now() // the caller's time counts from the end of the body
 	spending, admitted := g.takeQuota(ctx, route, request)
 	if !admitted {
 		return
@@ -239,7 +241,7 @@
 			continue
 		}
 		began := now()
-		ready, reason := c.ensureAdapter(choice, target.Born)
+		ready, reason := c.prepareAt(choice, target)
 		if ready {
 			claimed, refused := c.claim(target)
 			if claimed || refused != nil {
@@ -259,6 +261,14 @@
 	return worker.Worker{}, refusal
 }
 
+// prepareAt has the adapter loaded at a worker that has room for the body.
+func (c *call) prepareAt(choice balance.Choice, target worker.Worker) (ready bool, reason string) {
+	if !c.fleet.bodies.fits(target.ID, len(c.request.Body)) {
+		return false, "the bodies in progress at the worker are at the limit"
+	}
+	return c.ensureAdapter(choice, target.Born)
+}
+
 // claim reports whether the request may be sent to a worker that has its adapter. What
 // is known of the worker and of the prompt may have changed during the load, and the quota
 // that was taken may have expired.
@@ -331,7 +341,7 @@
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
 	exchange, err := c.pool.Send(c.ctx, target.Address, upstream.Request{
-		ID: r.ID, Bytes: c.codec.AppendRequest(nil, r, attempt),
+		ID: r.ID, Bytes: c.codec.AppendHead(nil, r, attempt), Body: r.Body,
 		Attribute: func(h *fasthttp.ResponseHeader) upstream.Attribution { return c.codec.Attribute(r, h) },
 	})
 	if err != nil {
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -27,6 +27,7 @@
 	m.setGauge("adapters_waiting", float64(waiting))
 	m.setGauge("adapters_in_transit", float64(inTransit))
 	i.updateQuotaMetrics()
+	i.updateMemoryGauges()
 	i.fleet.updateGauges(at, m, i.instanceCount())
 }
 
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -18,9 +18,10 @@
 type Settings struct {
 	// Instance is this instance's name.
 	Instance string `json:"instance"`
-	// DataCentre and Region are where the instance runs.
+	// DataCentre is where the instance runs.
 	DataCentre string `json:"dataCentre"`
-	Region     string `json:"region"`
+	// Region is the region of DataCentre.
+	Region string `json:"region"`
 	// DataCentres maps every data centre to its region.
 	DataCentres map[string]string `json:"dataCentres"`
 	// CallerAddress is where callers' requests are received, IP:port.
@@ -40,6 +41,17 @@
 	StoreAddress string `json:"storeAddress"`
 	// MemoryLimitMB is the memory that the process may use, in megabytes.
 	MemoryLimitMB int `json:"memoryLimitMB"`
+	// CallerBudgetMB is the memory for callers' bodies and unread responses, in megabytes;
+	// 0 for a quarter of MemoryLimitMB.
+	CallerBudgetMB int `json:"callerBudgetMB"`
+	// MaxCallerConnections is the most connections of callers; 0 for the number that a
+	// quarter of MemoryLimitMB and the file descriptors of the process allow.
+	MaxCallerConnections int `json:"maxCallerConnections"`
+	// BodyTimeout bounds the reading of one body.
+	BodyTimeout settings.Duration `json:"bodyTimeout"`
+	// MaxWorkerBodyMB bounds the bodies that this instance has in progress at one worker,
+	// in megabytes. One body is always allowed.
+	MaxWorkerBodyMB int `json:"maxWorkerBodyMB"`
 	// CPUShare is the processor time that the process may use, in cores.
 	CPUShare float64 `json:"cpuShare"`
 	// OrderTurnGap is the least time between orders of two instances to one
@@ -50,28 +62,34 @@
 	ConfigApplyLimit settings.Duration `json:"configApplyLimit"`
 	// StopGrace is the time between the signal to stop and the kill.
 	StopGrace settings.Duration `json:"stopGrace"`
-	// RepeatRatio, RepeatSlack and RepeatWindow bound the retries of all
-	// instances together; see retry.Config.
-	RepeatRatio  float64           `json:"repeatRatio"`
-	RepeatSlack  float64           `json:"repeatSlack"`
+	// RepeatRatio is the fraction of the requests of a window that all instances
+	// together may retry.
+	RepeatRatio float64 `json:"repeatRatio"`
+	// RepeatSlack is the number of retries per window that are allowed on top.
+	RepeatSlack float64 `json:"repeatSlack"`
+	// RepeatWindow is the window of RepeatRatio and RepeatSlack.
 	RepeatWindow settings.Duration `json:"repeatWindow"`
 	// StrictRevoke has the instance refuse requests that need a key while it has not
 	// confirmed for RevokeAfter that its configuration is the newest. Otherwise it goes on
 	// with the last configuration.
-	StrictRevoke bool              `json:"strictRevoke"`
-	RevokeAfter  settings.Duration `json:"revokeAfter"`
+	StrictRevoke bool `json:"strictRevoke"`
+	// RevokeAfter is how long the configuration may be unconfirmed if StrictRevoke is set.
+	RevokeAfter settings.Duration `json:"revokeAfter"`
 	// QuotaWindow is the period of the bound on what an organisation uses of its quota;
-	// 0 if quotas are not enforced. In each window at most the quota times 1 plus
-	// QuotaOverage, plus QuotaSlack, may be used.
-	QuotaWindow  settings.Duration `json:"quotaWindow"`
-	QuotaOverage float64           `json:"quotaOverage"`
-	QuotaSlack   float64           `json:"quotaSlack"`
+	// 0 if quotas are not enforced.
+	QuotaWindow settings.Duration `json:"quotaWindow"`
+	// QuotaOverage is the fraction of the quota of a window that may be used on top.
+	QuotaOverage float64 `json:"quotaOverage"`
+	// QuotaSlack is the amount in units of the quota that may be used in a window on top.
+	QuotaSlack float64 `json:"quotaSlack"`
 }
 
 // DefaultSettings returns the defaults. Settings without a default are empty.
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryLimitMB:    256,
+		BodyTimeout:      settings.Duration(time.Minute),
+		MaxWorkerBodyMB:  32,
 		CPUShare:         1,
 		OrderTurnGap:     settings.Duration(3 * time.Second),
 		ConfigApplyLimit: settings.Duration(2500 * time.Millisecond),
@@ -117,7 +135,7 @@
 	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
 		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
-		"revokeAfter": s.RevokeAfter,
+		"revokeAfter": s.RevokeAfter, "bodyTimeout": s.BodyTimeout,
 	} {
 		if value <= 0 {
 			find(field, "must be above zero")
@@ -126,6 +144,12 @@
 	if s.MemoryLimitMB < 1 {
 		find("memoryLimitMB", "must be at least 1")
 	}
+	if s.CallerBudgetMB < 0 || s.MaxCallerConnections < 0 {
+		find("callerBudgetMB", "and maxCallerConnections must not be negative")
+	}
+	if s.MaxWorkerBodyMB < 1 {
+		find("maxWorkerBodyMB", "must be at least 1")
+	}
 	if s.CPUShare <= 0 {
 		find("cpuShare", "must be above zero")
 	}
