Learned speeds of workers and lengths of responses in the choice of a worker

The balancer assumed 25 prompt tokens per ms, 2 ms per running request and fixed load times for every worker, while workers differ by a factor of more than two. coord/cost learns each worker's time for prompts, steps and loads relative to the typical worker of its service, and response lengths by route and adapter with the hint of the caller. A factor counts only beyond its own uncertainty. The setting learnedCost turns it off.

--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -62,6 +62,15 @@
 	// FreeSlots is the number of empty adapter slots, IdleSlots the number of slots
 	// whose adapter has no request in progress.
 	FreeSlots, IdleSlots int
+	// PromptFactor, StepFactor and LoadFactor are the learned times of prompts, steps
+	// and loads relative to the typical worker of the service; 0 counts as 1.
+	PromptFactor, StepFactor, LoadFactor float64
+	// KeptTokens is the number of tokens at the start of the request's prompt that the
+	// worker has processed before.
+	KeptTokens int
+	// RemainingTokens is the expected number of output tokens of the requests in
+	// progress; 0 if it is unknown.
+	RemainingTokens int
 	// RTT is the network round-trip time to the worker.
 	RTT time.Duration
 	// InScope workers get their load and unload orders from instances that this one
@@ -78,7 +87,13 @@
 	Adapter string
 	// Tokens is the number of prompt tokens.
 	Tokens int
-	Rank   int
+	// OutputTokens is the expected number of tokens of the response, and TokenTime the
+	// mean time per token at the service; 0 if they are unknown.
+	OutputTokens int
+	TokenTime    time.Duration
+	// Seed selects the random terms of the estimates of workers with learned factors.
+	Seed uint64
+	Rank int
 	// Demand is the recent number of requests for the adapter at all instances, as
 	// estimated from this instance's own.
 	Demand float64
@@ -121,6 +136,16 @@
 	FullCost time.Duration
 	// SuspectCost is added for suspect workers.
 	SuspectCost time.Duration
+	// ResponseShare is the fraction of the expected time of the response after its
+	// beginning that is added, as far as it differs from that at a typical worker.
+	ResponseShare float64
+	// RandomShare is the largest fraction that is added at random to the estimate of a
+	// worker with a learned factor. Instances that see the same state
+	// would all send their requests to one fast worker without it.
+	RandomShare float64
+	// MinSlotWait and MaxSlotWait, as multiples of FullCost, bound the wait for a place
+	// in a full batch or cache that is computed from the remaining tokens.
+	MinSlotWait, MaxSlotWait float64
 }
 
 // DefaultConfig returns the costs for engines as the operators specify them.
@@ -137,6 +162,10 @@
 		InterferenceShare: 0.3,
 		FullCost:          600 * time.Millisecond,
 		SuspectCost:       2 * time.Second,
+		ResponseShare:     0.1,
+		RandomShare:       0.1,
+		MinSlotWait:       0.5,
+		MaxSlotWait:       3,
 	}
 }
 
@@ -145,24 +174,46 @@
 	Candidate *Candidate
 	// Estimate is the expected time until the response begins.
 	Estimate time.Duration
+	// Work is the part of it that a typical worker at its usual pace would need for
+	// the prompts and the requests in progress, if nothing waits for a place or an
+	// adapter; 0 otherwise.
+	Work time.Duration
 }
 
 // Pick returns the eligible candidate with the lowest estimate, or false if none is
-// eligible. The choice points into candidates.
+// eligible. Learned figures add terms that only serve to compare workers. The choice points into candidates.
 func (c Config) Pick(r Request, candidates []Candidate) (Choice, bool) {
 	positions := c.rendezvousPositions(r, candidates)
 	var best Choice
+	var bestScore time.Duration
 	for i := range candidates {
 		candidate := &candidates[i]
 		if !isEligible(r, candidate) {
 			continue
 		}
 		estimate := c.estimate(r, candidate, positions[i])
-		if best.Candidate == nil || estimate < best.Estimate {
-			best = Choice{Candidate: candidate, Estimate: estimate}
+		score := estimate
+		if candidate.isLearned() {
+			score += c.learnedTerms(r, candidate, estimate)
 		}
+		if best.Candidate == nil || score < bestScore {
+			best, bestScore = Choice{Candidate: candidate, Estimate: estimate}, score
+		}
+	}
+	if best.Candidate == nil {
+		return best, false
+	}
+	best.Work = c.typicalWork(r, best.Candidate)
+	return best, true
+}
+
+// typicalWork returns Choice.Work.
+func (c Config) typicalWork(r Request, w *Candidate) time.Duration {
+	isFull := w.BatchSize > 0 && w.Running >= w.BatchSize || w.CacheTokens+r.Tokens > w.CacheCapacity
+	if w.CacheCapacity == 0 || isFull || r.Adapter != "" && w.Residency != Resident {
+		return 0
 	}
-	return best, best.Candidate != nil
+	return c.stepWork(w) + c.promptWork(r, w)
 }
 
 // ShortestHoldOff returns how long it takes until the first candidate that could serve
@@ -191,20 +242,19 @@
 
 // estimate returns the expected time until the response begins.
 func (c Config) estimate(r Request, w *Candidate, position int) time.Duration {
-	work := time.Duration(w.Running) * c.StepCost
+	work := time.Duration(orOne(w.StepFactor) * float64(c.stepWork(w)))
 	if w.CacheCapacity > 0 {
-		work += c.prefillTime(w.WaitingTokens + r.Tokens)
-		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
+		work += time.Duration(orOne(w.PromptFactor) * float64(c.promptWork(r, w)))
 	}
 	if w.Pace > 0 {
 		work = time.Duration(w.Pace * float64(work))
 	}
 	total := w.RTT + work
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
-		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
+		total += c.slotWait(r, w) * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
 	if w.CacheCapacity > 0 && w.CacheTokens+r.Tokens > w.CacheCapacity {
-		total += c.FullCost
+		total += c.slotWait(r, w)
 	}
 	if w.Suspect {
 		total += c.SuspectCost
@@ -215,6 +265,64 @@
 	return total + c.loadCost(r, w, position)
 }
 
+// orOne returns a factor, or 1 for 0.
+func orOne(factor float64) float64 {
+	if factor == 0 {
+		return 1
+	}
+	return factor
+}
+
+// isLearned reports whether prompts or steps take a different time at the worker than
+// at a typical one.
+func (w *Candidate) isLearned() bool { return orOne(w.PromptFactor) != 1 || orOne(w.StepFactor) != 1 }
+
+// stepWork returns the delay by the requests in progress.
+func (c Config) stepWork(w *Candidate) time.Duration { return time.Duration(w.Running) * c.StepCost }
+
+// promptWork returns the time for reading the waiting prompts and the request's own, and
+// for the pauses that the latter causes.
+func (c Config) promptWork(r Request, w *Candidate) time.Duration {
+	own := max(r.Tokens-w.KeptTokens, 0)
+	return c.prefillTime(w.WaitingTokens+own) + time.Duration(c.InterferenceShare*float64(w.Running)*float64(c.prefillTime(own)))
+}
+
+// learnedTerms returns the terms of workers that differ from a typical one: how much
+// longer the response takes there, and a random one.
+func (c Config) learnedTerms(r Request, w *Candidate, estimate time.Duration) time.Duration {
+	response := c.ResponseShare * float64(r.OutputTokens) * float64(r.TokenTime) * (orOne(w.StepFactor) - 1)
+	random := 0.0
+	if r.Seed != 0 {
+		random = c.RandomShare * float64(estimate) * unitRandom(r.Seed, w.ID)
+	}
+	return time.Duration(response + random)
+}
+
+// unitRandom returns a number from 0 to 1 that depends on the seed and the worker.
+func unitRandom(seed uint64, id string) float64 {
+	x := seed
+	for i := range len(id) {
+		x = (x ^ uint64(id[i])) * 0x9e3779b97f4a7c15
+		x ^= x >> 29
+	}
+	return float64(x>>11) / (1 << 53)
+}
+
+// slotWait returns the wait for a place in a full batch or cache: the mean time until
+// one of the running requests ends, if their remaining tokens are known.
+func (c Config) slotWait(r Request, w *Candidate) time.Duration {
+	if w.RemainingTokens <= 0 || r.TokenTime <= 0 || w.Running <= 0 {
+		return c.FullCost
+	}
+	perRequest := float64(w.RemainingTokens) / float64(w.Running) * float64(r.TokenTime) * orOne(w.StepFactor)
+	wait := c.FullCost.Seconds() * perRequest / fullCostRemainder.Seconds()
+	return time.Duration(min(max(wait, c.MinSlotWait*c.FullCost.Seconds()), c.MaxSlotWait*c.FullCost.Seconds()) * float64(time.Second))
+}
+
+// fullCostRemainder is the mean remaining time of the requests in a batch for which
+// FullCost was set.
+const fullCostRemainder = 2 * time.Second
+
 // prefillTime returns the time that reading prompt tokens takes at the usual pace.
 func (c Config) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / c.TokensPerMS * float64(time.Millisecond))
@@ -226,10 +334,10 @@
 	case r.Adapter == "" || w.Residency == Resident:
 		return 0
 	case w.Residency == Loading:
-		return c.LoadingCost
+		return time.Duration(orOne(w.LoadFactor) * float64(c.LoadingCost))
 	}
 	spread := time.Duration(float64(c.SpreadCost) * float64(position) / (1 + r.Demand))
-	cost := c.PreferredCost + min(spread, c.MaxSpreadCost)
+	cost := time.Duration(orOne(w.LoadFactor)*float64(c.PreferredCost)) + min(spread, c.MaxSpreadCost)
 	if w.FreeSlots+w.IdleSlots == 0 {
 		cost += c.EvictionWait
 	}
--- /dev/null
+++ b/coord/cost/speeds.go
@@ -0,0 +1,297 @@
+package cost
+
+import (
+	"math"
+	"time"
+)
+
+// Factors are the times that work is expected to take at a worker relative to the
+// typical worker of its service; 1 where nothing significant is known.
+type Factors struct {
+	// Prompt is that of processing prompts, Step that of a step of the batch, Load that
+	// of loading an adapter.
+	Prompt, Step, Load float64
+}
+
+// Neutral are the factors of a worker of which nothing is known.
+func Neutral() Factors { return Factors{Prompt: 1, Step: 1, Load: 1} }
+
+// Bounds and intervals of the learned factors.
+const (
+	// maxLogRatio bounds one observation: beyond a factor of 8 something other than
+	// the worker's speed was measured.
+	maxLogRatio = 2.0794
+	// maxLogFactor bounds a factor to a quarter or four times the typical time.
+	maxLogFactor = 1.3863
+	// refreshInterval is how long computed factors are used; observations of one
+	// instance are some ten per second.
+	refreshInterval = 100 * time.Millisecond
+	// priorDeviation is the assumed standard deviation of the logarithm of one
+	// observation, and minDeviation its lower bound.
+	priorDeviation = 0.4
+	minDeviation   = 0.05
+	// deviationWeight is the weight of the newest observation in the standard
+	// deviation.
+	deviationWeight = 0.02
+)
+
+// kind selects one of the learned times.
+type kind uint8
+
+const (
+	promptTime kind = iota
+	stepTime
+	loadTime
+	kinds
+)
+
+// workerSpeed is what is known of one worker.
+type workerSpeed struct {
+	service string
+	ratios  [kinds]ratio
+	factors Factors
+	parts   kept
+	loaded  kept
+}
+
+// serviceSpeed is what the workers of a service have in common.
+type serviceSpeed struct {
+	// variances holds the variance of single observations, centers the mean over the
+	// workers of their estimates.
+	variances, centers [kinds]float64
+	workers            map[string]*workerSpeed
+	refreshedAt        time.Duration
+	stale              bool
+	// tokenTime averages the time per token of responses, in seconds, loadTimes the
+	// logarithm of load times in seconds, without and with a recent load of the same
+	// adapter at the same worker.
+	tokenTime average
+	loadTimes [2]average
+}
+
+// average is a moving average with a bounded memory. The zero value is ready for use.
+type average struct {
+	value float64
+	count int
+}
+
+// add adds a value that has at least the weight 1/memory.
+func (a *average) add(value float64, memory int) {
+	a.count = min(a.count+1, memory)
+	a.value += (value - a.value) / float64(a.count)
+}
+
+// Speeds learns the speeds of workers. It is not safe for concurrent use.
+type Speeds struct {
+	services map[string]*serviceSpeed
+	workers  map[string]*workerSpeed
+}
+
+// NewSpeeds returns a Speeds that knows no worker.
+func NewSpeeds() *Speeds {
+	return &Speeds{services: make(map[string]*serviceSpeed), workers: make(map[string]*workerSpeed)}
+}
+
+// entry returns the state of a worker and of its service.
+func (s *Speeds) entry(service, id string) (*serviceSpeed, *workerSpeed) {
+	all := s.services[service]
+	if all == nil {
+		all = &serviceSpeed{workers: make(map[string]*workerSpeed)}
+		for k := range all.variances {
+			all.variances[k] = priorDeviation * priorDeviation
+		}
+		s.services[service] = all
+	}
+	w := s.workers[id]
+	if w == nil || w.service != service {
+		w = &workerSpeed{service: service, factors: Neutral()}
+		s.workers[id] = w
+		all.workers[id] = w
+	}
+	return all, w
+}
+
+// observe adds one observation of a worker.
+func (s *Speeds) observe(now time.Duration, service, id string, k kind, measured, expected time.Duration) {
+	if measured <= 0 || expected <= 0 {
+		return
+	}
+	s.observeLog(now, service, id, k, math.Log(float64(measured)/float64(expected)))
+}
+
+func (s *Speeds) observeLog(now time.Duration, service, id string, k kind, value float64) {
+	all, w := s.entry(service, id)
+	value = min(max(value, all.centers[k]-maxLogRatio), all.centers[k]+maxLogRatio)
+	difference, known := w.ratios[k].observe(now, value, math.Sqrt(all.variances[k]))
+	if known {
+		all.variances[k] += deviationWeight * (difference*difference - all.variances[k])
+		all.variances[k] = max(all.variances[k], minDeviation*minDeviation)
+	}
+	all.stale = true
+}
+
+// ObservePrompt records the time from sending a request until its first event, and the
+// time that was expected of a typical worker.
+func (s *Speeds) ObservePrompt(now time.Duration, service, id string, measured, expected time.Duration) {
+	s.observe(now, service, id, promptTime, measured, expected)
+}
+
+// ObserveStep records the shortest time between two events of a response, and the time
+// that a step of the batch was expected to take.
+func (s *Speeds) ObserveStep(now time.Duration, service, id string, measured, expected time.Duration) {
+	s.observe(now, service, id, stepTime, measured, expected)
+}
+
+// ObserveResponse records the mean time per token of a response.
+func (s *Speeds) ObserveResponse(service, id string, perToken time.Duration) {
+	all, _ := s.entry(service, id)
+	all.tokenTime.add(perToken.Seconds(), averageMemory)
+}
+
+// averageMemory is the number of responses over which times of a service are averaged.
+const averageMemory = 200
+
+// ObserveLoad records how long a load took that the worker had not begun before.
+func (s *Speeds) ObserveLoad(now time.Duration, service, id, adapter string, measured time.Duration) {
+	if measured <= 0 {
+		return
+	}
+	all, w := s.entry(service, id)
+	class := 0
+	if w.loaded.has(now, PartHash(adapter), loadedRetention) {
+		class = 1
+	}
+	value, typical := math.Log(measured.Seconds()), &all.loadTimes[class]
+	typical.add(value, averageMemory)
+	s.observeLog(now, service, id, loadTime, value-typical.value)
+	w.loaded.add(now, PartHash(adapter))
+}
+
+// loadedRetention is how long a worker is expected to keep a copy of an adapter in host
+// memory.
+const loadedRetention = time.Minute
+
+// RecordParts records that a worker has processed parts of a prompt.
+func (s *Speeds) RecordParts(now time.Duration, service, id string, parts []Part) {
+	_, w := s.entry(service, id)
+	for _, p := range parts {
+		w.parts.add(now, p.Hash)
+	}
+}
+
+// View gives access to what is known of the workers of one service at one time.
+type View struct {
+	now     time.Duration
+	service *serviceSpeed
+}
+
+// View returns the current figures of a service.
+func (s *Speeds) View(now time.Duration, service string) View {
+	all := s.services[service]
+	if all != nil && (all.stale && now-all.refreshedAt >= refreshInterval || now-all.refreshedAt >= time.Second) {
+		all.refresh(now)
+	}
+	return View{now: now, service: all}
+}
+
+// Worker returns a worker's factors, and the number of prompt tokens that it has
+// processed already for a prompt that begins with these parts.
+func (v View) Worker(id string, parts []Part) (Factors, int) {
+	if v.service == nil {
+		return Neutral(), 0
+	}
+	w := v.service.workers[id]
+	if w == nil {
+		return Neutral(), 0
+	}
+	return w.factors, w.parts.prefixTokens(v.now, parts)
+}
+
+// TokenTime returns the mean time per token of the responses of the service; 0 if it is
+// unknown.
+func (v View) TokenTime() time.Duration {
+	if v.service == nil || v.service.tokenTime.count < minTokenTimes {
+		return 0
+	}
+	return time.Duration(v.service.tokenTime.value * float64(time.Second))
+}
+
+// minTokenTimes is the number of responses from which their mean time counts.
+const minTokenTimes = 8
+
+// PromptRatio returns the mean over the workers of the measured over the expected time
+// until the first event; 1 if none is known.
+func (v View) PromptRatio() float64 {
+	if v.service == nil {
+		return 1
+	}
+	return math.Exp(v.service.centers[promptTime])
+}
+
+// Extremes returns the lowest and the highest factors of the workers of the service.
+func (v View) Extremes() (lowest, highest Factors) {
+	lowest, highest = Neutral(), Neutral()
+	if v.service == nil {
+		return lowest, highest
+	}
+	for _, w := range v.service.workers {
+		f := w.factors
+		lowest = Factors{Prompt: min(lowest.Prompt, f.Prompt), Step: min(lowest.Step, f.Step), Load: min(lowest.Load, f.Load)}
+		highest = Factors{Prompt: max(highest.Prompt, f.Prompt), Step: max(highest.Step, f.Step), Load: max(highest.Load, f.Load)}
+	}
+	return lowest, highest
+}
+
+// Services returns the names of the services of which something is known.
+func (s *Speeds) Services() []string {
+	names := make([]string, 0, len(s.services))
+	for name := range s.services {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Forget drops what is known of a worker that is gone or restarted.
+func (s *Speeds) Forget(id string) {
+	if w := s.workers[id]; w != nil {
+		delete(s.workers, id)
+		delete(s.services[w.service].workers, id)
+	}
+}
+
+// refresh computes the centers and factors. Each worker counts once in a center,
+// however many requests it serves, so that the factors do not depend on where requests
+// were sent.
+func (a *serviceSpeed) refresh(now time.Duration) {
+	a.refreshedAt, a.stale = now, false
+	var sums, weights [kinds]float64
+	for _, w := range a.workers {
+		for k := range w.ratios {
+			weight := w.ratios[k].decayedWeight(now)
+			weight /= 1 + weight
+			sums[k] += weight * w.ratios[k].mean
+			weights[k] += weight
+		}
+	}
+	var deviations [kinds]float64
+	for k := range sums {
+		if weights[k] > 0 {
+			a.centers[k] = sums[k] / weights[k]
+		}
+		deviations[k] = math.Sqrt(a.variances[k])
+	}
+	for _, w := range a.workers {
+		w.factors = Factors{
+			Prompt: a.factor(now, w, promptTime, deviations), Step: a.factor(now, w, stepTime, deviations), Load: a.factor(now, w, loadTime, deviations),
+		}
+	}
+}
+
+// factor returns one factor of a worker.
+func (a *serviceSpeed) factor(now time.Duration, w *workerSpeed, k kind, deviations [kinds]float64) float64 {
+	log := w.ratios[k].significant(now, a.centers[k], deviations[k])
+	if log == 0 {
+		return 1
+	}
+	return math.Exp(min(max(log, -maxLogFactor), maxLogFactor))
+}
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -80,6 +80,19 @@
 	FieldReplaced      Field = "replaced"
 )
 
+// Fields of the learned costs of requests.
+const (
+	FieldRemainingTokens Field = "remaining_tokens"
+	FieldKeptTokens      Field = "kept_tokens"
+	FieldExpectedTokens  Field = "expected_tokens"
+	FieldOutputTokens    Field = "output_tokens"
+	FieldHintTokens      Field = "hint_tokens"
+	FieldPromptFactor    Field = "prompt_factor"
+	FieldStepFactor      Field = "step_factor"
+	FieldLoadFactor      Field = "load_factor"
+	FieldPace            Field = "pace"
+)
+
 // explanation describes an event or a field.
 type explanation[T ~string] struct {
 	name T
@@ -132,6 +145,15 @@
 	{name: FieldLoadingMS, text: "time spent waiting for adapters"},
 	{name: FieldTookMS, text: "duration"},
 	{name: FieldPromptTokens, text: "prompt tokens, as stated by the caller"},
+	{name: FieldRemainingTokens, text: "output tokens that the requests in progress at the worker are expected to make, 0 if unknown"},
+	{name: FieldKeptTokens, text: "tokens of the prompt that the worker has processed before"},
+	{name: FieldExpectedTokens, text: "expected tokens of the response, 0 if nothing is learned"},
+	{name: FieldOutputTokens, text: "tokens of the response that were received"},
+	{name: FieldHintTokens, text: "tokens of the response that the caller expected, 0 if it did not say"},
+	{name: FieldPromptFactor, text: "learned time of prompts at the worker relative to the typical worker, 0 if nothing is learned"},
+	{name: FieldStepFactor, text: "learned time of steps, likewise"},
+	{name: FieldLoadFactor, text: "learned time of loads, likewise"},
+	{name: FieldPace, text: "expected time of work relative to the worker's usual time, from its load header"},
 	{name: FieldHost, text: "host of a request without a route"},
 	{name: FieldPath, text: "path of a request without a route"},
 	{name: FieldUnload, text: "the command unloads the adapter"},
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -198,7 +198,8 @@
 	c.metrics.recordRequest(c.route.Kind.String(), c.route.Rank, outcome, took)
 	c.log.Line(decision.Ended).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldOutcome, outcome).Int(decision.FieldStatus, status).
 		Str(decision.FieldWorker, c.workerID).Int(decision.FieldSends, c.sends).Dur(decision.FieldTookMS, took).
-		Dur(decision.FieldLoadingMS, c.loadWaitTotal).Dur(decision.FieldFirstByteMS, c.firstByteAfter).Dur(decision.FieldPauseMS, c.longestPause).Int(decision.FieldPromptTokens, c.request.PromptTokens).Send()
+		Dur(decision.FieldLoadingMS, c.loadWaitTotal).Dur(decision.FieldFirstByteMS, c.firstByteAfter).Dur(decision.FieldPauseMS, c.longestPause).Int(decision.FieldPromptTokens, c.request.PromptTokens).
+		Int(decision.FieldOutputTokens, c.learning.attempt.Tokens()).Int(decision.FieldHintTokens, c.request.OutputHint).Send()
 }
 
 // recordFirstByte records when the response to the caller began.
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -59,6 +59,8 @@
 	workerID   string
 	target     worker.Worker
 	finished   bool
+	// learning holds what is learned from the request.
+	learning learning
 }
 
 // abort ends a request whose state may be inconsistent: the connection to its worker
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -37,6 +37,7 @@
 		addWorkerUse(&c, own, r.Adapter)
 		c.HeldOffFromPeers = peers.holdOffUntil > at
 		if condition.reported {
+			c.RemainingTokens = scaleRemaining(c.RemainingTokens, c.Running, condition.inProgress)
 			c.Running = max(c.Running, condition.inProgress)
 		}
 		c.Usable = c.Usable && (own == nil || own.running < f.connectionLimit(service, w))
@@ -77,9 +78,19 @@
 	c.Running += u.running
 	c.WaitingTokens += u.waitingTokens
 	c.CacheTokens += u.cacheTokens
+	c.RemainingTokens += u.remainingTokens
 	c.AdapterRunning += u.adapters[adapter]
 }
 
+// scaleRemaining returns the remaining tokens of all requests that a worker reports.
+// Those that no heartbeat has told of yet count as much as the known ones.
+func scaleRemaining(remaining, known, reported int) int {
+	if known <= 0 || reported <= known {
+		return remaining
+	}
+	return remaining * reported / known
+}
+
 // addResidency fills in the model and adapter state of a worker, as sent by the
 // instance that controls it, or else from the worker's own entry in the store.
 // A recent observation of this instance overrides both.
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -30,6 +30,7 @@
 	workers    *knownWorkers
 	conditions *conditions
 	usage      *usage
+	costs      *costs
 	residency  *residency
 	versions   *adapterVersions
 	demand     *demand
@@ -41,7 +42,7 @@
 func newFleet(s Settings) *fleet {
 	f := &fleet{
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
-		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
+		usage: newUsage(), costs: newCosts(s.LearnedCost), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
 	}
 	f.setInstanceCount(1)
 	return f
@@ -54,6 +55,7 @@
 	for _, e := range events {
 		if e.Change == worker.Gone || e.Change == worker.Restarted {
 			f.conditions.forget(e.Worker.ID)
+			f.costs.forget(e.Worker.ID)
 			f.residency.forget(e.Worker.ID)
 		}
 		if e.Change == worker.Gone {
@@ -67,10 +69,10 @@
 func (f *fleet) setInstanceCount(count int) { f.instanceCount.Store(int64(max(count, 1))) }
 
 // beginAttempt counts an attempt as in progress at a worker until end is called on
-// the result.
-func (f *fleet) beginAttempt(id string, r *Request) *attemptUse {
+// the result. outputTokens is the expected length of the response.
+func (f *fleet) beginAttempt(id string, r *Request, outputTokens float64) *attemptUse {
 	f.conditions.sent(id)
-	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() { f.conditions.ended(id) })
+	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, outputTokens, func() { f.conditions.ended(id) })
 }
 
 // claim reports whether a worker process may be sent a request at this moment. What
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -307,7 +307,8 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.beginAttempt(target.ID, r)
+	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.learning.expectedTokens)
+	c.learning.sent(c.attemptBegan)
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
@@ -347,6 +348,7 @@
 	at := now()
 	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
 	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
+	c.fleet.costs.prepare(at, c, &request, candidates)
 	choice, found := c.fleet.balance.Pick(request, candidates)
 	if !found {
 		return choice, noWorkerFailure(candidates)
@@ -354,9 +356,13 @@
 	if refusal := c.admission.refuse(c, choice); refusal != nil {
 		return choice, refusal
 	}
+	c.learning.chosen(c, request, choice)
 	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
+		Int(decision.FieldRemainingTokens, choice.Candidate.RemainingTokens).Int(decision.FieldKeptTokens, choice.Candidate.KeptTokens).
+		Float64(decision.FieldPromptFactor, choice.Candidate.PromptFactor).Float64(decision.FieldStepFactor, choice.Candidate.StepFactor).Float64(decision.FieldLoadFactor, choice.Candidate.LoadFactor).
+		Float64(decision.FieldPace, choice.Candidate.Pace).Int(decision.FieldExpectedTokens, request.OutputTokens).
 		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
 		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
 		Uint64(decision.FieldConfig, c.configVersion).Send()
@@ -432,6 +438,7 @@
 	c.log.Line(decision.LoadWaited).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Bool(decision.FieldDenied, denied).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).Dur(decision.FieldTookMS, took).Send()
 	if ready {
+		c.fleet.costs.loaded(now(), c, choice, denied, took)
 		c.deniedBy = ""
 		c.fleet.residency.observe(now(), choice.Candidate.ID, c.request.Adapter, true)
 	}
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -69,6 +69,7 @@
 		m.setGauge("config_age_seconds", age.Seconds())
 	}
 	m.setGauge("peer_news_age_seconds", f.usage.oldestAge(at).Seconds())
+	f.costs.updateGauges(at, m, f.balance.TokensPerMS)
 	m.setGauge("repeats_left", f.demand.retriesLeft(at, instances))
 }
 
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -47,8 +47,13 @@
 	// PromptParts identifies the parts of the prompt that other requests may
 	// share, in order. The part that belongs to the request itself is left out.
 	PromptParts []string
+	// PartTokens holds the sizes of the PromptParts.
+	PartTokens []int
 	// PromptTokens and OutputTokens are the sizes that the caller states.
 	PromptTokens, OutputTokens int
+	// OutputHint is the number of tokens of the response that the caller expects; 0 if
+	// it does not say.
+	OutputHint int
 	// ResumeAfter is the id of the last event that the caller has received.
 	ResumeAfter string
 }
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -52,6 +52,9 @@
 	RepeatRatio  float64           `json:"repeatRatio"`
 	RepeatSlack  float64           `json:"repeatSlack"`
 	RepeatWindow settings.Duration `json:"repeatWindow"`
+	// LearnedCost makes the choice of a worker depend on learned speeds of workers and
+	// lengths of responses.
+	LearnedCost bool `json:"learnedCost"`
 }
 
 // DefaultSettings returns the defaults. Settings without a default are empty.
@@ -65,6 +68,7 @@
 		RepeatRatio:      0.2,
 		RepeatSlack:      10,
 		RepeatWindow:     settings.Duration(10 * time.Second),
+		LearnedCost:      true,
 	}
 }
 
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -29,6 +29,7 @@
 	c.guard.recordSuccess(c.parts)
 	c.recordFirstByte(at)
 	s.lastForwardedAt = at
+	s.learnEvents(at)
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(response.Status)
 	if !ctx.Request.Header.IsHTTP11() {
@@ -74,6 +75,8 @@
 	// scannedBytes is the part of readyBytes whose event ids were scanned for
 	// lastEventID.
 	scannedBytes int
+	// countedBytes is the part of readyBytes whose events were counted.
+	countedBytes int
 	readBuffer   [4096]byte
 	lastEventID  string
 	eof          bool
@@ -149,9 +152,11 @@
 		s.scannedBytes = s.readyBytes
 		at := now()
 		s.longestPause, s.lastForwardedAt = max(s.longestPause, at-s.lastForwardedAt), at
+		s.learnEvents(at)
 	}
 	n = copy(p, s.buffered[:s.readyBytes])
 	s.scannedBytes -= n
+	s.countedBytes -= min(n, s.countedBytes)
 	s.buffered = s.buffered[n:]
 	s.readyBytes -= n
 	return n, nil
@@ -170,7 +175,7 @@
 func (s *eventStream) resume(cause error) error {
 	at := now()
 	s.discardExchange(s.exchange)
-	s.buffered, s.readyBytes, s.scannedBytes, s.deferredErr = nil, 0, 0, nil
+	s.buffered, s.readyBytes, s.scannedBytes, s.countedBytes, s.deferredErr = nil, 0, 0, 0, nil
 	canceled := s.ctx.Err() != nil
 	s.log.Warn(decision.AttemptFailed, cause).Str(decision.FieldRequest, s.request.ID).Str(decision.FieldWorker, s.workerID).Str(decision.FieldLastEvent, s.lastEventID).
 		Bool(decision.FieldCanceled, canceled).Dur(decision.FieldTookMS, at-s.attemptBegan).Send()
@@ -251,6 +256,7 @@
 	s.metrics.recordLongestPause(s.route.Rank, s.longestPause)
 	outcome := "answered"
 	if s.eof && s.readyBytes == 0 {
+		s.fleet.costs.ended(now(), s.call)
 		s.finishExchange(s.exchange, s.response)
 	} else {
 		outcome = "cut"
--- a/entry/direct/usage.go
+++ b/entry/direct/usage.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/bulrushwick/bulrushwick/coord/cost"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 )
@@ -27,7 +28,9 @@
 // workerUse sums the requests in progress at a worker.
 type workerUse struct {
 	running, waitingTokens, cacheTokens int
-	adapters                            map[string]int
+	// remainingTokens is the expected number of output tokens still to be made.
+	remainingTokens int
+	adapters        map[string]int
 	// holdOffUntil is when the last hold-off that the worker asked for ends.
 	holdOffUntil time.Duration
 }
@@ -37,6 +40,7 @@
 	u.running += other.running
 	u.waitingTokens += other.waitingTokens
 	u.cacheTokens += other.cacheTokens
+	u.remainingTokens += other.remainingTokens
 	u.holdOffUntil = max(u.holdOffUntil, other.holdOffUntil)
 	for adapter, n := range other.adapters {
 		u.adapters[adapter] += n
@@ -80,7 +84,8 @@
 func decodeUse(at time.Duration, u *clusterpb.WorkerUse) workerUse {
 	decoded := workerUse{
 		running: int(u.GetRunning()), waitingTokens: int(u.GetWaitingTokens()), cacheTokens: int(u.GetCacheTokens()),
-		adapters: make(map[string]int, len(u.GetAdapters())),
+		remainingTokens: int(u.GetRemainingTokens()),
+		adapters:        make(map[string]int, len(u.GetAdapters())),
 	}
 	if holdOff := u.GetHoldOffMs(); holdOff > 0 {
 		decoded.holdOffUntil = at + time.Duration(holdOff)*time.Millisecond
@@ -94,7 +99,7 @@
 func encodeUse(at time.Duration, id string, u *workerUse) *clusterpb.WorkerUse {
 	encoded := &clusterpb.WorkerUse{
 		Worker: id, Running: uint32(u.running), WaitingTokens: uint32(max(u.waitingTokens, 0)), CacheTokens: uint32(max(u.cacheTokens, 0)),
-		HoldOffMs: uint32(max(u.holdOffUntil-at, 0).Milliseconds()),
+		HoldOffMs: uint32(max(u.holdOffUntil-at, 0).Milliseconds()), RemainingTokens: uint32(max(u.remainingTokens, 0)),
 	}
 	for adapter, running := range u.adapters {
 		encoded.Adapters = append(encoded.Adapters, &clusterpb.AdapterUse{Adapter: adapter, Running: uint32(running)})
@@ -240,8 +245,9 @@
 }
 
 // begin counts an attempt as in progress at a worker until end is called on the
-// result, which calls onEnd.
-func (u *usage) begin(id, adapter string, promptTokens, cacheTokens int, onEnd func()) *attemptUse {
+// result, which calls onEnd. outputTokens is the expected length of the response, 0 if
+// it is unknown.
+func (u *usage) begin(id, adapter string, promptTokens, cacheTokens int, outputTokens float64, onEnd func()) *attemptUse {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	use := u.own[id]
@@ -255,7 +261,9 @@
 	if adapter != "" {
 		use.adapters[adapter]++
 	}
-	return &attemptUse{usage: u, worker: use, adapter: adapter, waitingTokens: promptTokens, cacheTokens: cacheTokens, onEnd: onEnd}
+	a := &attemptUse{usage: u, worker: use, adapter: adapter, waitingTokens: promptTokens, cacheTokens: cacheTokens, expectedTokens: outputTokens, onEnd: onEnd}
+	a.setRemaining(0)
+	return a
 }
 
 // attemptUse is what one attempt adds to the use of its worker.
@@ -265,7 +273,11 @@
 	adapter       string
 	waitingTokens int
 	cacheTokens   int
-	ended         bool
+	// expectedTokens is the expected length of the response, and remainingTokens what
+	// this attempt adds to its worker's.
+	expectedTokens  float64
+	remainingTokens int
+	ended           bool
 	// onEnd is called once when the attempt ends.
 	onEnd func()
 }
@@ -279,6 +291,23 @@
 	a.waitingTokens = 0
 }
 
+// progressed records how many tokens of the response have arrived.
+func (a *attemptUse) progressed(tokens int) {
+	a.usage.mu.Lock()
+	defer a.usage.mu.Unlock()
+	a.setRemaining(tokens)
+}
+
+// setRemaining updates the remaining tokens. a.usage.mu must be held.
+func (a *attemptUse) setRemaining(tokens int) {
+	if a.expectedTokens <= 0 || a.ended {
+		return
+	}
+	left := cost.Remaining(a.expectedTokens, tokens)
+	a.worker.remainingTokens += left - a.remainingTokens
+	a.remainingTokens = left
+}
+
 // end removes the attempt from its worker's use. Further calls do nothing.
 func (a *attemptUse) end() {
 	a.usage.mu.Lock()
@@ -291,6 +320,7 @@
 	a.worker.running--
 	a.worker.waitingTokens -= a.waitingTokens
 	a.worker.cacheTokens -= a.cacheTokens
+	a.worker.remainingTokens -= a.remainingTokens
 	if a.adapter == "" {
 		return
 	}
