Experiment: choice of workers by many instances, with uneven workers and requests

The experiment command measured placement under reports to owners, not the choice by coord/balance. The first event's expected time now follows the engine's chunks and steps: against the balancer's own terms, learned prompt factors were wrong by up to a factor of 4.

--- a/cmd/bulrushctl/experiment.go
+++ b/cmd/bulrushctl/experiment.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/bulrushwick/bulrushwick/cmd/internal/experiment"
+	"github.com/bulrushwick/bulrushwick/cmd/internal/experiment/routes"
 )
 
 // experimentOptions are the flags of the experiment command.
@@ -27,7 +28,7 @@
 		Use:   "experiment [scenario or file]...",
 		Short: "Measure placement, loads and ranks on scenarios, beside baselines",
 		Long: "Measure placement, loads and ranks on scenarios, beside baselines.\n\nScenarios: " +
-			strings.Join(experiment.Names(), ", ") + "; all of them where none is named.",
+			strings.Join(slices.Concat(experiment.Names(), routes.Names()), ", ") + "; all of them where none is named.",
 		Example: "  bulrushctl experiment silttolge-steady\n  bulrushctl experiment --json result.json --policy bulrushwick scenario.json",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return runExperiment(cmd, args, options)
@@ -46,10 +47,19 @@
 		return err
 	}
 	if len(names) == 0 {
-		names = experiment.Names()
+		names = slices.Concat(experiment.Names(), routes.Names())
 	}
 	var all []experiment.Result
+	var choices []routes.Result
 	for _, name := range names {
+		if slices.Contains(routes.Names(), name) {
+			results, err := runRoutes(name, options)
+			if err != nil {
+				return err
+			}
+			choices = append(choices, results...)
+			continue
+		}
 		results, err := runScenario(name, policies, options)
 		if err != nil {
 			return err
@@ -57,13 +67,44 @@
 		all = append(all, results...)
 	}
 	if options.json != "" {
-		if err := writeResults(options.json, all); err != nil {
+		if err := writeResults(options.json, all, choices); err != nil {
+			return err
+		}
+	}
+	if len(choices) > 0 {
+		if err := routes.WriteTable(cmd.OutOrStdout(), choices); err != nil || len(all) == 0 {
 			return err
 		}
 	}
 	return experiment.WriteTable(cmd.OutOrStdout(), all)
 }
 
+// runRoutes runs a scenario of the choice of workers.
+func runRoutes(name string, options experimentOptions) ([]routes.Result, error) {
+	scenario, err := routes.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	scenario.Seeds = options.chosenSeeds(scenario.Seeds)
+	policies := routes.Policies()
+	if len(options.policies) > 0 {
+		policies = slices.DeleteFunc(policies, func(p routes.Policy) bool { return !slices.Contains(options.policies, p.Name) })
+	}
+	return routes.Run(scenario, policies), nil
+}
+
+// chosenSeeds returns the seeds of the options, or else those of a scenario.
+func (o experimentOptions) chosenSeeds(own []uint64) []uint64 {
+	if len(o.seeds) == 0 {
+		return own
+	}
+	var seeds []uint64
+	for _, seed := range o.seeds {
+		seeds = append(seeds, uint64(seed))
+	}
+	return seeds
+}
+
 // runScenario runs one scenario, with the seeds of the options in place of its own
 // if there are any, and draws its plot if options.plots is set.
 func runScenario(name string, policies []experiment.Policy, options experimentOptions) ([]experiment.Result, error) {
@@ -71,12 +112,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(options.seeds) > 0 {
-		scenario.Seeds = nil
-		for _, seed := range options.seeds {
-			scenario.Seeds = append(scenario.Seeds, uint64(seed))
-		}
-	}
+	scenario.Seeds = options.chosenSeeds(scenario.Seeds)
 	results, err := experiment.Run(scenario, policies)
 	if err != nil || options.plots == "" {
 		return results, err
@@ -93,6 +129,9 @@
 	var chosen []experiment.Policy
 	for _, name := range names {
 		i := slices.IndexFunc(policies, func(p experiment.Policy) bool { return p.Name == name })
+		if i < 0 && slices.ContainsFunc(routes.Policies(), func(p routes.Policy) bool { return p.Name == name }) {
+			continue
+		}
 		if i < 0 {
 			return nil, oops.Code("unknown_policy").Errorf("unknown policy %q", name)
 		}
@@ -101,8 +140,16 @@
 	return chosen, nil
 }
 
-func writeResults(file string, results []experiment.Result) error {
-	data, err := json.MarshalIndent(results, "", "  ")
+// writeResults writes one array of the results of both kinds.
+func writeResults(file string, results []experiment.Result, choices []routes.Result) error {
+	all := make([]any, 0, len(results)+len(choices))
+	for _, r := range results {
+		all = append(all, r)
+	}
+	for _, r := range choices {
+		all = append(all, r)
+	}
+	data, err := json.MarshalIndent(all, "", "  ")
 	if err != nil {
 		return err
 	}
--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -174,10 +174,9 @@
 	Candidate *Candidate
 	// Estimate is the expected time until the response begins.
 	Estimate time.Duration
-	// Work is the part of it that a typical worker at its usual pace would need for
-	// the prompts and the requests in progress, if nothing waits for a place or an
-	// adapter; 0 otherwise.
-	Work time.Duration
+	// Direct is set if it holds no wait for an adapter or for a place in the batch or
+	// the cache.
+	Direct bool
 }
 
 // Pick returns the eligible candidate with the lowest estimate, or false if none is
@@ -203,17 +202,14 @@
 	if best.Candidate == nil {
 		return best, false
 	}
-	best.Work = c.typicalWork(r, best.Candidate)
+	best.Direct = isDirect(r, best.Candidate)
 	return best, true
 }
 
-// typicalWork returns Choice.Work.
-func (c Config) typicalWork(r Request, w *Candidate) time.Duration {
+// isDirect returns Choice.Direct.
+func isDirect(r Request, w *Candidate) bool {
 	isFull := w.BatchSize > 0 && w.Running >= w.BatchSize || w.CacheTokens+r.Tokens > w.CacheCapacity
-	if w.CacheCapacity == 0 || isFull || r.Adapter != "" && w.Residency != Resident {
-		return 0
-	}
-	return c.stepWork(w) + c.promptWork(r, w)
+	return w.CacheCapacity > 0 && !isFull && (r.Adapter == "" || w.Residency == Resident)
 }
 
 // ShortestHoldOff returns how long it takes until the first candidate that could serve
--- a/coord/balance/balance_test.go
+++ b/coord/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -124,3 +125,55 @@
 		})
 	}
 }
+
+// TestNeutralFactorsChangeNothing guards against a changed choice between equal
+// workers, and TestALearnedSlowWorkerIsAvoided against learned figures without effect.
+func TestNeutralFactorsChangeNothing(t *testing.T) {
+	for n := range 50 {
+		all := idleWorkers(12)
+		for i := range all {
+			all[i].Running, all[i].WaitingTokens = (i*7+n)%20, (i*n*331)%4000
+		}
+		r := Request{Adapter: fmt.Sprint("a", n), Tokens: 2000}
+		before := pick(t, r, all)
+		for i := range all {
+			all[i].PromptFactor, all[i].StepFactor, all[i].LoadFactor = 1, 1, 1
+		}
+		r.OutputTokens, r.TokenTime, r.Seed = 100, 10*time.Millisecond, uint64(n+1)
+		require.Equal(t, before, pick(t, r, all))
+	}
+}
+
+func TestALearnedSlowWorkerIsAvoided(t *testing.T) {
+	all := idleWorkers(3)
+	r := Request{Tokens: 2000, OutputTokens: 100, TokenTime: 10 * time.Millisecond}
+	first := pick(t, r, all)
+	for i := range all {
+		if all[i].ID == first {
+			all[i].PromptFactor, all[i].StepFactor = 1.7, 1.7
+		}
+	}
+	require.NotEqual(t, first, pick(t, r, all))
+	for i := range all {
+		all[i].Avoid = all[i].ID != first
+	}
+	require.Equal(t, first, pick(t, r, all), "a slow worker is better than none")
+}
+
+// TestInstancesSpreadOverFastWorkers covers 76 instances that see the same report of
+// two fast workers among slower ones.
+func TestInstancesSpreadOverFastWorkers(t *testing.T) {
+	all := idleWorkers(20)
+	for i := range all {
+		all[i].PromptFactor, all[i].StepFactor = 1.2, 1.2
+	}
+	all[3].PromptFactor, all[8].PromptFactor, all[12].PromptFactor = 0.70, 0.72, 0.71
+	chosen := map[string]int{}
+	for n := range 76 {
+		chosen[pick(t, Request{Tokens: 2000, Seed: uint64(n + 1)}, all)]++
+	}
+	require.Len(t, chosen, 3)
+	for id, count := range chosen {
+		require.Less(t, count, 50, id)
+	}
+}
--- a/coord/cost/model.go
+++ b/coord/cost/model.go
@@ -24,6 +24,18 @@
 	return stepBase + time.Duration(running)*stepPerRequest + time.Duration(contextTokens)*stepPerKToken/1000
 }
 
+// chunkTokens is the number of prompt tokens that an engine processes between two steps
+// of the batch.
+const chunkTokens = 1024
+
+// FirstTime returns the expected time until the first event of a request: its prompt
+// tokens and those that wait before it are processed in chunks, with a step of the batch
+// after each.
+func FirstTime(tokensPerMS float64, promptTokens, running, contextTokens int) time.Duration {
+	steps := 1 + promptTokens/chunkTokens
+	return time.Duration(float64(promptTokens)/tokensPerMS*float64(time.Millisecond)) + time.Duration(steps)*StepTime(running, contextTokens)
+}
+
 // Attempt follows one attempt of a request at a worker.
 type Attempt struct {
 	Service, Worker string
--- a/coord/cost/ratio.go
+++ b/coord/cost/ratio.go
@@ -13,7 +13,7 @@
 	ratioHalfLife = 20 * time.Second
 	// maxRatioWeight bounds the weight of the past, so that a worker in constant use
 	// follows a lasting change within some ten requests.
-	maxRatioWeight = 16
+	maxRatioWeight = 8
 	// correlationTime is the time in which two observations count as one: a shared
 	// machine changes its pace about every 600 ms.
 	correlationTime = 600 * time.Millisecond
@@ -22,8 +22,8 @@
 	// changeDeviation, in standard deviations of one observation, and changeCount are
 	// how far and how often in succession observations lie on one side of the estimate
 	// until it is replaced by them.
-	changeDeviation = 2
-	changeCount     = 4
+	changeDeviation = 1.5
+	changeCount     = 3
 	// thresholdDeviations is how many of its own standard errors an estimate must
 	// differ from the prior to count. With 2, one of 20 equal workers has a factor, a
 	// small one.
@@ -84,19 +84,3 @@
 	r.deviatingSum += added * value
 	r.deviatingWeight += added
 }
-
-// significant returns the estimate relative to center, reduced by its uncertainty: 0
-// unless it differs by more than thresholdDeviations standard errors. The reduction
-// vanishes for large differences, unlike that of a constant subtraction.
-func (r *ratio) significant(now time.Duration, center, deviation float64) float64 {
-	weight := r.decayedWeight(now)
-	if weight < 1 {
-		return 0 // too old, or one observation among others
-	}
-	difference := r.mean - center
-	threshold := thresholdDeviations * thresholdDeviations * deviation * deviation / weight
-	if difference*difference <= threshold {
-		return 0
-	}
-	return difference * (1 - threshold/(difference*difference))
-}
--- a/coord/cost/speeds.go
+++ b/coord/cost/speeds.go
@@ -273,23 +273,65 @@
 			weights[k] += weight
 		}
 	}
-	var deviations [kinds]float64
 	for k := range sums {
 		if weights[k] > 0 {
 			a.centers[k] = sums[k] / weights[k]
 		}
-		deviations[k] = math.Sqrt(a.variances[k])
 	}
 	for _, w := range a.workers {
-		w.factors = Factors{
-			Prompt: a.factor(now, w, promptTime, deviations), Step: a.factor(now, w, stepTime, deviations), Load: a.factor(now, w, loadTime, deviations),
-		}
+		w.factors = a.factors(now, w)
+	}
+}
+
+// estimate is the logarithm of a factor with the inverse of its variance.
+type estimate struct{ mean, precision float64 }
+
+// plus combines two independent estimates.
+func (e estimate) plus(other estimate) estimate {
+	sum := e.precision + other.precision
+	if sum == 0 {
+		return estimate{}
+	}
+	return estimate{mean: (e.mean*e.precision + other.mean*other.precision) / sum, precision: sum}
+}
+
+// significant returns the estimate reduced by its uncertainty: 0 unless it differs from 0
+// by more than thresholdDeviations standard errors. The reduction vanishes for large
+// differences, unlike that of a constant subtraction.
+func (e estimate) significant() float64 {
+	if e.mean*e.mean*e.precision <= thresholdDeviations*thresholdDeviations {
+		return 0
+	}
+	return e.mean - thresholdDeviations*thresholdDeviations/(e.mean*e.precision)
+}
+
+// estimate returns the worker's estimate of one kind relative to the typical worker.
+func (a *serviceSpeed) estimate(now time.Duration, w *workerSpeed, k kind) estimate {
+	weight := max(w.ratios[k].decayedWeight(now)-1, 0) // one observation may be an outlier
+	return estimate{mean: w.ratios[k].mean - a.centers[k], precision: weight / a.variances[k]}
+}
+
+// factors returns the factors of a worker. A slow machine is slow at prompts and at
+// steps, so both are first taken as estimates of one factor; what one of them differs
+// from it by counts if that is significant too.
+func (a *serviceSpeed) factors(now time.Duration, w *workerSpeed) Factors {
+	prompt, step := a.estimate(now, w, promptTime), a.estimate(now, w, stepTime)
+	machine := prompt.plus(step)
+	common := machine.significant()
+	return Factors{
+		Prompt: factor(common + prompt.minus(machine).significant()),
+		Step:   factor(common + step.minus(machine).significant()),
+		Load:   factor(a.estimate(now, w, loadTime).significant()),
 	}
 }
 
-// factor returns one factor of a worker.
-func (a *serviceSpeed) factor(now time.Duration, w *workerSpeed, k kind, deviations [kinds]float64) float64 {
-	log := w.ratios[k].significant(now, a.centers[k], deviations[k])
+// minus returns the difference from an estimate that includes this one.
+func (e estimate) minus(other estimate) estimate {
+	return estimate{mean: e.mean - other.mean, precision: e.precision}
+}
+
+// factor returns the factor of a logarithm.
+func factor(log float64) float64 {
 	if log == 0 {
 		return 1
 	}
--- a/entry/direct/costs.go
+++ b/entry/direct/costs.go
@@ -65,11 +65,12 @@
 	}
 	l.attempt = cost.Attempt{
 		Service: c.service.Name, Worker: w.ID, Parts: l.parts, RTT: w.RTT,
-		First: time.Duration(pace * float64(choice.Work)),
-		Step:  time.Duration(pace * float64(cost.StepTime(w.Running+1, w.CacheTokens+request.Tokens))),
+		Step: time.Duration(pace * float64(cost.StepTime(w.Running+1, w.CacheTokens+request.Tokens))),
 	}
-	if choice.Work > 0 {
-		l.attempt.Estimate = choice.Estimate
+	if choice.Direct {
+		own := max(request.Tokens-w.KeptTokens, 0)
+		first := cost.FirstTime(c.fleet.balance.TokensPerMS, w.WaitingTokens+own, w.Running, w.CacheTokens+request.Tokens)
+		l.attempt.First, l.attempt.Estimate = time.Duration(pace*float64(first)), choice.Estimate
 	}
 }
 
@@ -117,6 +118,16 @@
 	s.model.Speeds.ObserveLoad(at, c.service.Name, choice.Candidate.ID, c.request.Adapter, took)
 }
 
+// countWaiting counts the request as in progress at a worker while it waits there for
+// its adapter, so that this instance and its peers know of it. The result ends that.
+func (s *costs) countWaiting(c *call, id string) func() {
+	if !s.enabled {
+		return func() {}
+	}
+	r := c.request
+	return c.fleet.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, c.learning.expectedTokens, func() {}).end
+}
+
 // forget drops what is known of a worker that is gone or restarted.
 func (s *costs) forget(id string) {
 	s.mu.Lock()
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -44,6 +44,7 @@
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
 		usage: newUsage(), costs: newCosts(s.LearnedCost), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
 	}
+	f.usage.agePrompts = s.LearnedCost
 	f.setInstanceCount(1)
 	return f
 }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -425,6 +425,7 @@
 	began := now()
 	c.workerID = choice.Candidate.ID
 	wait := c.loadWaitLimit()
+	defer c.fleet.costs.countWaiting(c, choice.Candidate.ID)()
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	load := loadRequest{
--- a/entry/direct/usage.go
+++ b/entry/direct/usage.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -64,8 +65,15 @@
 	// peerSum caches sumPeers, as of peerSumAt.
 	peerSum   map[string]workerUse
 	peerSumAt time.Duration
+	// agePrompts reduces the waiting prompt tokens of the peers with the age of their
+	// news.
+	agePrompts bool
 }
 
+// promptHalfLife is the age of news after which half of the prompts that waited then are
+// expected to be processed. A prompt takes about 100 ms, and others have come since.
+const promptHalfLife = 250 * time.Millisecond
+
 func newUsage() *usage {
 	return &usage{own: make(map[string]*workerUse), peers: make(map[string]peerUse)}
 }
@@ -119,7 +127,12 @@
 			delete(u.peers, peer)
 			continue
 		}
+		share := 1.0
+		if u.agePrompts {
+			share = math.Exp2(-float64(at-p.receivedAt) / float64(promptHalfLife))
+		}
 		for id, use := range p.workers {
+			use.waitingTokens = int(share * float64(use.waitingTokens))
 			total, known := u.peerSum[id]
 			if !known {
 				total.adapters = make(map[string]int, len(use.adapters))
