--- a/cmd/internal/experiment/routes/policy.go
+++ b/cmd/internal/experiment/routes/policy.go
@@ -82,7 +82,7 @@
 	query.OutputTokens, query.TokenTime, query.Seed = int(r.attempt.expected), view.TokenTime(), s.rng.Uint64()
 	for n := range candidates {
 		c := &candidates[n]
-		factors, kept := view.Worker(c.ID, parts)
+		factors, kept := view.Worker(n, c.ID, parts)
 		c.PromptFactor, c.StepFactor, c.LoadFactor, c.KeptTokens = factors.Prompt, factors.Step, factors.Load, kept
 		c.WaitingTokens = i.own[n].waitingTokens + int(toldShare*float64(c.WaitingTokens-i.own[n].waitingTokens))
 		u := s.told[n]
--- a/coord/cost/cost_test.go
+++ b/coord/cost/cost_test.go
@@ -31,7 +31,7 @@
 }
 
 func (w *world) factors(id string) Factors {
-	f, _ := w.speeds.View(w.now, testService).Worker(id, nil)
+	f, _ := w.speeds.View(w.now, testService).Worker(0, id, nil)
 	return f
 }
 
@@ -153,7 +153,7 @@
 func TestKeptPartsAreThePrefixUsedLately(t *testing.T) {
 	s, parts := NewSpeeds(), []Part{{1, 500}, {2, 60}}
 	tokens := func(now time.Duration) int {
-		_, kept := s.View(now, testService).Worker("w", parts)
+		_, kept := s.View(now, testService).Worker(0, "w", parts)
 		return kept
 	}
 	require.Zero(t, tokens(0))
@@ -177,7 +177,8 @@
 		w.speeds.RecordParts(0, testService, name(i), parts)
 	}
 	view := w.speeds.View(0, testService)
+	id := name(7)
 	for b.Loop() {
-		_, _ = view.Worker(name(7), parts)
+		_, _ = view.Worker(7, id, parts)
 	}
 }
--- a/coord/cost/speeds.go
+++ b/coord/cost/speeds.go
@@ -47,11 +47,11 @@
 
 // workerSpeed is what is known of one worker.
 type workerSpeed struct {
-	service string
-	ratios  [kinds]ratio
-	factors Factors
-	parts   kept
-	loaded  kept
+	id, service string
+	ratios      [kinds]ratio
+	factors     Factors
+	parts       kept
+	loaded      kept
 }
 
 // serviceSpeed is what the workers of a service have in common.
@@ -60,8 +60,11 @@
 	// workers of their estimates.
 	variances, centers [kinds]float64
 	workers            map[string]*workerSpeed
-	refreshedAt        time.Duration
-	stale              bool
+	// listed holds the workers by the position at which they were last asked for, to
+	// find them without a search.
+	listed      []*workerSpeed
+	refreshedAt time.Duration
+	stale       bool
 	// tokenTime averages the time per token of responses, in seconds, loadTimes the
 	// logarithm of load times in seconds, without and with a recent load of the same
 	// adapter at the same worker.
@@ -104,7 +107,7 @@
 	}
 	w := s.workers[id]
 	if w == nil || w.service != service {
-		w = &workerSpeed{service: service, factors: Neutral()}
+		w = &workerSpeed{id: id, service: service, factors: Neutral()}
 		s.workers[id] = w
 		all.workers[id] = w
 	}
@@ -195,18 +198,35 @@
 }
 
 // Worker returns a worker's factors, and the number of prompt tokens that it has
-// processed already for a prompt that begins with these parts.
-func (v View) Worker(id string, parts []Part) (Factors, int) {
+// processed already for a prompt that begins with these parts. position is that of the
+// worker among those that are asked for, and should be the same each time.
+func (v View) Worker(position int, id string, parts []Part) (Factors, int) {
 	if v.service == nil {
 		return Neutral(), 0
 	}
-	w := v.service.workers[id]
+	w := v.service.find(position, id)
 	if w == nil {
 		return Neutral(), 0
 	}
 	return w.factors, w.parts.prefixTokens(v.now, parts)
 }
 
+// find returns a worker, or nil if nothing is known of it.
+func (a *serviceSpeed) find(position int, id string) *workerSpeed {
+	if position < len(a.listed) && a.listed[position] != nil && a.listed[position].id == id {
+		return a.listed[position]
+	}
+	w := a.workers[id]
+	if w == nil {
+		return nil
+	}
+	if position >= len(a.listed) {
+		a.listed = append(a.listed, make([]*workerSpeed, position+1-len(a.listed))...)
+	}
+	a.listed[position] = w
+	return w
+}
+
 // TokenTime returns the mean time per token of the responses of the service; 0 if it is
 // unknown.
 func (v View) TokenTime() time.Duration {
@@ -256,6 +276,7 @@
 	if w := s.workers[id]; w != nil {
 		delete(s.workers, id)
 		delete(s.services[w.service].workers, id)
+		s.services[w.service].listed = nil
 	}
 }
 
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -12,8 +12,8 @@
 // candidates returns the balancer's view of every worker of a service. Workers
 // in attemptsByWorker or skippedWorkers are marked to be avoided.
 func (f *fleet) candidates(at time.Duration, service routing.Service, r *Request, tried map[string]int, skipped map[string]bool) []balance.Candidate {
-	var all []balance.Candidate
 	workers := f.workers.all()
+	all := make([]balance.Candidate, 0, len(workers))
 	for i := range workers {
 		w := &workers[i]
 		if w.Service != service.Name {
--- a/entry/direct/costs.go
+++ b/entry/direct/costs.go
@@ -50,7 +50,7 @@
 	request.OutputTokens, request.TokenTime, request.Seed = int(l.expectedTokens), view.TokenTime(), rand.Uint64()
 	for i := range candidates {
 		candidate := &candidates[i]
-		factors, kept := view.Worker(candidate.ID, l.parts)
+		factors, kept := view.Worker(i, candidate.ID, l.parts)
 		candidate.PromptFactor, candidate.StepFactor, candidate.LoadFactor = factors.Prompt, factors.Step, factors.Load
 		candidate.KeptTokens = kept
 	}
