Instances tell each other what they observed of workers' speeds

One of 59 instances observes a worker about once in 16 s, too seldom to learn its speed within seconds. Heartbeats carry the mean and precision of the sender's own observations, 4 bytes for each worker in use, and 22 bytes for one that was observed within the last 300 ms and is no longer in use.

--- a/cmd/internal/experiment/routes/instance.go
+++ b/cmd/internal/experiment/routes/instance.go
@@ -27,6 +27,7 @@
 
 // instance chooses workers for the requests of its callers.
 type instance struct {
+	name   string
 	region int
 	// own and told hold its requests in progress by worker: those now, and those that
 	// its last heartbeat told of.
--- a/cmd/internal/experiment/routes/policy.go
+++ b/cmd/internal/experiment/routes/policy.go
@@ -78,6 +78,11 @@
 func learned(s *simulation, r *request, query *balance.Request, candidates []balance.Candidate) {
 	i := s.instances[r.instance]
 	parts := r.parts()
+	if i.model.Speeds.RefreshDue(s.now, service) {
+		for _, w := range s.workers {
+			i.model.Speeds.SetPeers(service, w.id, s.shared.Except(s.now, w.id, i.name))
+		}
+	}
 	view := i.model.Speeds.View(s.now, service)
 	query.OutputTokens, query.TokenTime, query.Seed = int(r.attempt.expected), view.TokenTime(), s.rng.Uint64()
 	for n := range candidates {
--- a/cmd/internal/experiment/routes/simulation.go
+++ b/cmd/internal/experiment/routes/simulation.go
@@ -27,6 +27,8 @@
 	instances []*instance
 	// told sums the use that heartbeats told of, by worker.
 	told []use
+	// shared holds what heartbeats told of the speeds of workers.
+	shared *cost.Shared
 	// inProgress holds the requests sent to each worker and not complete.
 	inProgress []map[*request]*request
 	// held counts the requests in progress by worker and adapter.
@@ -35,7 +37,7 @@
 
 func newSimulation(s Scenario, p Policy, seed uint64) *simulation {
 	sim := &simulation{
-		scenario: s, policy: p, config: p.config(), rng: rand.New(rand.NewPCG(seed, 2)), told: make([]use, s.Workers),
+		scenario: s, policy: p, config: p.config(), rng: rand.New(rand.NewPCG(seed, 2)), told: make([]use, s.Workers), shared: cost.NewShared(),
 	}
 	for range s.Workers {
 		sim.addWorker(seed)
@@ -43,7 +45,7 @@
 	sim.drawFactors(seed)
 	for n := range s.Instances {
 		i := &instance{
-			region: n % regions, own: make([]use, s.Workers), told: make([]use, s.Workers), loads: make([]condition.Load, s.Workers),
+			name: fmt.Sprintf("i%02d", n), region: n % regions, own: make([]use, s.Workers), told: make([]use, s.Workers), loads: make([]condition.Load, s.Workers),
 			model: cost.NewModel(), demand: balance.NewDemand(),
 		}
 		sim.instances = append(sim.instances, i)
@@ -77,9 +79,12 @@
 func (s *simulation) tell(i *instance) {
 	for w := range i.own {
 		s.told[w].add(i.told[w], -1)
-		s.told[w].add(i.own[w], 1)
+		i.told[w] = i.own[w]
+		if observed, isNew := i.model.Speeds.Observed(s.now, s.workers[w].id); observed.Precision > 0 && (isNew || i.own[w].running > 0) {
+			s.shared.Set(s.now, i.name, s.workers[w].id, observed.Mean(), observed.Precision)
+		}
+		s.told[w].add(i.told[w], 1)
 	}
-	copy(i.told, i.own)
 	if s.now < seconds(s.scenario.Seconds)+drainTime {
 		s.after(millis(s.scenario.HeartbeatMs), func() { s.tell(i) })
 	}
--- a/coord/cost/cost_test.go
+++ b/coord/cost/cost_test.go
@@ -168,6 +168,39 @@
 	require.Zero(t, tokens(1), "replaced by others")
 }
 
+// TestPeersEstimatesAreReplacedAndDecay guards against estimates that count twice, or for
+// ever.
+func TestPeersEstimatesAreReplacedAndDecay(t *testing.T) {
+	s := NewShared()
+	s.Set(0, "a", "w", 0.5, 10)
+	s.Set(0, "b", "w", -0.1, 20)
+	require.InDelta(t, 0.1, s.Sum(0, "w").Mean(), 1e-9)
+	require.InDelta(t, 30, s.Sum(0, "w").Precision, 1e-9)
+	require.InDelta(t, -0.1, s.Except(0, "w", "a").Mean(), 1e-9)
+	now := ratioHalfLife
+	s.Set(now, "a", "w", 0.3, 10)
+	require.InDelta(t, 20, s.Sum(now, "w").Precision, 1e-9, "b's has half of its weight")
+	require.InDelta(t, 0.1, s.Sum(now, "w").Mean(), 1e-9)
+	s.Set(now, "b", "w", 0, 0)
+	require.InDelta(t, 0.3, s.Sum(now, "w").Mean(), 1e-9)
+	require.Equal(t, Estimate{}, s.Sum(now+20*ratioHalfLife, "w"))
+	s.Forget("w")
+	require.Equal(t, Estimate{}, s.Sum(now, "w"))
+}
+
+// TestOnePeersEstimateIsUsed covers a worker that only peers observed.
+func TestOnePeersEstimateIsUsed(t *testing.T) {
+	m := NewModel()
+	ids := []string{"w0", "w1", "w2"}
+	read := func(i int) Factors {
+		f, _ := m.View(time.Second, testService, len(ids), func(i int) string { return ids[i] }).Worker(i, ids[i], nil)
+		return f
+	}
+	m.Shared.Set(time.Second, "peer", "w1", math.Log(1.7), 300)
+	require.InDelta(t, 1.7, read(1).Prompt, 0.15)
+	require.Equal(t, Neutral(), read(0))
+}
+
 // BenchmarkWorker measures reading the figures of one candidate.
 func BenchmarkWorker(b *testing.B) {
 	w := newWorld()
--- a/coord/cost/model.go
+++ b/coord/cost/model.go
@@ -62,7 +62,7 @@
 	// gapQuantile selects the gap that is taken for the time of a step: below the
 	// median, because prompts of other requests are processed between some steps, and
 	// above the lowest, which a delayed event before it shortens.
-	gapQuantile = 0.3
+	gapQuantile = 0.2
 )
 
 // Tokens returns the number of tokens received.
@@ -89,13 +89,16 @@
 type Model struct {
 	Speeds  *Speeds
 	Lengths *Lengths
+	Shared  *Shared
 	// estimateError averages the absolute logarithm of measured over estimated time
 	// until the first event.
 	estimateError average
 }
 
 // NewModel returns a Model that has learned nothing.
-func NewModel() *Model { return &Model{Speeds: NewSpeeds(), Lengths: NewLengths()} }
+func NewModel() *Model {
+	return &Model{Speeds: NewSpeeds(), Lengths: NewLengths(), Shared: NewShared()}
+}
 
 // Events records the arrival of events of a response.
 func (m *Model) Events(now time.Duration, a *Attempt, count int) {
@@ -133,6 +136,23 @@
 	}
 }
 
+// View returns the current figures of the workers of a service. ids are the workers, in
+// the order in which they are asked for.
+func (m *Model) View(now time.Duration, service string, count int, id func(int) string) View {
+	if m.Speeds.RefreshDue(now, service) {
+		for i := range count {
+			m.Speeds.SetPeers(service, id(i), m.Shared.Sum(now, id(i)))
+		}
+	}
+	return m.Speeds.View(now, service)
+}
+
+// Forget drops what is known of a worker that is gone or restarted.
+func (m *Model) Forget(id string) {
+	m.Speeds.Forget(id)
+	m.Shared.Forget(id)
+}
+
 // EstimateError returns the mean factor by which the time until the first event differs
 // from the estimate, in either direction; 1 if none was compared.
 func (m *Model) EstimateError() float64 { return math.Exp(m.estimateError.value) }
--- a/coord/cost/ratio.go
+++ b/coord/cost/ratio.go
@@ -8,9 +8,10 @@
 // Parameters of the estimate of a worker's speed.
 const (
 	// ratioHalfLife is the half-life of the weight of past observations. One of 60
-	// instances observes a worker about once in 10 s, so a shorter one would leave it
-	// with single observations.
-	ratioHalfLife = 20 * time.Second
+	// instances observes a worker about once in 16 s and all together 4 times a second.
+	// In the scenarios uneven-both and uneven-changed 10 s served sooner than 20 s, and
+	// 6 s not sooner than 10 s.
+	ratioHalfLife = 10 * time.Second
 	// maxRatioWeight bounds the weight of the past, so that a worker in constant use
 	// follows a lasting change within some ten requests.
 	maxRatioWeight = 8
--- a/coord/cost/speeds.go
+++ b/coord/cost/speeds.go
@@ -26,6 +26,9 @@
 	// refreshInterval is how long computed factors are used; observations of one
 	// instance are some ten per second.
 	refreshInterval = 100 * time.Millisecond
+	// maxRefreshInterval is how long they are used if nothing is observed: the weight
+	// of past observations decays.
+	maxRefreshInterval = time.Second
 	// priorDeviation is the assumed standard deviation of the logarithm of one
 	// observation, and minDeviation its lower bound.
 	priorDeviation = 0.4
@@ -50,8 +53,10 @@
 	id, service string
 	ratios      [kinds]ratio
 	factors     Factors
-	parts       kept
-	loaded      kept
+	// peers is what the requests of other instances showed.
+	peers  Estimate
+	parts  kept
+	loaded kept
 }
 
 // serviceSpeed is what the workers of a service have in common.
@@ -60,6 +65,8 @@
 	// workers of their estimates.
 	variances, centers [kinds]float64
 	workers            map[string]*workerSpeed
+	// known is the number of workers with own observations.
+	known int
 	// listed holds the workers by the position at which they were last asked for, to
 	// find them without a search.
 	listed      []*workerSpeed
@@ -191,12 +198,72 @@
 // View returns the current figures of a service.
 func (s *Speeds) View(now time.Duration, service string) View {
 	all := s.services[service]
-	if all != nil && (all.stale && now-all.refreshedAt >= refreshInterval || now-all.refreshedAt >= time.Second) {
+	if all != nil && all.refreshDue(now) {
 		all.refresh(now)
 	}
 	return View{now: now, service: all}
 }
 
+// RefreshDue reports whether the next View computes the factors of a service anew. What
+// peers have observed should be set before.
+func (s *Speeds) RefreshDue(now time.Duration, service string) bool {
+	all := s.services[service]
+	return all == nil || all.refreshDue(now)
+}
+
+func (a *serviceSpeed) refreshDue(now time.Duration) bool {
+	return a.stale && now-a.refreshedAt >= refreshInterval || now-a.refreshedAt >= maxRefreshInterval
+}
+
+// SetPeers sets what other instances observed of a worker.
+func (s *Speeds) SetPeers(service, id string, peers Estimate) {
+	if peers.Precision <= 0 && s.workers[id] == nil {
+		return
+	}
+	all, w := s.entry(service, id)
+	if w.peers != peers {
+		w.peers, all.stale = peers, true
+	}
+}
+
+// Observed returns what own requests showed of a worker, to be sent to peers, and whether
+// it is new. It is empty if it is too little: an instance that knows few workers does
+// not know the typical one.
+func (s *Speeds) Observed(now time.Duration, id string) (observed Estimate, isNew bool) {
+	w := s.workers[id]
+	if w == nil {
+		return Estimate{}, false
+	}
+	all := s.services[w.service]
+	if all.known < minKnownWorkers {
+		return Estimate{}, false
+	}
+	observed = all.estimate(now, w, promptTime).Plus(all.estimate(now, w, stepTime))
+	if observed.Precision < minPrecision {
+		return Estimate{}, false
+	}
+	return observed, now-max(w.ratios[promptTime].at, w.ratios[stepTime].at) <= newTime
+}
+
+// EachNew calls each with the workers of which something new was observed.
+func (s *Speeds) EachNew(now time.Duration, each func(id string, observed Estimate)) {
+	for id := range s.workers {
+		if observed, isNew := s.Observed(now, id); isNew {
+			each(id, observed)
+		}
+	}
+}
+
+// Bounds of what is sent to peers.
+const (
+	minKnownWorkers = 8
+	// minPrecision is that of an estimate with a standard error of a factor of 2.
+	minPrecision = 2
+	// newTime is how long an observation is sent though no request is in progress at the
+	// worker: a heartbeat interval and a margin.
+	newTime = 300 * time.Millisecond
+)
+
 // Worker returns a worker's factors, and the number of prompt tokens that it has
 // processed already for a prompt that begins with these parts. position is that of the
 // worker among those that are asked for, and should be the same each time.
@@ -216,13 +283,10 @@
 	if position < len(a.listed) && a.listed[position] != nil && a.listed[position].id == id {
 		return a.listed[position]
 	}
-	w := a.workers[id]
-	if w == nil {
-		return nil
-	}
 	if position >= len(a.listed) {
 		a.listed = append(a.listed, make([]*workerSpeed, position+1-len(a.listed))...)
 	}
+	w := a.workers[id]
 	a.listed[position] = w
 	return w
 }
@@ -284,9 +348,12 @@
 // however many requests it serves, so that the factors do not depend on where requests
 // were sent.
 func (a *serviceSpeed) refresh(now time.Duration) {
-	a.refreshedAt, a.stale = now, false
+	a.refreshedAt, a.stale, a.known = now, false, 0
 	var sums, weights [kinds]float64
 	for _, w := range a.workers {
+		if w.ratios[stepTime].weight > 0 || w.ratios[promptTime].weight > 0 {
+			a.known++
+		}
 		for k := range w.ratios {
 			weight := w.ratios[k].decayedWeight(now)
 			weight /= 1 + weight
@@ -304,53 +371,43 @@
 	}
 }
 
-// estimate is the logarithm of a factor with the inverse of its variance.
-type estimate struct{ mean, precision float64 }
-
-// plus combines two independent estimates.
-func (e estimate) plus(other estimate) estimate {
-	sum := e.precision + other.precision
-	if sum == 0 {
-		return estimate{}
+// estimate returns what own requests showed of the worker's time of one kind relative to
+// the typical worker, which is uncertain while some workers are unknown.
+func (a *serviceSpeed) estimate(now time.Duration, w *workerSpeed, k kind) Estimate {
+	weight := w.ratios[k].decayedWeight(now)
+	if weight == 0 {
+		return Estimate{}
 	}
-	return estimate{mean: (e.mean*e.precision + other.mean*other.precision) / sum, precision: sum}
-}
-
-// significant returns the estimate reduced by its uncertainty: 0 unless it differs from 0
-// by more than thresholdDeviations standard errors. The reduction vanishes for large
-// differences, unlike that of a constant subtraction.
-func (e estimate) significant() float64 {
-	if e.mean*e.mean*e.precision <= thresholdDeviations*thresholdDeviations {
-		return 0
-	}
-	return e.mean - thresholdDeviations*thresholdDeviations/(e.mean*e.precision)
-}
-
-// estimate returns the worker's estimate of one kind relative to the typical worker.
-func (a *serviceSpeed) estimate(now time.Duration, w *workerSpeed, k kind) estimate {
-	weight := max(w.ratios[k].decayedWeight(now)-1, 0) // one observation may be an outlier
-	return estimate{mean: w.ratios[k].mean - a.centers[k], precision: weight / a.variances[k]}
+	unknown := max(1-float64(a.known)/float64(max(len(a.listed), 1)), 0)
+	variance := a.variances[k]/weight + workerVariance*unknown/float64(max(a.known, 1))
+	return NewEstimate(w.ratios[k].mean-a.centers[k], 1/variance)
 }
 
 // factors returns the factors of a worker. A slow machine is slow at prompts and at
 // steps, so both are first taken as estimates of one factor; what one of them differs
 // from it by counts if that is significant too.
 func (a *serviceSpeed) factors(now time.Duration, w *workerSpeed) Factors {
-	prompt, step := a.estimate(now, w, promptTime), a.estimate(now, w, stepTime)
-	machine := prompt.plus(step)
-	common := machine.significant()
+	prompt, step, load := a.estimate(now, w, promptTime), a.estimate(now, w, stepTime), a.estimate(now, w, loadTime)
+	machine := prompt.Plus(step).Plus(w.peers)
+	mean := machine.Mean()
+	common := significant(mean, a.reliable(machine, stepTime))
 	return Factors{
-		Prompt: factor(common + prompt.minus(machine).significant()),
-		Step:   factor(common + step.minus(machine).significant()),
-		Load:   factor(a.estimate(now, w, loadTime).significant()),
+		Prompt: factor(common + significant(prompt.Mean()-mean, a.reliable(prompt, promptTime))),
+		Step:   factor(common + significant(step.Mean()-mean, a.reliable(step, stepTime))),
+		Load:   factor(significant(load.Mean(), a.reliable(load, loadTime))),
 	}
 }
 
-// minus returns the difference from an estimate that includes this one.
-func (e estimate) minus(other estimate) estimate {
-	return estimate{mean: e.mean - other.mean, precision: e.precision}
+// reliable returns the precision without that of one observation, which may be an
+// outlier.
+func (a *serviceSpeed) reliable(e Estimate, k kind) float64 {
+	return max(e.Precision-1/a.variances[k], 0)
 }
 
+// workerVariance is the assumed variance of the logarithm of the factors of the workers
+// of a service, of time factors from 0.7 to 1.7.
+const workerVariance = 0.07
+
 // factor returns the factor of a logarithm.
 func factor(log float64) float64 {
 	if log == 0 {
--- a/entry/direct/costs.go
+++ b/entry/direct/costs.go
@@ -2,12 +2,14 @@
 
 import (
 	"bytes"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/cost"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 )
 
 // costs holds what this instance has learned of the costs of requests. Its methods do
@@ -46,7 +48,7 @@
 	if l.expectedTokens == 0 {
 		l.expectedTokens = s.model.Lengths.Expect(c.route.Name, c.request.Adapter, c.request.OutputHint, c.request.OutputTokens)
 	}
-	view := s.model.Speeds.View(at, c.service.Name)
+	view := s.model.View(at, c.service.Name, len(candidates), func(i int) string { return candidates[i].ID })
 	request.OutputTokens, request.TokenTime, request.Seed = int(l.expectedTokens), view.TokenTime(), rand.Uint64()
 	for i := range candidates {
 		candidate := &candidates[i]
@@ -132,7 +134,67 @@
 func (s *costs) forget(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.model.Speeds.Forget(id)
+	s.model.Forget(id)
+}
+
+// Units in which estimates of speeds are sent to peers.
+const (
+	speedLogUnit       = 0.01
+	speedPrecisionUnit = 0.25
+)
+
+// applyPeer stores what a peer observed of workers.
+func (s *costs) applyPeer(at time.Duration, peer string, update *clusterpb.News) {
+	if !s.enabled {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, use := range update.GetUses() {
+		s.model.Shared.Set(at, peer, use.GetWorker(), speedLogUnit*float64(use.GetSpeedLog()), speedPrecisionUnit*float64(use.GetSpeedPrecision()))
+	}
+}
+
+// appendOwn adds what this instance observed to the uses of a heartbeat, and uses for
+// what is new of other workers.
+func (s *costs) appendOwn(at time.Duration, update *clusterpb.News) {
+	if !s.enabled {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	used := make(map[string]bool, len(update.GetUses()))
+	for _, use := range update.GetUses() {
+		used[use.GetWorker()] = true
+		observed, _ := s.model.Speeds.Observed(at, use.GetWorker())
+		encodeSpeed(use, observed)
+	}
+	s.model.Speeds.EachNew(at, func(id string, observed cost.Estimate) {
+		if !used[id] {
+			use := &clusterpb.WorkerUse{Worker: id}
+			encodeSpeed(use, observed)
+			update.Uses = append(update.Uses, use)
+		}
+	})
+}
+
+// appendExcept adds what this instance and all peers but one observed to the uses of a
+// reply.
+func (s *costs) appendExcept(at time.Duration, update *clusterpb.News, excluded string) {
+	if !s.enabled {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, use := range update.GetUses() {
+		observed, _ := s.model.Speeds.Observed(at, use.GetWorker())
+		encodeSpeed(use, observed.Plus(s.model.Shared.Except(at, use.GetWorker(), excluded)))
+	}
+}
+
+func encodeSpeed(use *clusterpb.WorkerUse, observed cost.Estimate) {
+	use.SpeedLog = int32(math.Round(observed.Mean() / speedLogUnit))
+	use.SpeedPrecision = uint32(observed.Precision / speedPrecisionUnit)
 }
 
 // updateGauges sets the gauges of the learned figures, over all services.
--- a/entry/direct/costs_test.go
+++ b/entry/direct/costs_test.go
@@ -11,6 +11,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/cost"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
+	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 )
 
 // fleetCall returns a fleet with workers of one service, and a call of a request to it.
@@ -89,6 +90,39 @@
 	}
 }
 
+// TestSpeedsTravelWithHeartbeats covers a worker that only a peer has used.
+func TestSpeedsTravelWithHeartbeats(t *testing.T) {
+	at := time.Second
+	sender, receiver := fleetCall(10, true), fleetCall(10, true)
+	_, candidates := sender.candidates(at)
+	for range 10 {
+		for i := range candidates {
+			measured := 20 * time.Millisecond
+			if i == 4 {
+				measured = 36 * time.Millisecond
+			}
+			sender.fleet.costs.model.Speeds.ObserveStep(at, "model", candidates[i].ID, measured, 10*time.Millisecond)
+		}
+		at += time.Second
+		sender.candidates(at)
+	}
+	var update clusterpb.News
+	sender.fleet.costs.appendOwn(at, &update)
+	require.Empty(t, update.GetUses(), "nothing new was observed for a second")
+	sender.fleet.costs.appendOwn(at-time.Second, &update)
+	require.Len(t, update.GetUses(), 10)
+	receiver.fleet.applyPeerUpdate(at, "sender", &update)
+	_, candidates = receiver.candidates(at)
+	require.InDelta(t, 1.8, candidates[4].StepFactor, 0.4)
+	require.InDelta(t, 1, candidates[0].StepFactor, 0.1)
+	var reply clusterpb.News
+	reply.Uses = []*clusterpb.WorkerUse{{Worker: candidates[4].ID}}
+	receiver.fleet.costs.appendExcept(at, &reply, "sender")
+	require.Zero(t, reply.GetUses()[0].GetSpeedPrecision(), "the sender's own estimate does not come back")
+	receiver.fleet.costs.appendExcept(at, &reply, "another")
+	require.NotZero(t, reply.GetUses()[0].GetSpeedPrecision())
+}
+
 // BenchmarkCandidates measures the candidates of one request, without and with learned
 // figures of all workers.
 func BenchmarkCandidates(b *testing.B) {
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -87,6 +87,7 @@
 // heartbeat.
 func (f *fleet) applyPeerUpdate(at time.Duration, peer string, update *clusterpb.News) {
 	f.usage.apply(at, peer, update)
+	f.costs.applyPeer(at, peer, update)
 	f.residency.apply(at, update)
 }
 
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -22,6 +22,7 @@
 	update := i.peerUpdate()
 	at := now()
 	i.fleet.usage.appendOwn(at, update, i.fleet.conditions.holdOffs(at))
+	i.fleet.costs.appendOwn(at, update)
 	return update
 }
 
@@ -31,6 +32,7 @@
 	update := i.peerUpdate()
 	heldRights := toSet(i.cluster.HeldRights())
 	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), i.fleet.conditions.holdOffs(at), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
+	i.fleet.costs.appendExcept(at, update, peer)
 	return update
 }
 
