--- a/entry/direct/costs.go
+++ b/entry/direct/costs.go
@@ -72,7 +72,7 @@
 	if choice.Direct {
 		own := max(request.Tokens-w.KeptTokens, 0)
 		first := cost.FirstTime(c.fleet.balance.TokensPerMS, w.WaitingTokens+own, w.Running, w.CacheTokens+request.Tokens)
-		l.attempt.First, l.attempt.Estimate = time.Duration(pace*float64(first)), choice.Estimate
+		l.attempt.First, l.attempt.Estimate = time.Duration(pace*float64(first)), choice.Wait
 	}
 }
 
--- a/entry/direct/costs_test.go
+++ b/entry/direct/costs_test.go
@@ -57,7 +57,7 @@
 					gap = 60 * time.Millisecond
 				}
 				s := &eventStream{call: c}
-				c.attemptUse = c.fleet.beginAttempt(candidates[i].ID, c.request, c.learning.expectedTokens)
+				c.attemptUse = c.fleet.beginAttempt(candidates[i].ID, c.request, c.learning.expectedTokens, c.expectedWork())
 				for n := range 10 {
 					s.buffered = []byte("id: 1\ndata: x\n\n")
 					s.readyBytes, s.countedBytes = len(s.buffered), 0
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -1,12 +1,9 @@
 package direct
 
 import (
-	"fmt"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -34,6 +31,8 @@
 	residency  *residency
 	versions   *adapterVersions
 	demand     *demand
+	// organisations holds the work of organisations; it is empty without them.
+	organisations *organisations
 	// instanceCount is the number of instances in the cluster, this one
 	// included.
 	instanceCount atomic.Int64
@@ -42,7 +41,7 @@
 func newFleet(s Settings) *fleet {
 	f := &fleet{
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
-		usage: newUsage(), costs: newCosts(s.LearnedCost), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
+		usage: newUsage(), costs: newCosts(s.LearnedCost), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s), organisations: newOrganisations(s),
 	}
 	f.usage.agePrompts = s.LearnedCost
 	f.setInstanceCount(1)
@@ -70,10 +69,15 @@
 func (f *fleet) setInstanceCount(count int) { f.instanceCount.Store(int64(max(count, 1))) }
 
 // beginAttempt counts an attempt as in progress at a worker until end is called on
-// the result. outputTokens is the expected length of the response.
-func (f *fleet) beginAttempt(id string, r *Request, outputTokens float64) *attemptUse {
+// the result. outputTokens is the expected length of the response, and work the expected
+// time at the worker.
+func (f *fleet) beginAttempt(id string, r *Request, outputTokens float64, work time.Duration) *attemptUse {
 	f.conditions.sent(id)
-	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, outputTokens, func() { f.conditions.ended(id) })
+	endWork := f.organisations.begin(f.config.table(), r, work)
+	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, outputTokens, func() {
+		f.conditions.ended(id)
+		endWork()
+	})
 }
 
 // claim reports whether a worker process may be sent a request at this moment. What
@@ -88,15 +92,12 @@
 func (f *fleet) applyPeerUpdate(at time.Duration, peer string, update *clusterpb.News) {
 	f.usage.apply(at, peer, update)
 	f.costs.applyPeer(at, peer, update)
+	f.organisations.apply(at, peer, update)
 	f.residency.apply(at, update)
 }
 
 // directoryDigest returns a hash of the workers and adapter versions read from
 // the store.
 func (f *fleet) directoryDigest() uint64 {
-	sum := f.workers.digest()
-	for _, v := range f.versions.entries() {
-		sum ^= xxhash.Sum64String(fmt.Sprintf("%s/%s %d", v.GetModel(), v.GetAdapter(), v.GetVersion()))
-	}
-	return sum
+	return f.workers.digest() ^ f.versions.hash()
 }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -11,10 +11,14 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/fairshare"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
+	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -38,7 +42,12 @@
 	workerLeaves func(w worker.Worker, request string)
 	admission    admission
 	guard        *promptGuard
-	draining     atomic.Bool
+	// revocation knows whether keys may be judged by the configuration in force.
+	revocation *revocation.Checker
+	versionLag *versionLag
+	// quota is nil if quotas are not enforced.
+	quota    *quota.Client
+	draining atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed atomic.Bool
@@ -67,7 +76,7 @@
 	if g.draining.Load() {
 		ctx.SetConnectionClose()
 	}
-	table := g.fleet.config.table()
+	table := g.servingTable()
 	if table == nil || g.closed.Load() {
 		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the instance is starting or stopping")
 		return
@@ -87,16 +96,19 @@
 		g.refuseEarly(ctx, fasthttp.StatusNotFound, "no route for this host and path")
 		return
 	}
-	if !authenticate(table, route, request) {
-		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
-		g.refuseEarly(ctx, fasthttp.StatusUnauthorized, "the request has no valid key")
+	if !g.admitKey(ctx, table, route, request) {
 		return
 	}
 	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
 		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
 		return
 	}
+	spending, admitted := g.takeQuota(ctx, route, request)
+	if !admitted {
+		return
+	}
 	c = g.newCall(ctx, table, route, request, arrived)
+	c.spending = spending
 	g.serve(ctx, c)
 }
 
@@ -127,7 +139,7 @@
 	g.metrics.countRefusal(strconv.Itoa(status))
 	g.log.Line(decision.Refused).Int(decision.FieldStatus, status).Str(decision.FieldReason, reason).Bytes(decision.FieldHost, ctx.Host()).
 		Bytes(decision.FieldPath, ctx.Path()).Uint64(decision.FieldConfig, g.configVersion()).Send()
-	if status == fasthttp.StatusServiceUnavailable {
+	if status == fasthttp.StatusServiceUnavailable && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
 		setRetryAfter(ctx, unavailableRetryAfter)
 	}
 	ctx.SetStatusCode(status)
@@ -173,6 +185,8 @@
 type failure struct {
 	reason     string
 	retryAfter time.Duration
+	// scarce is set if the request was refused for want of workers or adapter slots.
+	scarce bool
 }
 
 // checkRetry returns nil if the request may be sent again; it has taken a retry
@@ -227,16 +241,16 @@
 		began := now()
 		ready, reason := c.ensureAdapter(choice, target.Born)
 		if ready {
-			claimed, quarantined := c.claim(target)
-			if claimed || quarantined != nil {
-				return target, quarantined
+			claimed, refused := c.claim(target)
+			if claimed || refused != nil {
+				return target, refused
 			}
 			reason = "the chosen worker leaves or asked for a pause"
 		}
 		if c.ctx.Err() != nil {
 			return target, &failure{reason: context.Cause(c.ctx).Error()}
 		}
-		refusal = &failure{reason: reason, retryAfter: busyRetryAfter}
+		refusal = &failure{reason: reason, retryAfter: busyRetryAfter, scarce: reason == reasonBusy || reason == reasonLoadTooLate}
 		if now()-began > maxQuickRefusal {
 			break
 		}
@@ -246,11 +260,15 @@
 }
 
 // claim reports whether the request may be sent to a worker that has its adapter. What
-// is known of the worker and of the prompt may have changed during the load.
+// is known of the worker and of the prompt may have changed during the load, and the quota
+// that was taken may have expired.
 func (c *call) claim(target worker.Worker) (bool, *failure) {
 	if quarantined := c.checkQuarantine(); quarantined != nil {
 		return false, quarantined
 	}
+	if refused := c.renewQuota(); refused != nil {
+		return false, refused
+	}
 	return c.fleet.claim(now(), target), nil
 }
 
@@ -287,6 +305,7 @@
 // attempt sends the request to one worker and handles the response.
 func (c *call) attempt(ctx *fasthttp.RequestCtx) nextAction {
 	target, refusal := c.prepareWorker()
+	c.recordOutcome(refusal)
 	if refusal != nil {
 		c.fail(ctx, *refusal)
 		return actionDone
@@ -307,7 +326,7 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.learning.expectedTokens)
+	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.learning.expectedTokens, c.expectedWork())
 	c.learning.sent(c.attemptBegan)
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
@@ -322,13 +341,13 @@
 	return exchange, err
 }
 
-// enginePriority returns the engine's priority for the route's rank, or -1 for
-// a service without an engine.
+// enginePriority returns the engine's priority for the request, or -1 for a service without
+// an engine.
 func (c *call) enginePriority() int {
 	if c.service.Engine == nil {
 		return -1
 	}
-	return min(c.rank(), 2)*3 + 1
+	return fairshare.EnginePriority(c.shareRequest(balance.Choice{}))
 }
 
 // requiredAdapterVersion returns the newest known version of the request's
@@ -349,15 +368,12 @@
 	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
 	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
 	c.fleet.costs.prepare(at, c, &request, candidates)
-	choice, found := c.fleet.balance.Pick(request, candidates)
-	if !found {
-		return choice, noWorkerFailure(candidates)
-	}
-	if refusal := c.admission.refuse(c, choice); refusal != nil {
+	choice, refusal := c.choose(request, candidates)
+	if refusal != nil {
 		return choice, refusal
 	}
 	c.learning.chosen(c, request, choice)
-	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
+	c.addContention(c.log.Line(decision.Placed)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
 		Int(decision.FieldRemainingTokens, choice.Candidate.RemainingTokens).Int(decision.FieldKeptTokens, choice.Candidate.KeptTokens).
@@ -393,12 +409,15 @@
 const minLoadWait = 400 * time.Millisecond
 
 // loadWaitLimit returns how long the request waits for its adapter: as long as
-// it can still begin within its route's goal.
-func (c *call) loadWaitLimit() time.Duration {
+// it can still begin within its route's goal. Where workers have no free slot it is less
+// for organisations above their share.
+func (c *call) loadWaitLimit(choice balance.Choice) time.Duration {
 	prefill := time.Duration(float64(c.request.PromptTokens) / c.fleet.balance.TokensPerMS * float64(time.Millisecond))
 	limit := c.route.TargetLatency - (now() - c.arrivedAt) - prefill
 	if c.resuming {
 		limit = resumeTimeout
+	} else if choice.Candidate.FreeSlots+choice.Candidate.IdleSlots == 0 {
+		limit = c.admission.policy.LoadWait(c.shareRequest(choice), limit, minLoadWait)
 	}
 	return min(max(limit, minLoadWait), c.timeLeft())
 }
@@ -424,13 +443,13 @@
 	}
 	began := now()
 	c.workerID = choice.Candidate.ID
-	wait := c.loadWaitLimit()
+	wait := c.loadWaitLimit(choice)
 	defer c.fleet.costs.countWaiting(c, choice.Candidate.ID)()
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	load := loadRequest{
-		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.loadRank(),
-		deadline: began + wait, denied: denied,
+		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter,
+		priority: slots.Priority{Rank: c.loadRank(), Share: fairshare.ShareClass(c.shareRequest(choice))}, deadline: began + wait, denied: denied,
 	}
 	ready, reason = c.loader.requestLoad(ctx, c.request, load)
 	took := now() - began
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -8,6 +8,9 @@
 	m := i.metrics
 	m.setGauge("config_version", float64(i.gateway.configVersion()))
 	m.setGauge("config_behind_seconds", i.versionLag.behind(at).Seconds())
+	if age, confirmed := i.gateway.revocation.Age(); confirmed {
+		m.setGauge("config_confirmed_age_seconds", age.Seconds())
+	}
 	m.setGauge("members", float64(i.instanceCount()))
 	m.setGauge("rights_held", float64(len(i.cluster.HeldRights())))
 	m.setGauge("requests_in_progress", float64(i.gateway.activeRequests.Load()))
@@ -23,6 +26,7 @@
 	waiting, inTransit := i.orders.countAdapters()
 	m.setGauge("adapters_waiting", float64(waiting))
 	m.setGauge("adapters_in_transit", float64(inTransit))
+	i.updateQuotaMetrics()
 	i.fleet.updateGauges(at, m, i.instanceCount())
 }
 
@@ -68,6 +72,7 @@
 	if age := f.config.age(at); age > 0 {
 		m.setGauge("config_age_seconds", age.Seconds())
 	}
+	m.setGauge("organisations_above_share", float64(f.organisations.countAbove(at, f.config.table())))
 	m.setGauge("peer_news_age_seconds", f.usage.oldestAge(at).Seconds())
 	f.costs.updateGauges(at, m, f.balance.TokensPerMS)
 	m.setGauge("repeats_left", f.demand.retriesLeft(at, instances))
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -18,31 +19,38 @@
 )
 
 // HeartbeatUpdate implements cluster.Local: the update for the next heartbeat.
-func (i *Instance) HeartbeatUpdate() *clusterpb.News {
-	update := i.peerUpdate()
+func (i *Instance) HeartbeatUpdate(withDirectory bool) *clusterpb.News {
+	update := i.peerUpdate(withDirectory)
 	at := now()
 	i.fleet.usage.appendOwn(at, update, i.fleet.conditions.holdOffs(at))
 	i.fleet.costs.appendOwn(at, update)
+	i.fleet.organisations.appendOwn(at, update)
 	return update
 }
 
+// PeerHasDirectory implements cluster.Local.
+func (i *Instance) PeerHasDirectory(peer string) bool {
+	return i.directorySync.peerHas(peer, i.fleet.directoryDigest())
+}
+
 // ReplyUpdate implements cluster.Local. For the workers that this instance controls,
 // the update carries the use by all instances but the one it goes to.
 func (i *Instance) ReplyUpdate(at time.Duration, peer string) *clusterpb.News {
-	update := i.peerUpdate()
+	update := i.peerUpdate(!i.PeerHasDirectory(peer))
 	heldRights := toSet(i.cluster.HeldRights())
 	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), i.fleet.conditions.holdOffs(at), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
 	i.fleet.costs.appendExcept(at, update, peer)
+	i.fleet.organisations.appendExcept(at, update, peer, heldRights)
 	return update
 }
 
 // peerUpdate returns the part of an update that heartbeats and replies to them
 // have in common.
-func (i *Instance) peerUpdate() *clusterpb.News {
+func (i *Instance) peerUpdate(withDirectory bool) *clusterpb.News {
 	update := &clusterpb.News{DirectoryDigest: i.fleet.directoryDigest()}
 	update.ConfigVersion = i.fleet.config.version()
 	i.fleet.residency.appendOwn(update)
-	i.directorySync.appendUpdates(now(), update)
+	i.directorySync.appendUpdates(now(), update, withDirectory)
 	i.gateway.guard.appendUpdate(now(), update)
 	return update
 }
@@ -89,6 +97,7 @@
 // HandlePeerVersion implements cluster.Local. It fetches a configuration that is
 // newer than this instance's.
 func (i *Instance) HandlePeerVersion(peer string, version uint64) {
+	i.gateway.revocation.HearPeer(version)
 	if version <= i.gateway.configVersion() {
 		return
 	}
@@ -107,11 +116,12 @@
 	defer cancel()
 	began := now()
 	ready, reason := i.orders.loadAdapter(ctx, loadRequest{
-		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(), rank: int(in.GetRank()) + resumeRank,
-		deadline: began + wait, denied: in.GetMissing(),
+		worker: in.GetWorker(), born: in.GetBorn(), adapter: in.GetAdapter(),
+		priority: slots.Priority{Rank: int(in.GetRank()) + resumeRank, Share: int(in.GetShare())}, deadline: began + wait, denied: in.GetMissing(),
 	})
 	i.log.Line(decision.LoadServed).Str(decision.FieldRequest, in.GetRequestId()).Str(decision.FieldWorker, in.GetWorker()).
 		Str(decision.FieldAdapter, in.GetAdapter()).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).
+		Str(decision.FieldOrganisation, in.GetOrganisation()).Uint32(decision.FieldShareClass, in.GetShare()).
 		Int(decision.FieldWaiting, i.orders.waitingAdapters(in.GetWorker(), in.GetBorn())).Dur(decision.FieldTookMS, now()-began).Send()
 	return &clusterpb.LoadAdapterResponse{Ready: ready, Reason: reason}, nil
 }
@@ -119,11 +129,16 @@
 // State implements cluster.Local. It returns the configuration if it is newer
 // than the peer's, and the directory if asked for.
 func (i *Instance) State(in *clusterpb.FetchStateRequest) *clusterpb.FetchStateResponse {
+	// The age is read first: a version that is installed in between was not confirmed by it.
+	age, confirmed := i.gateway.revocation.Age()
 	own := i.gateway.configVersion()
 	response := &clusterpb.FetchStateResponse{ConfigVersion: own}
 	if own > in.GetConfigVersion() {
 		response.Config = i.fleet.config.compressedDocument()
 	}
+	if confirmed {
+		response.Confirmed, response.ConfirmedAgeNs = true, int64(age)
+	}
 	if in.GetDirectory() {
 		response.Workers, response.Versions = i.fleet.workers.entries(), i.fleet.versions.entries()
 	}
@@ -162,6 +177,10 @@
 	i.acceptConfig(document, source, 0)
 }
 
+// maxLoggedFindings bounds the findings of a configuration in a log line, in bytes;
+// bulrushctl check lists them all.
+const maxLoggedFindings = 4000
+
 // maxDocumentBytes bounds a configuration document: the store holds values of up to a
 // megabyte.
 const maxDocumentBytes = 16 << 20
@@ -182,8 +201,12 @@
 // silence is how long the source had not responded before.
 func (i *Instance) acceptConfig(document []byte, source string, silence time.Duration) {
 	config, err := i.ports.Codec.DecodeConfig(document)
+	if err == nil && len(config.Organisations) > 0 {
+		document, err = i.ports.Codec.ShareableConfig(document)
+	}
 	if err != nil {
-		i.log.Warn(decision.ConfigRejected, err).Str(decision.FieldSource, source).Send()
+		text := err.Error()
+		i.log.Warn(decision.ConfigRejected, errors.New(text[:min(len(text), maxLoggedFindings)])).Str(decision.FieldSource, source).Send()
 		return
 	}
 	if !i.fleet.config.install(config, document) {
