--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -62,6 +62,15 @@
 	// FreeSlots is the number of empty adapter slots, IdleSlots the number of slots
 	// whose adapter has no request in progress.
 	FreeSlots, IdleSlots int
+	// PromptFactor, StepFactor and LoadFactor are the learned times of prompts, steps
+	// and loads relative to the typical worker of the service; 0 counts as 1.
+	PromptFactor, StepFactor, LoadFactor float64
+	// KeptTokens is the number of tokens at the start of the request's prompt that the
+	// worker has processed before.
+	KeptTokens int
+	// RemainingTokens is the expected number of output tokens of the requests in
+	// progress; 0 if it is unknown.
+	RemainingTokens int
 	// RTT is the network round-trip time to the worker.
 	RTT time.Duration
 	// InScope workers get their load and unload orders from instances that this one
@@ -78,7 +87,13 @@
 	Adapter string
 	// Tokens is the number of prompt tokens.
 	Tokens int
-	Rank   int
+	// OutputTokens is the expected number of tokens of the response, and TokenTime the
+	// mean time per token at the service; 0 if they are unknown.
+	OutputTokens int
+	TokenTime    time.Duration
+	// Seed selects the random terms of the estimates of workers with learned factors.
+	Seed uint64
+	Rank int
 	// Demand is the recent number of requests for the adapter at all instances, as
 	// estimated from this instance's own.
 	Demand float64
@@ -122,6 +137,16 @@
 	// SuspectCost is added for suspect workers. It is a preference for other workers and
 	// no part of the expected wait.
 	SuspectCost time.Duration
+	// ResponseShare is the fraction of the expected time of the response after its
+	// beginning that is added, as far as it differs from that at a typical worker.
+	ResponseShare float64
+	// RandomShare is the largest fraction that is added at random to the estimate of a
+	// worker with a learned factor. Instances that see the same state
+	// would all send their requests to one fast worker without it.
+	RandomShare float64
+	// MinSlotWait and MaxSlotWait, as multiples of FullCost, bound the wait for a place
+	// in a full batch or cache that is computed from the remaining tokens.
+	MinSlotWait, MaxSlotWait float64
 }
 
 // DefaultConfig returns the costs for engines as the operators specify them.
@@ -138,6 +163,10 @@
 		InterferenceShare: 0.3,
 		FullCost:          600 * time.Millisecond,
 		SuspectCost:       2 * time.Second,
+		ResponseShare:     0.1,
+		RandomShare:       0.1,
+		MinSlotWait:       0.5,
+		MaxSlotWait:       3,
 	}
 }
 
@@ -152,26 +181,42 @@
 	Wait time.Duration
 	// Contention is the part of the wait that other requests cause.
 	Contention time.Duration
+	// Direct is set if it holds no wait for an adapter or for a place in the batch or
+	// the cache.
+	Direct bool
 }
 
 // Pick returns the eligible candidate with the lowest estimate, or false if none is
-// eligible. The choice points into candidates.
+// eligible. Learned figures add terms that only serve to compare workers. The choice
+// points into candidates.
 func (c Config) Pick(r Request, candidates []Candidate) (Choice, bool) {
 	positions := c.rendezvousPositions(r, candidates)
 	var best Choice
+	var bestScore time.Duration
 	for i := range candidates {
 		candidate := &candidates[i]
 		if !isEligible(r, candidate) {
 			continue
 		}
 		choice := c.choice(r, candidate, positions[i])
-		if best.Candidate == nil || choice.Estimate < best.Estimate {
-			best = choice
+		score := choice.Estimate
+		if candidate.isLearned() {
+			score += c.learnedTerms(r, candidate, choice.Estimate)
+		}
+		if best.Candidate == nil || score < bestScore {
+			best, bestScore = choice, score
 		}
 	}
+	best.Direct = best.Candidate != nil && isDirect(r, best.Candidate)
 	return best, best.Candidate != nil
 }
 
+// isDirect returns Choice.Direct.
+func isDirect(r Request, w *Candidate) bool {
+	isFull := w.BatchSize > 0 && w.Running >= w.BatchSize || w.CacheTokens+r.Tokens > w.CacheCapacity
+	return w.CacheCapacity > 0 && !isFull && (r.Adapter == "" || w.Residency == Resident)
+}
+
 // PickSoonest returns the eligible candidate with the shortest wait, whether it is suspect
 // or not; false if none is eligible. It is for requests that would come too late at the
 // candidate that Pick prefers.
@@ -188,6 +233,7 @@
 			best = choice
 		}
 	}
+	best.Direct = best.Candidate != nil && isDirect(r, best.Candidate)
 	return best, best.Candidate != nil
 }
 
@@ -227,10 +273,9 @@
 
 // wait returns the expected time until the response begins.
 func (c Config) wait(r Request, w *Candidate, position int) time.Duration {
-	work := time.Duration(w.Running) * c.StepCost
+	work := time.Duration(orOne(w.StepFactor) * float64(c.stepWork(w)))
 	if w.CacheCapacity > 0 {
-		work += c.prefillTime(w.WaitingTokens + r.Tokens)
-		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
+		work += time.Duration(orOne(w.PromptFactor) * float64(c.promptWork(r, w)))
 	}
 	return w.RTT + atPace(w, work) + c.scarcityCost(r, w) + c.loadCost(r, w, position)
 }
@@ -240,10 +285,10 @@
 func (c Config) contention(r Request, w *Candidate) time.Duration {
 	work := time.Duration(0)
 	if w.BatchSize <= 0 {
-		work += time.Duration(w.Running) * c.StepCost
+		work += time.Duration(orOne(w.StepFactor) * float64(c.stepWork(w)))
 	}
 	if w.CacheCapacity > 0 {
-		work += c.prefillTime(w.WaitingTokens)
+		work += time.Duration(orOne(w.PromptFactor) * float64(c.prefillTime(w.WaitingTokens)))
 	}
 	return atPace(w, work) + c.scarcityCost(r, w)
 }
@@ -252,10 +297,10 @@
 func (c Config) scarcityCost(r Request, w *Candidate) time.Duration {
 	total := time.Duration(0)
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
-		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
+		total += c.slotWait(r, w) * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
 	if w.CacheCapacity > 0 && w.CacheTokens+r.Tokens > w.CacheCapacity {
-		total += c.FullCost
+		total += c.slotWait(r, w)
 	}
 	if w.HeldOffFromPeers {
 		total += c.FullCost
@@ -274,6 +319,64 @@
 	return work
 }
 
+// orOne returns a factor, or 1 for 0.
+func orOne(factor float64) float64 {
+	if factor == 0 {
+		return 1
+	}
+	return factor
+}
+
+// isLearned reports whether prompts or steps take a different time at the worker than
+// at a typical one.
+func (w *Candidate) isLearned() bool { return orOne(w.PromptFactor) != 1 || orOne(w.StepFactor) != 1 }
+
+// stepWork returns the delay by the requests in progress.
+func (c Config) stepWork(w *Candidate) time.Duration { return time.Duration(w.Running) * c.StepCost }
+
+// promptWork returns the time for reading the waiting prompts and the request's own, and
+// for the pauses that the latter causes.
+func (c Config) promptWork(r Request, w *Candidate) time.Duration {
+	own := max(r.Tokens-w.KeptTokens, 0)
+	return c.prefillTime(w.WaitingTokens+own) + time.Duration(c.InterferenceShare*float64(w.Running)*float64(c.prefillTime(own)))
+}
+
+// learnedTerms returns the terms of workers that differ from a typical one: how much
+// longer the response takes there, and a random one.
+func (c Config) learnedTerms(r Request, w *Candidate, estimate time.Duration) time.Duration {
+	response := c.ResponseShare * float64(r.OutputTokens) * float64(r.TokenTime) * (orOne(w.StepFactor) - 1)
+	random := 0.0
+	if r.Seed != 0 {
+		random = c.RandomShare * float64(estimate) * unitRandom(r.Seed, w.ID)
+	}
+	return time.Duration(response + random)
+}
+
+// unitRandom returns a number from 0 to 1 that depends on the seed and the worker.
+func unitRandom(seed uint64, id string) float64 {
+	x := seed
+	for i := range len(id) {
+		x = (x ^ uint64(id[i])) * 0x9e3779b97f4a7c15
+		x ^= x >> 29
+	}
+	return float64(x>>11) / (1 << 53)
+}
+
+// slotWait returns the wait for a place in a full batch or cache: the mean time until
+// one of the running requests ends, if their remaining tokens are known.
+func (c Config) slotWait(r Request, w *Candidate) time.Duration {
+	if w.RemainingTokens <= 0 || r.TokenTime <= 0 || w.Running <= 0 {
+		return c.FullCost
+	}
+	perRequest := float64(w.RemainingTokens) / float64(w.Running) * float64(r.TokenTime) * orOne(w.StepFactor)
+	wait := c.FullCost.Seconds() * perRequest / fullCostRemainder.Seconds()
+	return time.Duration(min(max(wait, c.MinSlotWait*c.FullCost.Seconds()), c.MaxSlotWait*c.FullCost.Seconds()) * float64(time.Second))
+}
+
+// fullCostRemainder is the mean remaining time of the requests in a batch for which
+// FullCost was set.
+const fullCostRemainder = 2 * time.Second
+
 // prefillTime returns the time that reading prompt tokens takes at the usual pace.
 func (c Config) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / c.TokensPerMS * float64(time.Millisecond))
@@ -285,10 +388,10 @@
 	case r.Adapter == "" || w.Residency == Resident:
 		return 0
 	case w.Residency == Loading:
-		return c.LoadingCost
+		return time.Duration(orOne(w.LoadFactor) * float64(c.LoadingCost))
 	}
 	spread := time.Duration(float64(c.SpreadCost) * float64(position) / (1 + r.Demand))
-	return c.PreferredCost + min(spread, c.MaxSpreadCost)
+	return time.Duration(orOne(w.LoadFactor)*float64(c.PreferredCost)) + min(spread, c.MaxSpreadCost)
 }
 
 // rendezvousPositions returns for each candidate its position behind the preferred
--- a/coord/balance/former_test.go
+++ b/coord/balance/former_test.go
@@ -54,9 +54,15 @@
 		WaitingTokens: rapid.IntRange(0, 9999).Draw(t, "waiting"), CacheTokens: rapid.IntRange(0, 9999).Draw(t, "cached"),
 		CacheCapacity: rapid.SampledFrom([]int{0, 8000, 150_000}).Draw(t, "cache"), Pace: rapid.SampledFrom([]float64{0, 0.7, 1, 2.5}).Draw(t, "pace"),
 		FreeSlots: rapid.IntRange(0, 1).Draw(t, "free"), IdleSlots: rapid.IntRange(0, 1).Draw(t, "idle"),
+		PromptFactor: drawNeutral(t, "prompt factor"), StepFactor: drawNeutral(t, "step factor"), LoadFactor: drawNeutral(t, "load factor"),
 	}
 }
 
+// drawNeutral draws a factor of a worker that nothing is learned of, or that is typical.
+func drawNeutral(t *rapid.T, name string) float64 {
+	return rapid.SampledFrom([]float64{0, 1}).Draw(t, name)
+}
+
 // Telling contention apart must not change which worker is preferred, not even by the
 // rounding of a sum: equal estimates are decided by the order of the candidates.
 func TestTheEstimateIsAsBefore(t *testing.T) {
@@ -81,3 +87,16 @@
 		require.LessOrEqual(t, choice.Contention, choice.Wait+time.Nanosecond)
 	})
 }
+
+// Contention that exceeded the wait, or was judged at another speed, would refuse requests
+// for a scarcity that is none.
+func TestContentionIsAPartOfTheWaitWithLearnedFigures(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawCandidate(t)
+		w.PromptFactor, w.StepFactor = rapid.Float64Range(0.5, 3).Draw(t, "learned prompt factor"), rapid.Float64Range(0.5, 3).Draw(t, "learned step factor")
+		w.KeptTokens, w.RemainingTokens = rapid.IntRange(0, 9999).Draw(t, "kept"), rapid.IntRange(0, 99_999).Draw(t, "remaining")
+		r := Request{Adapter: rapid.SampledFrom([]string{"", "a"}).Draw(t, "adapter"), Tokens: rapid.IntRange(0, 9999).Draw(t, "tokens"), TokenTime: 5 * time.Millisecond}
+		choice := DefaultConfig().choice(r, &w, 0)
+		require.LessOrEqual(t, choice.Contention, choice.Wait+2*time.Nanosecond)
+	})
+}
--- a/entry/direct/admission.go
+++ b/entry/direct/admission.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -45,6 +46,23 @@
 	return refusal
 }
 
+// choose picks one of the candidates, or returns why the request is refused. A suspect
+// worker is picked where the preferred one would answer too late.
+func (c *call) choose(request balance.Request, candidates []balance.Candidate) (balance.Choice, *failure) {
+	choice, found := c.fleet.balance.Pick(request, candidates)
+	if !found {
+		return choice, noWorkerFailure(candidates)
+	}
+	refusal := c.admission.refuse(c, choice)
+	if refusal == nil {
+		return choice, nil
+	}
+	if soonest, _ := c.fleet.balance.PickSoonest(request, candidates); c.admission.refuse(c, soonest) == nil {
+		return soonest, nil
+	}
+	return choice, refusal
+}
+
 // decide decides on a request. Without organisations no outcomes are counted.
 func (a admission) decide(c *call, request fairshare.Request) fairshare.Verdict {
 	if !request.HasOrganisation {
@@ -76,7 +94,7 @@
 	if c.service.Engine != nil {
 		batch = max(c.service.Engine.BatchSize, 1)
 	}
-	return fairshare.Work(c.request.PromptTokens, c.request.OutputTokens, batch)
+	return fairshare.Work(c.request.PromptTokens, cmp.Or(int(c.learning.expectedTokens), c.request.OutputTokens), batch)
 }
 
 // recordOutcome counts for the order of ranks whether the request got a worker. Refusals
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -65,6 +65,8 @@
 	judged fairshare.Request
 	// spending is what the request has taken of its organisation's quota.
 	spending quota.Spending
+	// learning holds what is learned from the request.
+	learning learning
 }
 
 // abort ends a request whose state may be inconsistent: the connection to its worker
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -336,7 +336,8 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.expectedWork())
+	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.learning.expectedTokens, c.expectedWork())
+	c.learning.sent(c.attemptBegan)
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
@@ -376,36 +377,24 @@
 	at := now()
 	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
 	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
+	c.fleet.costs.prepare(at, c, &request, candidates)
 	choice, refusal := c.choose(request, candidates)
 	if refusal != nil {
 		return choice, refusal
 	}
+	c.learning.chosen(c, request, choice)
 	c.addContention(c.log.Line(decision.Placed)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
+		Int(decision.FieldRemainingTokens, choice.Candidate.RemainingTokens).Int(decision.FieldKeptTokens, choice.Candidate.KeptTokens).
+		Float64(decision.FieldPromptFactor, choice.Candidate.PromptFactor).Float64(decision.FieldStepFactor, choice.Candidate.StepFactor).Float64(decision.FieldLoadFactor, choice.Candidate.LoadFactor).
+		Float64(decision.FieldPace, choice.Candidate.Pace).Int(decision.FieldExpectedTokens, request.OutputTokens).
 		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
 		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
 		Uint64(decision.FieldConfig, c.configVersion).Send()
 	return choice, nil
 }
 
-// choose picks one of the candidates, or returns why the request is refused. A suspect
-// worker is picked where the preferred one would answer too late.
-func (c *call) choose(request balance.Request, candidates []balance.Candidate) (balance.Choice, *failure) {
-	choice, found := c.fleet.balance.Pick(request, candidates)
-	if !found {
-		return choice, noWorkerFailure(candidates)
-	}
-	refusal := c.admission.refuse(c, choice)
-	if refusal == nil {
-		return choice, nil
-	}
-	if soonest, _ := c.fleet.balance.PickSoonest(request, candidates); c.admission.refuse(c, soonest) == nil {
-		return soonest, nil
-	}
-	return choice, refusal
-}
-
 // noWorkerRetryAfter is the Retry-After if no worker is usable; recovering one
 // takes seconds.
 const noWorkerRetryAfter = 500 * time.Millisecond
@@ -465,6 +454,7 @@
 	began := now()
 	c.workerID = choice.Candidate.ID
 	wait := c.loadWaitLimit(choice)
+	defer c.fleet.costs.countWaiting(c, choice.Candidate.ID)()
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	load := loadRequest{
@@ -478,6 +468,7 @@
 	c.log.Line(decision.LoadWaited).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Bool(decision.FieldDenied, denied).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).Dur(decision.FieldTookMS, took).Send()
 	if ready {
+		c.fleet.costs.loaded(now(), c, choice, denied, took)
 		c.deniedBy = ""
 		c.fleet.residency.observe(now(), choice.Candidate.ID, c.request.Adapter, true)
 	}
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -75,6 +75,7 @@
 	}
 	m.setGauge("organisations_above_share", float64(f.organisations.countAbove(at, f.config.table())))
 	m.setGauge("peer_news_age_seconds", f.usage.oldestAge(at).Seconds())
+	f.costs.updateGauges(at, m, f.balance.TokensPerMS)
 	m.setGauge("repeats_left", f.demand.retriesLeft(at, instances))
 }
 
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -23,6 +23,7 @@
 	update := i.peerUpdate(withDirectory)
 	at := now()
 	i.fleet.usage.appendOwn(at, update, i.fleet.conditions.holdOffs(at))
+	i.fleet.costs.appendOwn(at, update)
 	i.fleet.organisations.appendOwn(at, update)
 	return update
 }
@@ -38,6 +39,7 @@
 	update := i.peerUpdate(!i.PeerHasDirectory(peer))
 	heldRights := toSet(i.cluster.HeldRights())
 	i.fleet.usage.appendExcept(at, update, peer, i.fleet.workers.all(), i.fleet.conditions.holdOffs(at), func(w *worker.Worker) bool { return heldRights[rightOf(w)] })
+	i.fleet.costs.appendExcept(at, update, peer)
 	i.fleet.organisations.appendExcept(at, update, peer, heldRights)
 	return update
 }
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -82,6 +82,9 @@
 	QuotaOverage float64 `json:"quotaOverage"`
 	// QuotaSlack is the amount in units of the quota that may be used in a window on top.
 	QuotaSlack float64 `json:"quotaSlack"`
+	// LearnedCost makes the choice of a worker depend on learned speeds of workers and
+	// lengths of responses.
+	LearnedCost bool `json:"learnedCost"`
 }
 
 // DefaultSettings returns the defaults. Settings without a default are empty.
@@ -99,6 +102,7 @@
 		RepeatWindow:     settings.Duration(10 * time.Second),
 		RevokeAfter:      settings.Duration(5 * time.Second),
 		QuotaOverage:     0.25,
+		LearnedCost:      true,
 	}
 }
 
