--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -116,8 +117,8 @@
 // large for that. A server error of an idempotent request is retried instead while
 // the budget allows.
 func (c *call) forwardBuffered(ctx *fasthttp.RequestCtx, x *upstream.Exchange, response ResponseInfo) nextAction {
-	var body bytes.Buffer
-	if _, err := body.ReadFrom(io.LimitReader(x, maxBufferedBody+1)); err != nil {
+	body, whole, err := c.readBuffered(ctx, x)
+	if err != nil {
 		c.discardExchange(x)
 		if c.ctx.Err() != nil {
 			return c.handleNoResponse(ctx, &upstream.SendError{Sent: true, Cause: err})
@@ -129,8 +130,8 @@
 	if response.Status < 300 {
 		c.guard.recordSuccess(c.parts)
 	}
-	if body.Len() > maxBufferedBody {
-		return c.forwardLarge(ctx, x, response, body.Bytes())
+	if !whole {
+		return c.forwardLarge(ctx, x, response, body)
 	}
 	c.finishExchange(x, response)
 	if response.Status >= 500 && c.route.Retryable() && len(c.attemptsByWorker) < c.route.MaxWorkers &&
@@ -142,12 +143,28 @@
 	c.stopWatch()
 	c.codec.CopyHeader(&ctx.Response.Header, &x.Header)
 	ctx.SetStatusCode(response.Status)
-	ctx.SetBody(body.Bytes())
+	ctx.Response.SetBodyRaw(body)
 	c.recordFirstByte(at)
 	c.finish("answered", response.Status)
 	return actionDone
 }
 
+// readBuffered reads a response whole, or the first bytes of one that is too large or for
+// which there is no memory.
+func (c *call) readBuffered(ctx *fasthttp.RequestCtx, x *upstream.Exchange) (body []byte, whole bool, err error) {
+	var buffer bytes.Buffer
+	_, err = buffer.ReadFrom(io.LimitReader(x, intake.SmallResponse+1))
+	if err != nil || buffer.Len() <= intake.SmallResponse {
+		return buffer.Bytes(), true, err
+	}
+	if !c.intake.ReserveResponse(ctx, maxBufferedBody) {
+		return buffer.Bytes(), false, nil
+	}
+	_, err = buffer.ReadFrom(io.LimitReader(x, maxBufferedBody+1-int64(buffer.Len())))
+	c.intake.ReturnResponse(ctx, max(maxBufferedBody-buffer.Len(), 0))
+	return buffer.Bytes(), buffer.Len() <= maxBufferedBody, err
+}
+
 // retryPaid retries without taking a retry from the budget, because the caller
 // of retryPaid has taken one.
 func retryPaid(c *call) nextAction {
@@ -168,12 +185,13 @@
 		status = fasthttp.StatusBadGateway
 	}
 	if status == fasthttp.StatusServiceUnavailable {
+		c.quota.Return(c.spending) // the request has not run
 		setRetryAfter(ctx, max(f.retryAfter, minRetryAfter))
 	}
 	ctx.SetStatusCode(status)
 	ctx.SetBodyString(f.reason + "\n")
 	c.metrics.countRefusal(f.reason)
-	c.log.Line(decision.Refused).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldService, c.service.Name).
+	c.addContention(c.log.Line(decision.Refused)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldService, c.service.Name).
 		Int(decision.FieldStatus, status).Str(decision.FieldReason, f.reason).Bool(decision.FieldMayHaveRun, c.mayHaveRun).Int(decision.FieldSends, c.sends).
 		Str(decision.FieldWorker, c.workerID).Dur(decision.FieldRetryAfterMS, f.retryAfter).Dur(decision.FieldTookMS, now()-c.arrivedAt).Uint64(decision.FieldConfig, c.configVersion).Send()
 	c.finish("failed", status)
@@ -198,7 +216,8 @@
 	c.metrics.recordRequest(c.route.Kind.String(), c.route.Rank, outcome, took)
 	c.log.Line(decision.Ended).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldOutcome, outcome).Int(decision.FieldStatus, status).
 		Str(decision.FieldWorker, c.workerID).Int(decision.FieldSends, c.sends).Dur(decision.FieldTookMS, took).
-		Dur(decision.FieldLoadingMS, c.loadWaitTotal).Dur(decision.FieldFirstByteMS, c.firstByteAfter).Dur(decision.FieldPauseMS, c.longestPause).Int(decision.FieldPromptTokens, c.request.PromptTokens).Send()
+		Dur(decision.FieldLoadingMS, c.loadWaitTotal).Dur(decision.FieldFirstByteMS, c.firstByteAfter).Dur(decision.FieldPauseMS, c.longestPause).Int(decision.FieldPromptTokens, c.request.PromptTokens).
+		Int(decision.FieldOutputTokens, c.learning.attempt.Tokens()).Int(decision.FieldHintTokens, c.request.OutputHint).Send()
 }
 
 // recordFirstByte records when the response to the caller began.
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -27,9 +27,13 @@
 	workers    *knownWorkers
 	conditions *conditions
 	usage      *usage
+	costs      *costs
 	residency  *residency
 	versions   *adapterVersions
 	demand     *demand
+	// organisations holds the work of organisations; it is empty without them.
+	organisations *organisations
+	bodies        *workerBodies
 	// instanceCount is the number of instances in the cluster, this one
 	// included.
 	instanceCount atomic.Int64
@@ -38,8 +42,10 @@
 func newFleet(s Settings) *fleet {
 	f := &fleet{
 		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
-		usage: newUsage(), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s),
+		usage: newUsage(), costs: newCosts(s.LearnedCost), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s), organisations: newOrganisations(s),
+		bodies: newWorkerBodies(s.MaxWorkerBodyMB),
 	}
+	f.usage.agePrompts = s.LearnedCost
 	f.setInstanceCount(1)
 	return f
 }
@@ -51,6 +57,7 @@
 	for _, e := range events {
 		if e.Change == worker.Gone || e.Change == worker.Restarted {
 			f.conditions.forget(e.Worker.ID)
+			f.costs.forget(e.Worker.ID)
 			f.residency.forget(e.Worker.ID)
 		}
 		if e.Change == worker.Gone {
@@ -64,10 +71,17 @@
 func (f *fleet) setInstanceCount(count int) { f.instanceCount.Store(int64(max(count, 1))) }
 
 // beginAttempt counts an attempt as in progress at a worker until end is called on
-// the result.
-func (f *fleet) beginAttempt(id string, r *Request) *attemptUse {
+// the result. outputTokens is the expected length of the response, and work the expected
+// time at the worker.
+func (f *fleet) beginAttempt(id string, r *Request, outputTokens float64, work time.Duration) *attemptUse {
 	f.conditions.sent(id)
-	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, func() { f.conditions.ended(id) })
+	endBody := f.bodies.begin(id, len(r.Body))
+	endWork := f.organisations.begin(f.config.table(), r, work)
+	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, outputTokens, func() {
+		endBody()
+		f.conditions.ended(id)
+		endWork()
+	})
 }
 
 // claim reports whether a worker process may be sent a request at this moment. What
@@ -81,6 +95,8 @@
 // heartbeat.
 func (f *fleet) applyPeerUpdate(at time.Duration, peer string, update *clusterpb.News) {
 	f.usage.apply(at, peer, update)
+	f.costs.applyPeer(at, peer, update)
+	f.organisations.apply(at, peer, update)
 	f.residency.apply(at, update)
 }
 
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -11,9 +11,13 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
+	"github.com/bulrushwick/bulrushwick/coord/fairshare"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
+	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
@@ -42,7 +46,11 @@
 	// revocation knows whether keys may be judged by the configuration in force.
 	revocation *revocation.Checker
 	versionLag *versionLag
-	draining   atomic.Bool
+	// quota is nil if quotas are not enforced.
+	quota *quota.Client
+	// intake reads the bodies of requests and bounds callers' memory.
+	intake   *intake.Intake
+	draining atomic.Bool
 	// closed is set when the instance is about to exit; every request is
 	// refused then.
 	closed atomic.Bool
@@ -60,7 +68,6 @@
 
 // handle receives, routes and serves one request.
 func (g *gateway) handle(ctx *fasthttp.RequestCtx) {
-	arrived := now()
 	g.activeRequests.Add(1)
 	var c *call
 	defer func() {
@@ -94,11 +101,16 @@
 	if !g.admitKey(ctx, table, route, request) {
 		return
 	}
-	if limit := table.Config.Limits.MaxBodyBytes; limit > 0 && len(request.Body) > limit {
-		g.refuseEarly(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over the limit")
+	if !g.readBody(ctx, table, request) {
+		return
+	}
+	arrived := now() // the caller's time counts from the end of the body
+	spending, admitted := g.takeQuota(ctx, route, request)
+	if !admitted {
 		return
 	}
 	c = g.newCall(ctx, table, route, request, arrived)
+	c.spending = spending
 	g.serve(ctx, c)
 }
 
@@ -175,6 +187,8 @@
 type failure struct {
 	reason     string
 	retryAfter time.Duration
+	// scarce is set if the request was refused for want of workers or adapter slots.
+	scarce bool
 }
 
 // checkRetry returns nil if the request may be sent again; it has taken a retry
@@ -227,18 +241,18 @@
 			continue
 		}
 		began := now()
-		ready, reason := c.ensureAdapter(choice, target.Born)
+		ready, reason := c.prepareAt(choice, target)
 		if ready {
-			claimed, quarantined := c.claim(target)
-			if claimed || quarantined != nil {
-				return target, quarantined
+			claimed, refused := c.claim(target)
+			if claimed || refused != nil {
+				return target, refused
 			}
 			reason = "the chosen worker leaves or asked for a pause"
 		}
 		if c.ctx.Err() != nil {
 			return target, &failure{reason: context.Cause(c.ctx).Error()}
 		}
-		refusal = &failure{reason: reason, retryAfter: busyRetryAfter}
+		refusal = &failure{reason: reason, retryAfter: busyRetryAfter, scarce: reason == reasonBusy || reason == reasonLoadTooLate}
 		if now()-began > maxQuickRefusal {
 			break
 		}
@@ -247,12 +261,24 @@
 	return worker.Worker{}, refusal
 }
 
+// prepareAt has the adapter loaded at a worker that has room for the body.
+func (c *call) prepareAt(choice balance.Choice, target worker.Worker) (ready bool, reason string) {
+	if !c.fleet.bodies.fits(target.ID, len(c.request.Body)) {
+		return false, "the bodies in progress at the worker are at the limit"
+	}
+	return c.ensureAdapter(choice, target.Born)
+}
+
 // claim reports whether the request may be sent to a worker that has its adapter. What
-// is known of the worker and of the prompt may have changed during the load.
+// is known of the worker and of the prompt may have changed during the load, and the quota
+// that was taken may have expired.
 func (c *call) claim(target worker.Worker) (bool, *failure) {
 	if quarantined := c.checkQuarantine(); quarantined != nil {
 		return false, quarantined
 	}
+	if refused := c.renewQuota(); refused != nil {
+		return false, refused
+	}
 	return c.fleet.claim(now(), target), nil
 }
 
@@ -289,6 +315,7 @@
 // attempt sends the request to one worker and handles the response.
 func (c *call) attempt(ctx *fasthttp.RequestCtx) nextAction {
 	target, refusal := c.prepareWorker()
+	c.recordOutcome(refusal)
 	if refusal != nil {
 		c.fail(ctx, *refusal)
 		return actionDone
@@ -309,12 +336,13 @@
 	c.attemptsByWorker[target.ID]++
 	c.attemptBegan = now()
 	r := c.request
-	c.attemptUse = c.fleet.beginAttempt(target.ID, r)
+	c.attemptUse = c.fleet.beginAttempt(target.ID, r, c.learning.expectedTokens, c.expectedWork())
+	c.learning.sent(c.attemptBegan)
 	attempt := Attempt{
 		Worker: target, Left: c.waitLeft(), Priority: c.enginePriority(), ResumeAfter: resumeAfter, AdapterVersion: c.requiredAdapterVersion(),
 	}
 	exchange, err := c.pool.Send(c.ctx, target.Address, upstream.Request{
-		ID: r.ID, Bytes: c.codec.AppendRequest(nil, r, attempt),
+		ID: r.ID, Bytes: c.codec.AppendHead(nil, r, attempt), Body: r.Body,
 		Attribute: func(h *fasthttp.ResponseHeader) upstream.Attribution { return c.codec.Attribute(r, h) },
 	})
 	if err != nil {
@@ -323,13 +351,13 @@
 	return exchange, err
 }
 
-// enginePriority returns the engine's priority for the route's rank, or -1 for
-// a service without an engine.
+// enginePriority returns the engine's priority for the request, or -1 for a service without
+// an engine.
 func (c *call) enginePriority() int {
 	if c.service.Engine == nil {
 		return -1
 	}
-	return min(c.rank(), 2)*3 + 1
+	return fairshare.EnginePriority(c.shareRequest(balance.Choice{}))
 }
 
 // requiredAdapterVersion returns the newest known version of the request's
@@ -349,16 +377,18 @@
 	at := now()
 	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
 	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
-	choice, found := c.fleet.balance.Pick(request, candidates)
-	if !found {
-		return choice, noWorkerFailure(candidates)
-	}
-	if refusal := c.admission.refuse(c, choice); refusal != nil {
+	c.fleet.costs.prepare(at, c, &request, candidates)
+	choice, refusal := c.choose(request, candidates)
+	if refusal != nil {
 		return choice, refusal
 	}
-	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
+	c.learning.chosen(c, request, choice)
+	c.addContention(c.log.Line(decision.Placed)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
+		Int(decision.FieldRemainingTokens, choice.Candidate.RemainingTokens).Int(decision.FieldKeptTokens, choice.Candidate.KeptTokens).
+		Float64(decision.FieldPromptFactor, choice.Candidate.PromptFactor).Float64(decision.FieldStepFactor, choice.Candidate.StepFactor).Float64(decision.FieldLoadFactor, choice.Candidate.LoadFactor).
+		Float64(decision.FieldPace, choice.Candidate.Pace).Int(decision.FieldExpectedTokens, request.OutputTokens).
 		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
 		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
 		Uint64(decision.FieldConfig, c.configVersion).Send()
@@ -389,12 +419,15 @@
 const minLoadWait = 400 * time.Millisecond
 
 // loadWaitLimit returns how long the request waits for its adapter: as long as
-// it can still begin within its route's goal.
-func (c *call) loadWaitLimit() time.Duration {
+// it can still begin within its route's goal. Where workers have no free slot it is less
+// for organisations above their share.
+func (c *call) loadWaitLimit(choice balance.Choice) time.Duration {
 	prefill := time.Duration(float64(c.request.PromptTokens) / c.fleet.balance.TokensPerMS * float64(time.Millisecond))
 	limit := c.route.TargetLatency - (now() - c.arrivedAt) - prefill
 	if c.resuming {
 		limit = resumeTimeout
+	} else if choice.Candidate.FreeSlots+choice.Candidate.IdleSlots == 0 {
+		limit = c.admission.policy.LoadWait(c.shareRequest(choice), limit, minLoadWait)
 	}
 	return min(max(limit, minLoadWait), c.timeLeft())
 }
@@ -420,12 +453,13 @@
 	}
 	began := now()
 	c.workerID = choice.Candidate.ID
-	wait := c.loadWaitLimit()
+	wait := c.loadWaitLimit(choice)
+	defer c.fleet.costs.countWaiting(c, choice.Candidate.ID)()
 	ctx, cancel := context.WithTimeout(c.ctx, wait)
 	defer cancel()
 	load := loadRequest{
-		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter, rank: c.loadRank(),
-		deadline: began + wait, denied: denied,
+		worker: choice.Candidate.ID, born: born, adapter: c.request.Adapter,
+		priority: slots.Priority{Rank: c.loadRank(), Share: fairshare.ShareClass(c.shareRequest(choice))}, deadline: began + wait, denied: denied,
 	}
 	ready, reason = c.loader.requestLoad(ctx, c.request, load)
 	took := now() - began
@@ -434,6 +468,7 @@
 	c.log.Line(decision.LoadWaited).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Bool(decision.FieldDenied, denied).Bool(decision.FieldReady, ready).Str(decision.FieldReason, reason).Dur(decision.FieldTookMS, took).Send()
 	if ready {
+		c.fleet.costs.loaded(now(), c, choice, denied, took)
 		c.deniedBy = ""
 		c.fleet.residency.observe(now(), choice.Candidate.ID, c.request.Adapter, true)
 	}
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -19,6 +19,8 @@
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
 	"github.com/bulrushwick/bulrushwick/entry/httpx"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
 	"github.com/bulrushwick/bulrushwick/entry/revocation"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
@@ -52,6 +54,9 @@
 	versionLag    versionLag
 	fetches       *fetchLimiter
 	rejected      rejectedEntries
+
+	// quotaServer runs quota meters; nil if quotas are not enforced.
+	quotaServer *quota.Server
 }
 
 // orderInFlightTime is added to the operators' gap between the orders of two
@@ -73,7 +78,7 @@
 		leaseConfig, heartbeatConfig = quorum.RegionConfig(turnGap), cluster.RegionConfig()
 	}
 	i.orderWatch = newOrderWatch(i.fleet, ports.Orderer, s.controlledDataCentres())
-	machine := quorum.NewMachine(now(), self, s.Seeds, rightsOf(s.controlledDataCentres()), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
+	machine := quorum.NewMachine(now(), self, s.Seeds, append(rightsOf(s.controlledDataCentres()), s.quotaRights()...), leaseConfig, fenceFloor(s.ControlAddress), i.orderWatch.quietSince)
 	c, err := cluster.New(heartbeatConfig, machine, now, i)
 	if err != nil {
 		return nil, err
@@ -90,6 +95,8 @@
 		versionLag: &i.versionLag,
 	}
 	i.gateway.revocation = revocation.New(revocationConfig(s), now, i)
+	i.startQuota()
+	i.gateway.intake = intake.New(i.intakeConfig())
 	i.gateway.guard.reportPanic, i.orderWatch.reportPanic = i.gateway.reportPanic, i.gateway.reportPanic
 	return i, nil
 }
@@ -126,10 +133,8 @@
 	// maxCallerHeaderBytes bounds a request's header before the configuration's
 	// own limit is checked: twice what the operators' documents allow.
 	maxCallerHeaderBytes = 32 << 10
-	// maxCallerBodyBytes bounds a request's body before its route is known.
-	maxCallerBodyBytes = 8 << 20
-	// callerReadTimeout bounds the reading of one request, and the idle time of
-	// a connection while no configuration is in force.
+	// callerReadTimeout bounds the reading of a header, and the idle time of a connection,
+	// while no configuration is in force.
 	callerReadTimeout = 60 * time.Second
 	// callerWriteTimeout is how long a caller may read nothing of its response.
 	callerWriteTimeout = 20 * time.Second
@@ -187,12 +192,13 @@
 func (i *Instance) serveAll(l listeners, failed chan<- error) {
 	i.callerServer = &fasthttp.Server{
 		Handler: i.gateway.handle, Name: "bulrushwick", NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
-		DisableHeaderNamesNormalizing: true, ReadBufferSize: maxCallerHeaderBytes, MaxRequestBodySize: maxCallerBodyBytes,
-		IdleTimeout: callerReadTimeout, ReadTimeout: callerReadTimeout, DisablePreParseMultipartForm: true, StreamRequestBody: false,
+		DisableHeaderNamesNormalizing: true, ReadBufferSize: maxCallerHeaderBytes,
+		IdleTimeout: callerReadTimeout, ReadTimeout: callerReadTimeout, DisablePreParseMultipartForm: true,
 		ReduceMemoryUsage: true, CloseOnShutdown: true, Logger: callerErrorLog{i.log}, SecureErrorLogMessage: true,
+		StreamRequestBody: true, HeaderReceived: i.gateway.intake.HeaderReceived, ConnState: intake.ConnState, ErrorHandler: intake.HandleReadError,
 	}
 	go func() {
-		failed <- i.callerServer.Serve(httpx.WatchIdleListener(l.callers, callerWriteTimeout, i.callerIdleTimeout))
+		failed <- i.callerServer.Serve(httpx.WatchIdleListener(i.gateway.intake.Listener(l.callers), callerWriteTimeout, i.callerIdleTimeout))
 	}()
 	serve := func(listener net.Listener, handler http.Handler) {
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(i.log, "", 0)}
@@ -319,6 +325,7 @@
 		if at-summaryAt >= logSummaryInterval {
 			summaryAt = at
 			i.gateway.pool.CloseExpired(time.Now())
+			i.logQuota()
 			i.log.Summarize()
 		}
 	}
@@ -347,7 +354,8 @@
 	}
 	response, err := i.cluster.LoadAdapter(ctx, holder, &clusterpb.LoadAdapterRequest{
 		RequestId: r.ID, Worker: load.worker, Born: load.born, Model: r.Model, Adapter: load.adapter,
-		Rank: uint32(load.rank - resumeRank), WaitNs: int64(load.deadline - now()), Missing: load.denied,
+		Rank: uint32(load.priority.Rank - resumeRank), WaitNs: int64(load.deadline - now()), Missing: load.denied,
+		Organisation: r.organisationName(), Share: uint32(load.priority.Share),
 	})
 	if err != nil {
 		i.log.Warn(decision.AttemptFailed, err).Str(decision.FieldRequest, r.ID).Str(decision.FieldHolder, holder).Str(decision.FieldCall, "load_adapter").Send()
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -26,6 +26,8 @@
 	waiting, inTransit := i.orders.countAdapters()
 	m.setGauge("adapters_waiting", float64(waiting))
 	m.setGauge("adapters_in_transit", float64(inTransit))
+	i.updateQuotaMetrics()
+	i.updateMemoryGauges()
 	i.fleet.updateGauges(at, m, i.instanceCount())
 }
 
@@ -71,7 +73,9 @@
 	if age := f.config.age(at); age > 0 {
 		m.setGauge("config_age_seconds", age.Seconds())
 	}
+	m.setGauge("organisations_above_share", float64(f.organisations.countAbove(at, f.config.table())))
 	m.setGauge("peer_news_age_seconds", f.usage.oldestAge(at).Seconds())
+	f.costs.updateGauges(at, m, f.balance.TokensPerMS)
 	m.setGauge("repeats_left", f.demand.retriesLeft(at, instances))
 }
 
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -47,8 +47,13 @@
 	// PromptParts identifies the parts of the prompt that other requests may
 	// share, in order. The part that belongs to the request itself is left out.
 	PromptParts []string
+	// PartTokens holds the sizes of the PromptParts.
+	PartTokens []int
 	// PromptTokens and OutputTokens are the sizes that the caller states.
 	PromptTokens, OutputTokens int
+	// OutputHint is the number of tokens of the response that the caller expects; 0 if
+	// it does not say.
+	OutputHint int
 	// ResumeAfter is the id of the last event that the caller has received.
 	ResumeAfter string
 }
@@ -102,10 +107,12 @@
 // Codec translates between this package and the wire formats of callers and
 // workers. It must be safe for concurrent use.
 type Codec interface {
-	// ParseRequest returns an error if the request is malformed.
+	// ParseRequest parses the header of a request, and takes its body if that is not
+	// streamed. It returns an error if the request is malformed.
 	ParseRequest(*fasthttp.RequestCtx) (*Request, error)
-	// AppendRequest appends the request of one attempt to dst.
-	AppendRequest(dst []byte, r *Request, a Attempt) []byte
+	// AppendHead appends the header of one attempt, with its end, to dst. The body
+	// follows it unchanged.
+	AppendHead(dst []byte, r *Request, a Attempt) []byte
 	// Attribute returns the request that a response to r, or to an earlier request on
 	// the same connection, belongs to.
 	Attribute(r *Request, response *fasthttp.ResponseHeader) upstream.Attribution
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -9,6 +10,7 @@
 	"github.com/samber/oops"
 
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
+	"github.com/bulrushwick/bulrushwick/entry/quota"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
 
@@ -16,9 +18,10 @@
 type Settings struct {
 	// Instance is this instance's name.
 	Instance string `json:"instance"`
-	// DataCentre and Region are where the instance runs.
+	// DataCentre is where the instance runs.
 	DataCentre string `json:"dataCentre"`
-	Region     string `json:"region"`
+	// Region is the region of DataCentre.
+	Region string `json:"region"`
 	// DataCentres maps every data centre to its region.
 	DataCentres map[string]string `json:"dataCentres"`
 	// CallerAddress is where callers' requests are received, IP:port.
@@ -38,6 +41,17 @@
 	StoreAddress string `json:"storeAddress"`
 	// MemoryLimitMB is the memory that the process may use, in megabytes.
 	MemoryLimitMB int `json:"memoryLimitMB"`
+	// CallerBudgetMB is the memory for callers' bodies and unread responses, in megabytes;
+	// 0 for a quarter of MemoryLimitMB.
+	CallerBudgetMB int `json:"callerBudgetMB"`
+	// MaxCallerConnections is the most connections of callers; 0 for the number that a
+	// quarter of MemoryLimitMB and the file descriptors of the process allow.
+	MaxCallerConnections int `json:"maxCallerConnections"`
+	// BodyTimeout bounds the reading of one body.
+	BodyTimeout settings.Duration `json:"bodyTimeout"`
+	// MaxWorkerBodyMB bounds the bodies that this instance has in progress at one worker,
+	// in megabytes. One body is always allowed.
+	MaxWorkerBodyMB int `json:"maxWorkerBodyMB"`
 	// CPUShare is the processor time that the process may use, in cores.
 	CPUShare float64 `json:"cpuShare"`
 	// OrderTurnGap is the least time between orders of two instances to one
@@ -48,22 +62,37 @@
 	ConfigApplyLimit settings.Duration `json:"configApplyLimit"`
 	// StopGrace is the time between the signal to stop and the kill.
 	StopGrace settings.Duration `json:"stopGrace"`
-	// RepeatRatio, RepeatSlack and RepeatWindow bound the retries of all
-	// instances together; see retry.Config.
-	RepeatRatio  float64           `json:"repeatRatio"`
-	RepeatSlack  float64           `json:"repeatSlack"`
+	// RepeatRatio is the fraction of the requests of a window that all instances
+	// together may retry.
+	RepeatRatio float64 `json:"repeatRatio"`
+	// RepeatSlack is the number of retries per window that are allowed on top.
+	RepeatSlack float64 `json:"repeatSlack"`
+	// RepeatWindow is the window of RepeatRatio and RepeatSlack.
 	RepeatWindow settings.Duration `json:"repeatWindow"`
 	// StrictRevoke has the instance refuse requests that need a key while it has not
 	// confirmed for RevokeAfter that its configuration is the newest. Otherwise it goes on
 	// with the last configuration.
-	StrictRevoke bool              `json:"strictRevoke"`
-	RevokeAfter  settings.Duration `json:"revokeAfter"`
+	StrictRevoke bool `json:"strictRevoke"`
+	// RevokeAfter is how long the configuration may be unconfirmed if StrictRevoke is set.
+	RevokeAfter settings.Duration `json:"revokeAfter"`
+	// QuotaWindow is the period of the bound on what an organisation uses of its quota;
+	// 0 if quotas are not enforced.
+	QuotaWindow settings.Duration `json:"quotaWindow"`
+	// QuotaOverage is the fraction of the quota of a window that may be used on top.
+	QuotaOverage float64 `json:"quotaOverage"`
+	// QuotaSlack is the amount in units of the quota that may be used in a window on top.
+	QuotaSlack float64 `json:"quotaSlack"`
+	// LearnedCost makes the choice of a worker depend on learned speeds of workers and
+	// lengths of responses.
+	LearnedCost bool `json:"learnedCost"`
 }
 
 // DefaultSettings returns the defaults. Settings without a default are empty.
 func DefaultSettings() Settings {
 	return Settings{
 		MemoryLimitMB:    256,
+		BodyTimeout:      settings.Duration(time.Minute),
+		MaxWorkerBodyMB:  32,
 		CPUShare:         1,
 		OrderTurnGap:     settings.Duration(3 * time.Second),
 		ConfigApplyLimit: settings.Duration(2500 * time.Millisecond),
@@ -72,6 +101,8 @@
 		RepeatSlack:      10,
 		RepeatWindow:     settings.Duration(10 * time.Second),
 		RevokeAfter:      settings.Duration(5 * time.Second),
+		QuotaOverage:     0.25,
+		LearnedCost:      true,
 	}
 }
 
@@ -108,7 +139,7 @@
 	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
 		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
-		"revokeAfter": s.RevokeAfter,
+		"revokeAfter": s.RevokeAfter, "bodyTimeout": s.BodyTimeout,
 	} {
 		if value <= 0 {
 			find(field, "must be above zero")
@@ -117,12 +148,34 @@
 	if s.MemoryLimitMB < 1 {
 		find("memoryLimitMB", "must be at least 1")
 	}
+	if s.CallerBudgetMB < 0 || s.MaxCallerConnections < 0 {
+		find("callerBudgetMB", "and maxCallerConnections must not be negative")
+	}
+	if s.MaxWorkerBodyMB < 1 {
+		find("maxWorkerBodyMB", "must be at least 1")
+	}
 	if s.CPUShare <= 0 {
 		find("cpuShare", "must be above zero")
 	}
 	if s.RepeatRatio < 0 || s.RepeatSlack < 0 {
 		find("repeatRatio", "and repeatSlack must not be negative")
 	}
+	s.checkQuota(find)
+}
+
+func (s Settings) checkQuota(find func(path, format string, args ...any)) {
+	if s.QuotaWindow < 0 {
+		find("quotaWindow", "must not be negative")
+	}
+	if s.QuotaOverage <= 0 && s.QuotaWindow > 0 {
+		find("quotaOverage", "must be above zero: it bounds the age of grants")
+	}
+	if s.QuotaSlack < 0 {
+		find("quotaSlack", "must not be negative")
+	}
+	if _, found := s.DataCentres[quota.ReservedDataCentre]; found && s.QuotaWindow > 0 {
+		find("dataCentres", "%q is reserved if quotas are enforced", quota.ReservedDataCentre)
+	}
 }
 
 func (s Settings) checkAddresses(find func(path, format string, args ...any)) {
@@ -177,15 +230,15 @@
 }
 
 // clusterCount returns the number of clusters over all data centres.
-func (s Settings) clusterCount() int {
+func (s Settings) clusterCount() int { return len(s.clusterRegions()) }
+
+// clusterRegions returns the region of each cluster, sorted: only the instance's own if
+// there is a single cluster.
+func (s Settings) clusterRegions() []string {
 	if !s.isRegional() {
-		return 1
-	}
-	regions := make(map[string]bool)
-	for _, region := range s.DataCentres {
-		regions[region] = true
+		return []string{s.Region}
 	}
-	return len(regions)
+	return slices.Compact(slices.Sorted(maps.Values(s.DataCentres)))
 }
 
 // weakCPUShare is the CPUShare below which an instance is a voter, and so holds
--- a/entry/settings/check.go
+++ b/entry/settings/check.go
@@ -19,6 +19,9 @@
 	if s.StoreLoadsPerSecond <= 0 {
 		report("storeLoadsPerSecond", "must be above zero")
 	}
+	if s.MaxCallerConnections < 0 {
+		report("maxCallerConnections", "must not be negative")
+	}
 	s.checkAddresses(report)
 	s.checkDurations(report)
 	s.checkCounts(report)
@@ -77,6 +80,7 @@
 		{"storeTransit", s.StoreTransit},
 		{"queueLimit", s.QueueLimit},
 		{"bodyLimit", s.BodyLimit},
+		{"memoryLimitMB", s.MemoryLimitMB},
 		{"dispatchConcurrency", s.DispatchConcurrency},
 		{"controlConcurrency", s.ControlConcurrency},
 		{"processors", s.Processors},
