Explain where a request goes: endpoint of direct instances and a command

Operators could see from the log why a worker was chosen for a past request, but not what an instance would do with one now. The metrics address of bulrushwick direct now serves /explain, and 'bulrushctl explain direct' shows its answer as a table or JSON: candidates with the terms of their estimates, why others are excluded, rank, quota and the refusal with its Retry-After.

The pick and the explanation share their code: the estimate in coord/balance is the sum of named terms (setTerms), exclusions have reasons, and call.placement and call.choose have no side effects.

--- a/cmd/bulrushctl/explain.go
+++ b/cmd/bulrushctl/explain.go
@@ -20,7 +20,8 @@
 		Use:   "explain OPERATOR-ADDRESS --adapter ADAPTER@VERSION",
 		Short: "Show where an instance would send a request now, and why",
 		Long: "Ask one instance which worker it would choose for an adapter, which instance\n" +
-			"owns each worker, how each candidate scored and which ones were refused.\n\n" +
+			"owns each worker, how each candidate scored and which ones were refused. For\n" +
+			"an instance of \"bulrushwick direct\" use \"bulrushctl explain direct\".\n\n" +
 			"Exit code 0: a worker would be chosen. Exit code 1: none, or the adapter is\n" +
 			"not in the tables.",
 		Example: "  bulrushctl explain 10.0.0.1:7003 --adapter tolk-0001@v1",
@@ -47,6 +48,7 @@
 	c.Flags().IntVar(&limit, "limit", 0, "show only so many candidates; 0 shows all")
 	_ = c.MarkFlagRequired("adapter")
 	format.addFlag(c)
+	c.AddCommand(explainDirectCommand())
 	return c
 }
 
--- a/cmd/e2e/docs_test.go
+++ b/cmd/e2e/docs_test.go
@@ -47,7 +47,8 @@
 	"go test work": verifyInCI("go test work"),
 
 	"bulrushctl trace 9c41d07be2a35f68 logs/*.log": verifyTraceCommand,
-	"go test -bench Line ./entry/decision":         verifyByGoTest("./entry/decision", "-run", "^$", "-bench", "Line", "-benchtime", "1x"),
+	explainDirectLine:                      verifyExplainDirectCommand,
+	"go test -bench Line ./entry/decision": verifyByGoTest("./entry/decision", "-run", "^$", "-bench", "Line", "-benchtime", "1x"),
 
 	"go build -o bin/ ./cmd/bulrushwick ./cmd/bulrushctl": verifyByBuilding,
 	"bin/bulrushwick serve --settings entry-a.json":       verifyByServing("docs/operate/start.md"),
--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -29,8 +29,10 @@
 // Candidate is the known state of one worker at the arrival of a request.
 type Candidate struct {
 	ID string
-	// Usable workers are not draining and hold the requested model.
-	Usable bool
+	// Usable workers are not draining and hold the requested model. MarkUnusable
+	// unsets it and records why.
+	Usable   bool
+	unusable Exclusion
 	// Avoid excludes workers that this request was already sent to.
 	Avoid bool
 	// Suspect workers failed recently; see Health.
@@ -152,13 +154,14 @@
 func (c Config) Pick(r Request, candidates []Candidate) (Choice, bool) {
 	positions := c.rendezvousPositions(r, candidates)
 	var best Choice
+	var terms Terms
 	for i := range candidates {
 		candidate := &candidates[i]
-		if !isEligible(r, candidate) {
+		if exclusion(r, candidate) != Eligible {
 			continue
 		}
-		estimate := c.estimate(r, candidate, positions[i])
-		if best.Candidate == nil || estimate < best.Estimate {
+		c.setTerms(&terms, r, candidate, positions[i])
+		if estimate := terms.Sum(); best.Candidate == nil || estimate < best.Estimate {
 			best = Choice{Candidate: candidate, Estimate: estimate}
 		}
 	}
@@ -181,59 +184,58 @@
 	return shortest, found
 }
 
-// isEligible reports whether a worker can serve the request.
-func isEligible(r Request, c *Candidate) bool {
-	if !c.Usable || c.Avoid || c.HoldOff > 0 {
-		return false
-	}
-	return r.Adapter == "" || c.Residency != Absent || c.Orderable
-}
-
-// estimate returns the expected time until the response begins.
-func (c Config) estimate(r Request, w *Candidate, position int) time.Duration {
-	work := time.Duration(w.Running) * c.StepCost
+// setTerms sets the terms of the expected time until the response begins. It takes pointers
+// because it runs for each worker and request.
+func (c *Config) setTerms(terms *Terms, r Request, w *Candidate, position int) {
+	*terms = Terms{TermRoundTrip: w.RTT, TermSteps: w.atPace(time.Duration(w.Running) * c.StepCost)}
 	if w.CacheCapacity > 0 {
-		work += c.prefillTime(w.WaitingTokens + r.Tokens)
-		work += time.Duration(c.InterferenceShare * float64(w.Running) * float64(c.prefillTime(r.Tokens)))
-	}
-	if w.Pace > 0 {
-		work = time.Duration(w.Pace * float64(work))
+		prompt := c.prefillTime(r.Tokens)
+		terms[TermWaitingPrompts] = w.atPace(c.prefillTime(w.WaitingTokens))
+		terms[TermPrompt] = w.atPace(prompt)
+		terms[TermInterference] = w.atPace(time.Duration(c.InterferenceShare * float64(w.Running) * float64(prompt)))
 	}
-	total := w.RTT + work
 	if w.BatchSize > 0 && w.Running >= w.BatchSize {
-		total += c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
+		terms[TermFullBatch] = c.FullCost * time.Duration(1+(w.Running-w.BatchSize)*4/w.BatchSize)
 	}
 	if w.CacheCapacity > 0 && w.CacheTokens+r.Tokens > w.CacheCapacity {
-		total += c.FullCost
+		terms[TermFullCache] = c.FullCost
 	}
 	if w.Suspect {
-		total += c.SuspectCost
+		terms[TermSuspect] = c.SuspectCost
 	}
 	if w.HeldOffFromPeers {
-		total += c.FullCost
+		terms[TermHeldOffFromPeers] = c.FullCost
+	}
+	c.addLoadTerms(terms, r, w, position)
+}
+
+// atPace returns the time that work takes at the worker's pace.
+func (w *Candidate) atPace(work time.Duration) time.Duration {
+	if w.Pace > 0 {
+		return time.Duration(w.Pace * float64(work))
 	}
-	return total + c.loadCost(r, w, position)
+	return work
 }
 
 // prefillTime returns the time that reading prompt tokens takes at the usual pace.
-func (c Config) prefillTime(tokens int) time.Duration {
+func (c *Config) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / c.TokensPerMS * float64(time.Millisecond))
 }
 
-// loadCost returns the expected wait for the adapter.
-func (c Config) loadCost(r Request, w *Candidate, position int) time.Duration {
+// addLoadTerms adds the terms of the expected wait for the adapter.
+func (c *Config) addLoadTerms(terms *Terms, r Request, w *Candidate, position int) {
 	switch {
 	case r.Adapter == "" || w.Residency == Resident:
-		return 0
+		return
 	case w.Residency == Loading:
-		return c.LoadingCost
+		terms[TermLoad] = c.LoadingCost
+		return
 	}
-	spread := time.Duration(float64(c.SpreadCost) * float64(position) / (1 + r.Demand))
-	cost := c.PreferredCost + min(spread, c.MaxSpreadCost)
+	terms[TermLoad] = c.PreferredCost
+	terms[TermSpread] = min(time.Duration(float64(c.SpreadCost)*float64(position)/(1+r.Demand)), c.MaxSpreadCost)
 	if w.FreeSlots+w.IdleSlots == 0 {
-		cost += c.EvictionWait
+		terms[TermEviction] = c.EvictionWait
 	}
-	return cost
 }
 
 // rendezvousPositions returns for each candidate its position behind the preferred
--- a/coord/balance/demand.go
+++ b/coord/balance/demand.go
@@ -39,6 +39,9 @@
 	return before
 }
 
+// Count returns the decayed count.
+func (d *Demand) Count(now time.Duration, name string) float64 { return d.counts[name].decayed(now) }
+
 // decayed returns the count as of now.
 func (c decayingCount) decayed(now time.Duration) float64 {
 	return c.value * math.Exp2(-float64(now-c.at)/float64(demandHalfLife))
--- a/coord/quarantine/quarantine.go
+++ b/coord/quarantine/quarantine.go
@@ -217,6 +217,15 @@
 
 // Admit decides whether a request with the given parts may be sent to a worker.
 func (d *Detector) Admit(now time.Duration, parts []Part) Verdict {
+	verdict := d.Preview(now, parts)
+	if verdict == Trial {
+		d.beginTrial(now, parts)
+	}
+	return verdict
+}
+
+// Preview returns what Admit would decide, without beginning a trial.
+func (d *Detector) Preview(now time.Duration, parts []Part) Verdict {
 	verdict := Admitted
 	for _, p := range parts {
 		if !d.isQuarantined(p) {
@@ -227,9 +236,6 @@
 		}
 		verdict = Trial
 	}
-	if verdict == Trial {
-		d.beginTrial(now, parts)
-	}
 	return verdict
 }
 
--- a/entry/direct/answer.go
+++ b/entry/direct/answer.go
@@ -168,7 +168,7 @@
 		status = fasthttp.StatusBadGateway
 	}
 	if status == fasthttp.StatusServiceUnavailable {
-		setRetryAfter(ctx, max(f.retryAfter, minRetryAfter))
+		setRetryAfter(ctx, f.statedRetryAfter())
 	}
 	ctx.SetStatusCode(status)
 	ctx.SetBodyString(f.reason + "\n")
@@ -182,6 +182,9 @@
 // minRetryAfter keeps callers from retrying within one round trip.
 const minRetryAfter = crossRegionRTT
 
+// statedRetryAfter returns the Retry-After of the response.
+func (f failure) statedRetryAfter() time.Duration { return max(f.retryAfter, minRetryAfter) }
+
 // finish releases a request's context, and counts and logs its outcome. Further calls do
 // nothing.
 func (c *call) finish(outcome string, status int) {
--- a/entry/direct/authenticate.go
+++ b/entry/direct/authenticate.go
@@ -42,16 +42,40 @@
 	if !table.RequiresKeys() {
 		return true
 	}
-	identified := identify(table, r)
+	identify(table, r)
+	refusal := g.refuseIdentity(table, route, r)
 	switch {
-	case route.Public:
+	case refusal == nil:
 		return true
+	case refusal.key != "":
+		g.metrics.countKeyFailure(refusal.key)
+		ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
+	default:
+		setRetryAfter(ctx, refusal.retryAfter)
+	}
+	g.refuseEarly(ctx, refusal.status, refusal.reason)
+	return false
+}
+
+// identityRefusal is the response to a request whose organisation is not known.
+type identityRefusal struct {
+	status     int
+	reason     string
+	retryAfter time.Duration
+	// key is why the key is not accepted; empty if keys are not judged at present.
+	key keyFailure
+}
+
+// refuseIdentity returns why a request with or without an organisation is refused, or nil.
+func (g *gateway) refuseIdentity(table *routing.Table, route *routing.Route, r *Request) *identityRefusal {
+	switch {
+	case !table.RequiresKeys() || route.Public:
+		return nil
 	case !g.revocation.Current():
-		setRetryAfter(ctx, time.Duration((1+returnSpread*rand.Float64())*float64(unconfirmedRetryAfter)))
-		g.refuseEarly(ctx, fasthttp.StatusServiceUnavailable, "the configuration may be outdated, and keys are not judged by it")
-		return false
-	case identified:
-		return true
+		after := time.Duration((1 + returnSpread*rand.Float64()) * float64(unconfirmedRetryAfter))
+		return &identityRefusal{status: fasthttp.StatusServiceUnavailable, reason: "the configuration may be outdated, and keys are not judged by it", retryAfter: after}
+	case r.Organisation != nil:
+		return nil
 	}
 	failed := keyUnknown
 	switch {
@@ -60,20 +84,15 @@
 	case r.Credential.Malformed:
 		failed = keyMalformed
 	}
-	g.metrics.countKeyFailure(failed)
-	ctx.Response.Header.Set(fasthttp.HeaderWWWAuthenticate, "Bearer")
-	g.refuseEarly(ctx, fasthttp.StatusUnauthorized, keyFailures[failed])
-	return false
+	return &identityRefusal{status: fasthttp.StatusUnauthorized, reason: keyFailures[failed], key: failed}
 }
 
-// identify sets the organisation of a request, drops what the caller says of itself, and
-// reports whether the request has an organisation.
-func identify(table *routing.Table, r *Request) bool {
+// identify sets the organisation of a request, and drops what the caller says of itself.
+func identify(table *routing.Table, r *Request) {
 	r.IdentityHeader = nil
 	if r.Credential.Present && !r.Credential.Malformed {
 		r.Organisation = table.Authenticate(r.Credential.Digest)
 	}
-	return r.Organisation != nil
 }
 
 // servingTable returns the configuration in force, or nil if requests can't be served yet:
--- a/entry/direct/call.go
+++ b/entry/direct/call.go
@@ -76,7 +76,9 @@
 // final response is sent.
 const deadlineMargin = 20 * time.Millisecond
 
-func (g *gateway) newCall(ctx *fasthttp.RequestCtx, table *routing.Table, route *routing.Route, request *Request, arrived time.Duration) *call {
+// routedCall returns the state of a request before its first attempt, without the context
+// in which it is served.
+func (g *gateway) routedCall(table *routing.Table, route *routing.Route, request *Request, arrived time.Duration) *call {
 	limit := route.Timeout
 	if request.Wait > 0 && (limit <= 0 || request.Wait < limit) {
 		limit = request.Wait
@@ -87,6 +89,11 @@
 	}
 	c.parts = quarantine.PartsOf(request.PromptParts)
 	c.service = table.Config.Services[route.Service(request.ID)]
+	return c
+}
+
+func (g *gateway) newCall(ctx *fasthttp.RequestCtx, table *routing.Table, route *routing.Route, request *Request, arrived time.Duration) *call {
+	c := g.routedCall(table, route, request, arrived)
 	parent, cancel := context.WithCancelCause(g.baseContext)
 	timer := time.AfterFunc(c.deadline-arrived, func() { cancel(errTimeout) })
 	watchedContext, cancelWatched, stop := httpx.Watch(parent, ctx)
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -29,9 +29,12 @@
 func (f *fleet) candidate(at time.Duration, w *worker.Worker, service routing.Service, r *Request) balance.Candidate {
 	condition := f.conditions.get(at, w.ID)
 	c := balance.Candidate{
-		ID: w.ID, Usable: !w.Draining, InScope: f.settings.controlsWorkersOf(w.DataCentre), BatchSize: w.Slots,
+		ID: w.ID, Usable: true, InScope: f.settings.controlsWorkersOf(w.DataCentre), BatchSize: w.Slots,
 		RTT: f.roundTripTo(w.DataCentre), Suspect: condition.suspect, Pace: condition.pace, HoldOff: condition.holdOff,
 	}
+	if w.Draining {
+		c.MarkUnusable(balance.Draining)
+	}
 	f.usage.read(at, w.ID, func(peers workerUse, own *workerUse) {
 		addWorkerUse(&c, &peers, r.Adapter)
 		addWorkerUse(&c, own, r.Adapter)
@@ -39,7 +42,9 @@
 		if condition.reported {
 			c.Running = max(c.Running, condition.inProgress)
 		}
-		c.Usable = c.Usable && (own == nil || own.running < f.connectionLimit(service, w))
+		if own != nil && own.running >= f.connectionLimit(service, w) {
+			c.MarkUnusable(balance.ConnectionsUsed)
+		}
 		if service.Engine != nil {
 			c.CacheCapacity = service.Engine.CacheTokens
 			f.addResidency(at, &c, w, service.Engine, r, peers, own)
@@ -89,7 +94,9 @@
 	if !ordered {
 		state = slotState{usable: r.Model == "" || w.HasModel(r.Model), slots: slotsFromEntry(w, r.Model)}
 	}
-	c.Usable = c.Usable && state.usable
+	if !state.usable {
+		c.MarkUnusable(balance.ModelMissing)
+	}
 	c.FreeSlots = max(0, engine.AdapterSlots-len(state.slots))
 	for _, s := range state.slots {
 		used := peers.adapters[s.Adapter] > 0 || own != nil && own.adapters[s.Adapter] > 0
--- a/entry/direct/demand.go
+++ b/entry/direct/demand.go
@@ -39,6 +39,16 @@
 	return d.adapters.Add(at, adapter)
 }
 
+// recentRequests returns what countRequest would return for the adapter.
+func (d *demand) recentRequests(at time.Duration, adapter string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if adapter == "" {
+		return 0
+	}
+	return d.adapters.Count(at, adapter)
+}
+
 // takeRetry takes one retry from the service's budget, and reports whether one
 // was left. The budget is shared by the given number of instances.
 func (d *demand) takeRetry(at time.Duration, service string, instances int) bool {
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -258,10 +258,18 @@
 
 // checkDispatch returns a failure if the request may not be passed on at all.
 func (c *call) checkDispatch() *failure {
+	if refused := c.checkStopping(); refused != nil {
+		return refused
+	}
+	return c.checkQuarantine()
+}
+
+// checkStopping returns a failure if the instance stops and passes no request on.
+func (c *call) checkStopping() *failure {
 	if ends := c.dispatchEnds.Load(); ends > 0 && now() >= time.Duration(ends) && !c.resuming {
 		return &failure{reason: "the instance stops", retryAfter: unavailableRetryAfter}
 	}
-	return c.checkQuarantine()
+	return nil
 }
 
 // checkQuarantine returns a failure if a part of the prompt is in quarantine.
@@ -269,13 +277,17 @@
 	if c.onTrial {
 		return nil
 	}
-	switch c.guard.admit(c.parts) {
-	case quarantine.Refused:
-		return &failure{reason: "a part of the prompt crashes workers", retryAfter: quarantineRetryAfter}
-	case quarantine.Trial:
-		c.onTrial = true
+	verdict := c.guard.admit(c.parts)
+	c.onTrial = verdict == quarantine.Trial
+	return quarantineFailure(verdict)
+}
+
+// quarantineFailure returns the failure of a request that must not be sent to a worker.
+func quarantineFailure(verdict quarantine.Verdict) *failure {
+	if verdict != quarantine.Refused {
+		return nil
 	}
-	return nil
+	return &failure{reason: "a part of the prompt crashes workers", retryAfter: quarantineRetryAfter}
 }
 
 // quarantineRetryAfter is the Retry-After of a request with a quarantined part:
@@ -344,23 +356,44 @@
 // waitLeft returns the time left as it is sent to the worker; at least 1 ms.
 func (c *call) waitLeft() time.Duration { return max(c.timeLeft(), time.Millisecond) }
 
-// pickWorker picks a worker, or returns why the request is refused.
-func (c *call) pickWorker() (balance.Choice, *failure) {
-	at := now()
-	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
-	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
+// placement is what the choice of a worker depends on.
+type placement struct {
+	request    balance.Request
+	candidates []balance.Candidate
+}
+
+// placement returns what the choice of a worker depends on now. It has no effect on
+// other requests.
+func (c *call) placement(at time.Duration) placement {
+	return placement{
+		candidates: c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers),
+		request:    balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand},
+	}
+}
+
+// choose picks one of the candidates, or returns why the request is refused. It has no
+// effect on other requests.
+func (c *call) choose(request balance.Request, candidates []balance.Candidate) (balance.Choice, *failure) {
 	choice, found := c.fleet.balance.Pick(request, candidates)
 	if !found {
 		return choice, noWorkerFailure(candidates)
 	}
-	if refusal := c.admission.refuse(c, choice); refusal != nil {
+	return choice, c.admission.refuse(c, choice)
+}
+
+// pickWorker picks a worker, or returns why the request is refused.
+func (c *call) pickWorker() (balance.Choice, *failure) {
+	at := now()
+	p := c.placement(at)
+	choice, refusal := c.choose(p.request, p.candidates)
+	if refusal != nil {
 		return choice, refusal
 	}
 	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
 		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
 		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
 		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
-		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
+		Int(decision.FieldCandidates, len(p.candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
 		Uint64(decision.FieldConfig, c.configVersion).Send()
 	return choice, nil
 }
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -203,7 +203,7 @@
 	serve(l.readiness, ready)
 	serve(l.control, i.cluster.Handler())
 	if l.metrics != nil {
-		serve(l.metrics, i.metrics.handler())
+		serve(l.metrics, i.metricsHandler())
 	}
 }
 
--- a/entry/direct/promptguard.go
+++ b/entry/direct/promptguard.go
@@ -62,6 +62,13 @@
 	return g.detector.Admit(now(), parts)
 }
 
+// preview returns what admit would decide.
+func (g *promptGuard) preview(parts []quarantine.Part) quarantine.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Preview(now(), parts)
+}
+
 // suspect reports whether a request with these parts should not be sent again.
 func (g *promptGuard) suspect(parts []quarantine.Part) bool {
 	g.mu.Lock()
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -30,7 +30,8 @@
 	// ControlListenAddress is where those calls are received, IP:port, if a
 	// proxy forwards them; empty for ControlAddress.
 	ControlListenAddress string `json:"controlListenAddress"`
-	// MetricsAddress serves metrics, IP:port; empty for none.
+	// MetricsAddress serves metrics and explanations of requests, IP:port; empty for none.
+	// It must not be reachable by callers.
 	MetricsAddress string `json:"metricsAddress"`
 	// Seeds are the control addresses of some instances.
 	Seeds []string `json:"seeds"`
