--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -356,67 +355,6 @@
 // waitLeft returns the time left as it is sent to the worker; at least 1 ms.
 func (c *call) waitLeft() time.Duration { return max(c.timeLeft(), time.Millisecond) }
 
-// placement is what the choice of a worker depends on.
-type placement struct {
-	request    balance.Request
-	candidates []balance.Candidate
-}
-
-// placement returns what the choice of a worker depends on now. It has no effect on
-// other requests.
-func (c *call) placement(at time.Duration) placement {
-	return placement{
-		candidates: c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers),
-		request:    balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand},
-	}
-}
-
-// choose picks one of the candidates, or returns why the request is refused. It has no
-// effect on other requests.
-func (c *call) choose(request balance.Request, candidates []balance.Candidate) (balance.Choice, *failure) {
-	choice, found := c.fleet.balance.Pick(request, candidates)
-	if !found {
-		return choice, noWorkerFailure(candidates)
-	}
-	return choice, c.admission.refuse(c, choice)
-}
-
-// pickWorker picks a worker, or returns why the request is refused.
-func (c *call) pickWorker() (balance.Choice, *failure) {
-	at := now()
-	p := c.placement(at)
-	choice, refusal := c.choose(p.request, p.candidates)
-	if refusal != nil {
-		return choice, refusal
-	}
-	c.log.Line(decision.Placed).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
-		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
-		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
-		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
-		Int(decision.FieldCandidates, len(p.candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
-		Uint64(decision.FieldConfig, c.configVersion).Send()
-	return choice, nil
-}
-
-// noWorkerRetryAfter is the Retry-After if no worker is usable; recovering one
-// takes seconds.
-const noWorkerRetryAfter = 500 * time.Millisecond
-
-// returnSpread is the largest fraction by which a Retry-After is extended at random
-// where many callers are refused for one reason, so that they do not return together.
-const returnSpread = 0.25
-
-// noWorkerFailure returns why no candidate can take the request. Where workers asked
-// for a pause, the caller may return when the first one ends.
-func noWorkerFailure(candidates []balance.Candidate) *failure {
-	left, found := balance.ShortestHoldOff(candidates)
-	if !found {
-		return &failure{reason: "no worker of the service can take the request", retryAfter: noWorkerRetryAfter}
-	}
-	spread := time.Duration(returnSpread * rand.Float64() * float64(left))
-	return &failure{reason: "every worker asked for a pause", retryAfter: left + spread}
-}
-
 // minLoadWait is the least time that a request waits for its adapter, about the
 // time of a load from a busy weight store.
 const minLoadWait = 400 * time.Millisecond
