--- a/coord/fairshare/outcomes.go
+++ b/coord/fairshare/outcomes.go
@@ -50,9 +50,9 @@
 
 // Yields reports whether a request of a rank should leave the capacity to a more urgent
 // rank: one of these is rejected more often, and this rank takes a part of the capacity
-// that matters.
+// that matters. No rank yields where no outcomes were recorded; o may be nil then.
 func (o *Outcomes) Yields(at time.Duration, rank int) bool {
-	if o.ranks[rank] == nil {
+	if o == nil || o.ranks[rank] == nil {
 		return false
 	}
 	own := o.rejectedShare(at, rank)
--- /dev/null
+++ b/coord/quota/preview.go
@@ -0,0 +1,39 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// Preview returns how a request would be decided now, without a change of what later
+// requests get. known is false if that takes a call to a meter, a place behind other
+// requests or the reserve.
+func (a *Account) Preview(now time.Duration, limit Limit, need int64) (result Result, known bool) {
+	missing := need - a.Held(now)
+	if len(a.waiting) > 0 {
+		return Result{}, false
+	}
+	if missing <= 0 {
+		return Result{Admitted: true}, true
+	}
+	view := *a
+	view.limit = limit
+	if view.askingForRequests || view.awaitsNearMeter() {
+		return Result{}, false
+	}
+	part := view.config.Part(limit, missing)
+	if part == 0 {
+		return Result{RetryAfter: impossibleRetryAfter}, true
+	}
+	if view.pick(now, &Request{need: need}, part) >= 0 {
+		return Result{}, false
+	}
+	empty, responding := maxWait, false
+	used := view.config.MetersUsed(limit)
+	for _, ref := range slices.Concat(view.near, view.remote) {
+		if m := &view.meters[ref.Index]; ref.Choice < used && now >= m.failedUntil {
+			responding, empty = true, min(empty, max(m.emptyUntil-now, 0))
+		}
+	}
+	return Result{RetryAfter: empty}, responding
+}
