--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -284,10 +283,18 @@
 
 // checkDispatch returns a failure if the request may not be passed on at all.
 func (c *call) checkDispatch() *failure {
+	if refused := c.checkStopping(); refused != nil {
+		return refused
+	}
+	return c.checkQuarantine()
+}
+
+// checkStopping returns a failure if the instance stops and passes no request on.
+func (c *call) checkStopping() *failure {
 	if ends := c.dispatchEnds.Load(); ends > 0 && now() >= time.Duration(ends) && !c.resuming {
 		return &failure{reason: "the instance stops", retryAfter: unavailableRetryAfter}
 	}
-	return c.checkQuarantine()
+	return nil
 }
 
 // checkQuarantine returns a failure if a part of the prompt is in quarantine.
@@ -295,13 +302,17 @@
 	if c.onTrial {
 		return nil
 	}
-	switch c.guard.admit(c.parts) {
-	case quarantine.Refused:
-		return &failure{reason: "a part of the prompt crashes workers", retryAfter: quarantineRetryAfter}
-	case quarantine.Trial:
-		c.onTrial = true
+	verdict := c.guard.admit(c.parts)
+	c.onTrial = verdict == quarantine.Trial
+	return quarantineFailure(verdict)
+}
+
+// quarantineFailure returns the failure of a request that must not be sent to a worker.
+func quarantineFailure(verdict quarantine.Verdict) *failure {
+	if verdict != quarantine.Refused {
+		return nil
 	}
-	return nil
+	return &failure{reason: "a part of the prompt crashes workers", retryAfter: quarantineRetryAfter}
 }
 
 // quarantineRetryAfter is the Retry-After of a request with a quarantined part:
@@ -372,48 +383,6 @@
 // waitLeft returns the time left as it is sent to the worker; at least 1 ms.
 func (c *call) waitLeft() time.Duration { return max(c.timeLeft(), time.Millisecond) }
 
-// pickWorker picks a worker, or returns why the request is refused.
-func (c *call) pickWorker() (balance.Choice, *failure) {
-	at := now()
-	candidates := c.fleet.candidates(at, c.service, c.request, c.attemptsByWorker, c.skippedWorkers)
-	request := balance.Request{Adapter: c.request.Adapter, Tokens: c.request.PromptTokens, Rank: c.rank(), Demand: c.adapterDemand}
-	c.fleet.costs.prepare(at, c, &request, candidates)
-	choice, refusal := c.choose(request, candidates)
-	if refusal != nil {
-		return choice, refusal
-	}
-	c.learning.chosen(c, request, choice)
-	c.addContention(c.log.Line(decision.Placed)).Str(decision.FieldRequest, c.request.ID).Str(decision.FieldRoute, c.route.Name).Str(decision.FieldWorker, choice.Candidate.ID).
-		Str(decision.FieldAdapter, c.request.Adapter).Uint8(decision.FieldResidency, uint8(choice.Candidate.Residency)).
-		Int(decision.FieldRunning, choice.Candidate.Running).Int(decision.FieldWaitingTokens, choice.Candidate.WaitingTokens).
-		Int(decision.FieldRemainingTokens, choice.Candidate.RemainingTokens).Int(decision.FieldKeptTokens, choice.Candidate.KeptTokens).
-		Float64(decision.FieldPromptFactor, choice.Candidate.PromptFactor).Float64(decision.FieldStepFactor, choice.Candidate.StepFactor).Float64(decision.FieldLoadFactor, choice.Candidate.LoadFactor).
-		Float64(decision.FieldPace, choice.Candidate.Pace).Int(decision.FieldExpectedTokens, request.OutputTokens).
-		Dur(decision.FieldNewsAgeMS, c.fleet.usage.newestAge(at)).
-		Int(decision.FieldCandidates, len(candidates)).Dur(decision.FieldEstimateMS, choice.Estimate).Dur(decision.FieldLeftMS, c.timeLeft()).
-		Uint64(decision.FieldConfig, c.configVersion).Send()
-	return choice, nil
-}
-
-// noWorkerRetryAfter is the Retry-After if no worker is usable; recovering one
-// takes seconds.
-const noWorkerRetryAfter = 500 * time.Millisecond
-
-// returnSpread is the largest fraction by which a Retry-After is extended at random
-// where many callers are refused for one reason, so that they do not return together.
-const returnSpread = 0.25
-
-// noWorkerFailure returns why no candidate can take the request. Where workers asked
-// for a pause, the caller may return when the first one ends.
-func noWorkerFailure(candidates []balance.Candidate) *failure {
-	left, found := balance.ShortestHoldOff(candidates)
-	if !found {
-		return &failure{reason: "no worker of the service can take the request", retryAfter: noWorkerRetryAfter}
-	}
-	spread := time.Duration(returnSpread * rand.Float64() * float64(left))
-	return &failure{reason: "every worker asked for a pause", retryAfter: left + spread}
-}
-
 // minLoadWait is the least time that a request waits for its adapter, about the
 // time of a load from a busy weight store.
 const minLoadWait = 400 * time.Millisecond
