--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -14,6 +14,9 @@
 	// Remote is set for a meter that is far away, which is asked only if the near ones
 	// have too little.
 	Remote bool
+	// Seed is set for the reserve meter of a seed, which is asked only if no other meter
+	// responds. Seeds are asked in the order in which they are listed.
+	Seed bool
 }
 
 // Request is a caller's request for tokens.
@@ -53,6 +56,7 @@
 	// near and remote are the meters by distance. Those of equal distance are asked first
 	// in turn, beginning with the one at turn, so that their buckets empty equally.
 	near, remote []MeterRef
+	seeds        []MeterRef
 	turn         int
 	meters       []meterView // by index
 	waiting      []*Request
@@ -67,7 +71,7 @@
 // requests and calls, the others tokens.
 type Counts struct {
 	// Asked and Granted are what was asked of meters and granted by them, Spent is what
-	// requests took, and Reserve the part of it that no meter granted.
+	// requests took, and Reserve the part of it that no meter with a right granted.
 	Asked, Granted, Spent, Reserve int64
 	// Returned is what requests that did not run gave back, ReturnedLate the tokens that
 	// expired and were returned to meters.
@@ -81,7 +85,9 @@
 
 // meterView is what an account knows of a meter.
 type meterView struct {
-	remote, busy bool
+	remote, seed, busy bool
+	// failed is set from a failure to the next response.
+	failed bool
 	// level is an estimate of what the meter could grant when it last refused a request,
 	// at levelAt, less what it has granted since.
 	level   float64
@@ -111,10 +117,13 @@
 func NewAccount(config Config, meters []MeterRef, first int) *Account {
 	a := &Account{config: config, pool: NewPool(config), turn: first, meters: make([]meterView, len(meters))}
 	for _, m := range meters {
-		a.meters[m.Index].remote = m.Remote
-		if m.Remote {
+		a.meters[m.Index].remote, a.meters[m.Index].seed = m.Remote, m.Seed
+		switch {
+		case m.Seed:
+			a.seeds = append(a.seeds, m)
+		case m.Remote:
 			a.remote = append(a.remote, m)
-		} else {
+		default:
 			a.near = append(a.near, m)
 		}
 	}
@@ -133,11 +142,25 @@
 	}
 	ticket, ok := a.pool.Spend(now, need)
 	if ok {
-		a.Counts.Spent += need
+		a.countSpent(ticket)
 	}
 	return ticket, ok
 }
 
+// countSpent counts the tokens of a request that is admitted.
+func (a *Account) countSpent(t Ticket) {
+	a.Counts.Spent += t.Amount()
+	a.Counts.Reserve += t.reserve
+	if t.grant.amount > 0 && a.meters[t.grant.meter].seed {
+		a.Counts.Reserve += t.grant.amount
+	}
+	for _, g := range t.more {
+		if a.meters[g.meter].seed {
+			a.Counts.Reserve += g.amount
+		}
+	}
+}
+
 // Wait adds a request that Take refused to those that wait for tokens. notify is called
 // when it is decided, by a later call of a method of the account.
 func (a *Account) Wait(need int64, notify func()) *Request {
@@ -175,7 +198,7 @@
 	for len(a.waiting) > 0 {
 		head := a.waiting[0]
 		if ticket, ok := a.pool.Spend(now, head.need); ok {
-			a.Counts.Spent += head.need
+			a.countSpent(ticket)
 			a.decide(Result{Admitted: true, Ticket: ticket})
 			continue
 		}
@@ -188,7 +211,10 @@
 			continue
 		}
 		if meter := a.pick(now, head, part); meter >= 0 {
-			return a.askForRequests(now, meter, part), true
+			return a.askForRequests(now, meter, part, a.pool.Batch(now, now < a.scarceUntil)), true
+		}
+		if meter, part := a.pickSeed(now, head); meter >= 0 {
+			return a.askForRequests(now, meter, part, 0), true
 		}
 		a.decideWithoutMeter(now, head, instances)
 	}
@@ -198,7 +224,7 @@
 // awaitsNearMeter reports whether a meter nearby is asked for tokens ahead of demand,
 // which the waiting requests can use soon.
 func (a *Account) awaitsNearMeter() bool {
-	return slices.ContainsFunc(a.meters, func(m meterView) bool { return m.busy && !m.remote })
+	return slices.ContainsFunc(a.meters, func(m meterView) bool { return m.busy && !m.remote && !m.seed })
 }
 
 // pick returns the meter to ask for a part of what a request needs, or -1.
@@ -245,10 +271,10 @@
 
 // askForRequests returns an ask for least, which the first waiting request needs, for
 // what the others need and for what is needed ahead.
-func (a *Account) askForRequests(now time.Duration, meter int, least int64) ToSend {
+func (a *Account) askForRequests(now time.Duration, meter int, least, ahead int64) ToSend {
 	a.askingForRequests = true
 	a.waiting[0].asks++
-	amount := least + a.pool.Batch(now, now < a.scarceUntil)
+	amount := least + ahead
 	for i, r := range a.waiting {
 		r.inAsk = true
 		if i > 0 {
@@ -281,7 +307,9 @@
 // send records an ask as in progress.
 func (a *Account) send(now time.Duration, meter int, ask Ask, forRequests bool) ToSend {
 	a.turn++
-	ask.Returned = a.pool.Unused(now, meter)
+	if !a.meters[meter].seed {
+		ask.Returned = a.pool.Unused(now, meter)
+	}
 	a.meters[meter].busy = true
 	a.Counts.Calls++
 	a.Counts.Asked += ask.Amount
@@ -302,32 +330,42 @@
 // HandleGrant applies the response to an ask.
 func (a *Account) HandleGrant(now time.Duration, sent ToSend, grant Grant) {
 	a.received(sent)
-	if a.reserve == nil {
-		a.reserve = NewReserve(now)
-	}
 	granted := min(max(grant.Granted, 0), sent.Amount)
 	a.Counts.Granted += granted
 	a.pool.Add(sent.sentAt, sent.Meter, granted)
 	m := &a.meters[sent.Meter]
+	m.failed = false
+	if a.reserve == nil && !m.seed {
+		a.reserve = NewReserve(now)
+	}
 	isRefused := granted < sent.Least
 	m.level -= float64(granted)
 	if !isRefused && sent.Least > 0 {
 		m.refusals = max(m.refusals-1, 0)
 	}
+	a.recordTried(sent, isRefused)
 	if granted == sent.Amount {
 		return
 	}
 	wait := min(max(grant.Wait, minPause), maxWait)
 	m.aheadFrom = now + min(wait, maxPause)
-	a.scarceUntil = now + scarceFor
+	rate := a.config.SeedShare(a.limit).Rate
+	if !m.seed {
+		a.scarceUntil, rate = now+scarceFor, a.config.ShareOf(a.limit, 0).Rate
+	}
 	if isRefused {
 		m.emptyUntil = now + wait
-		m.level, m.levelAt = float64(sent.Least)-a.config.ShareOf(a.limit, 0).Rate*wait.Seconds(), now
+		m.level, m.levelAt = float64(sent.Least)-rate*wait.Seconds(), now
 		m.askFrom = now + min(max(wait, m.refusalPause()), maxPause)
 		m.refusals = min(m.refusals+1, maxRefusals)
 	}
+}
+
+// recordTried notes the meter in the requests for which it had too little. A seed counts
+// after each ask, so that the next part of a large request is asked of another one.
+func (a *Account) recordTried(sent ToSend, isRefused bool) {
 	for i, r := range a.waiting {
-		if r.inAsk && (i > 0 || isRefused) {
+		if r.inAsk && (i > 0 || isRefused || a.meters[sent.Meter].seed) {
 			r.tried |= 1 << sent.Meter
 		}
 	}
@@ -360,15 +398,17 @@
 	return remotePause << m.refusals
 }
 
-// failurePause is how long a meter is not asked after it could not be reached: its right
-// passes on within seconds, and each attempt may cost a request a timeout.
-const failurePause = 500 * time.Millisecond
+// failurePause is how long a meter is not asked after it could not be reached. Who sends
+// the calls must not wait for an instance that is known not to respond: the pause saves
+// processor time rather than waiting.
+const failurePause = 100 * time.Millisecond
 
 // HandleFailure records that an ask had no usable response.
 func (a *Account) HandleFailure(now time.Duration, sent ToSend) {
 	a.received(sent)
 	a.Counts.Failures++
-	a.meters[sent.Meter].failedUntil = now + failurePause
+	m := &a.meters[sent.Meter]
+	m.failed, m.failedUntil = true, now+failurePause
 }
 
 // impossibleRetryAfter is the RetryAfter of a request that needs more than the meters can
@@ -378,30 +418,37 @@
 // decideWithoutMeter decides the first waiting request if no meter is worth asking: those
 // that respond have too little, or none is reachable.
 func (a *Account) decideWithoutMeter(now time.Duration, head *Request, instances int) {
-	responding, empty, failed := false, maxWait, maxWait
-	used := a.config.MetersUsed(a.limit)
-	for _, ref := range slices.Concat(a.near, a.remote) {
-		switch m := &a.meters[ref.Index]; {
-		case ref.Choice >= used:
-		case now >= m.failedUntil:
-			responding, empty = true, min(empty, max(m.emptyUntil-now, 0))
-		default:
-			failed = min(failed, m.failedUntil-now)
-		}
-	}
-	if responding {
+	if responding, empty := a.responding(now); responding {
 		a.refuse(Result{RetryAfter: empty})
 		return
 	}
 	if a.reserve != nil {
 		if ticket, ok := a.reserve.Spend(now, a.config, a.limit, instances, head.need); ok {
-			a.Counts.Spent += head.need
-			a.Counts.Reserve += head.need
+			a.countSpent(ticket)
 			a.decide(Result{Admitted: true, Ticket: ticket})
 			return
 		}
 	}
-	a.refuse(Result{Unreachable: true, RetryAfter: failed})
+	a.refuse(Result{Unreachable: true, RetryAfter: unreachableRetryAfter})
+}
+
+// unreachableRetryAfter is the RetryAfter of a request that is refused because no meter
+// responds: a seed gains enough for a small request in that time.
+const unreachableRetryAfter = 500 * time.Millisecond
+
+// responding reports whether a meter other than those of seeds responds, and the time
+// until one has enough for the last request that it refused.
+func (a *Account) responding(now time.Duration) (responding bool, empty time.Duration) {
+	used := a.config.MetersUsed(a.limit)
+	empty = maxWait
+	for _, group := range [][]MeterRef{a.near, a.remote} {
+		for _, ref := range group {
+			if m := &a.meters[ref.Index]; ref.Choice < used && !m.failed {
+				responding, empty = true, min(empty, max(m.emptyUntil-now, 0))
+			}
+		}
+	}
+	return responding, empty
 }
 
 // refuse decides the first waiting request.
--- a/coord/quota/config.go
+++ b/coord/quota/config.go
@@ -4,20 +4,23 @@
 // A Meter holds a token bucket for each organisation; several meters share an
 // organisation's limit equally. A Pool belongs to one organisation at one instance: it
 // holds the tokens that meters granted, which expire, and spends them on requests. With
-// no meter reachable an instance spends from a small Reserve.
+// no meter reachable an instance asks the reserve meters of the seeds, which need no
+// right, and then spends from a small Reserve of its own.
 //
 // The bound holds in any window of Config.Window, whatever is lost, delayed or
 // partitioned: tokens spent are at most (rate x window + burst) x (1 + overage) + slack.
-// What this allows beyond rate x window + burst is divided as follows. A half of it is
-// (rate x window + burst) x overage / 2 + slack / 2.
+// What this allows beyond rate x window + burst, (rate x window + burst) x overage +
+// slack, is divided as follows.
 //
-//   - One half is capacity of the buckets, on top of the burst.
+//   - Between a quarter and a half is what the reserve meters of all seeds grant within a
+//     window and the lifetime of a grant.
 //   - rate x Lifetime covers the age of grants: tokens spent in a window were granted
 //     within the window or the lifetime of a grant before it. The lifetime is
-//     overage x window / 2, so this is the part of the other half that grows with rate.
-//   - What remains is spare: half of it is capacity of the buckets as well, an eighth
-//     covers the reserves, an eighth the tokens that meters take back late, and a quarter
-//     the time between the spending of tokens and the start of the request at its worker.
+//     overage x window / 4.
+//   - What remains is spare: three quarters are capacity of the buckets, on top of the
+//     burst, a thirty-second covers the reserves of the instances, an eighth the tokens
+//     that meters take back late, and the rest, three thirty-seconds, the time between
+//     the spending of tokens and the start of the request at its worker.
 package quota
 
 import "time"
@@ -52,28 +55,30 @@
 
 // Lifetime returns how long a grant counts, from when it was requested.
 func (c Config) Lifetime() time.Duration {
-	return time.Duration(c.Overage * float64(c.Window) / 2)
+	return time.Duration(c.Overage * float64(c.Window) / 4)
 }
 
 // excess returns what the bound allows beyond a limit within a window.
 func (c Config) excess(l Limit) float64 { return c.quota(l)*c.Overage + c.Slack }
 
-// spare returns what a half of the excess and the age of grants leave of it.
-func (c Config) spare(l Limit) float64 { return (l.Burst*c.Overage + c.Slack) / 2 }
+// age returns the tokens that may have been granted within the lifetime of a grant before
+// a window and be spent in it.
+func (c Config) age(l Limit) float64 { return l.Rate * c.Lifetime().Seconds() }
+
+// spare returns what the reserve meters and the age of grants leave of the excess.
+func (c Config) spare(l Limit) float64 { return c.excess(l) - c.seedTokens(l) - c.age(l) }
 
 // Parts of the spare. The reserves of all instances and the late returns to all meters
 // are buckets that refill once per window, and so give at most twice their capacity
 // within a window.
 const (
-	capacityShare = 0.5
-	reserveShare  = 1.0 / 16
+	capacityShare = 3.0 / 4
+	reserveShare  = 1.0 / 64
 	returnShare   = 1.0 / 16
 )
 
 // capacity returns the capacity of the buckets of all meters.
-func (c Config) capacity(l Limit) float64 {
-	return l.Burst + c.excess(l)/2 + c.spare(l)*capacityShare
-}
+func (c Config) capacity(l Limit) float64 { return l.Burst + c.spare(l)*capacityShare }
 
 // MetersUsed returns how many meters of each cluster share a limit. The buckets of more
 // meters would be too small for the largest requests of an organisation with a low limit.
@@ -113,10 +118,15 @@
 // within the capacity of its bucket, or else an equal part, to be gathered from several.
 // It returns 0 if the meters can't hold as much.
 func (c Config) Part(l Limit, missing int64) int64 {
-	capacity, meters := c.ShareOf(l, 0).Capacity, c.MetersUsed(l)*c.Clusters
+	return equalPart(missing, c.ShareOf(l, 0).Capacity, c.MetersUsed(l)*c.Clusters, largestPart)
+}
+
+// equalPart divides missing tokens into the fewest equal parts of which each is at most a
+// fraction of the capacity of a bucket, or within the capacity if all meters are needed.
+func equalPart(missing int64, capacity float64, meters int, fraction float64) int64 {
 	for parts := 1; parts <= meters; parts++ {
 		part := (missing + int64(parts) - 1) / int64(parts)
-		if float64(part) <= largestPart*capacity || parts == meters && float64(part) <= capacity {
+		if float64(part) <= fraction*capacity || parts == meters && float64(part) <= capacity {
 			return part
 		}
 	}
--- a/coord/quota/meter.go
+++ b/coord/quota/meter.go
@@ -25,7 +25,10 @@
 	config Config
 	// filledFrom is the time at which every bucket was empty.
 	filledFrom time.Duration
-	buckets    map[string]*bucket
+	// isReserve is set for a reserve meter, which has no floor: small requests may take
+	// everything, since more requests are served that way.
+	isReserve bool
+	buckets   map[string]*bucket
 }
 
 // NewMeter returns a meter whose buckets were empty at filledFrom. No meter may have
@@ -43,7 +46,11 @@
 	}
 	b.advance(now, share, m.config.Window+m.config.Lifetime())
 	b.giveBack(ask.Returned)
-	return b.take(now, ask)
+	floor := 0.0
+	if !m.isReserve {
+		floor = b.floor(now)
+	}
+	return b.take(now, ask, floor)
 }
 
 // Level returns the tokens in an organisation's bucket as of the last ask, and false if
@@ -121,12 +128,11 @@
 
 // take grants Least if the level allows it, and the rest of Amount from what is then
 // above the floor.
-func (b *bucket) take(now time.Duration, ask Ask) Grant {
+func (b *bucket) take(now time.Duration, ask Ask, floor float64) Grant {
 	amount, least := max(ask.Amount, ask.Least, 0), max(ask.Least, 0)
 	if amount == 0 {
 		return Grant{}
 	}
-	floor := b.floor(now)
 	required := max(float64(least), floor)
 	if least > 0 {
 		b.recordRequest(now, least, b.level < required)
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -282,6 +282,7 @@
 // other change takes effect at the next start.
 func (i *Instance) Reload(s Settings) {
 	i.cluster.With(func(at time.Duration, m *quorum.Machine) { m.SetSeeds(at, s.Seeds) })
+	i.setQuotaSeeds(s.Seeds)
 	i.log.Line(decision.Reloaded).Strs(decision.FieldSeeds, s.Seeds).Send()
 }
 
--- a/entry/direct/quota.go
+++ b/entry/direct/quota.go
@@ -33,7 +33,7 @@
 			Window: s.QuotaWindow.Std(), Overage: s.QuotaOverage, Slack: s.QuotaSlack,
 			Clusters: s.clusterCount(), MetersPerCluster: quota.MetersPerCluster,
 		},
-		Address: s.ControlAddress, Region: s.Region, Regions: s.clusterRegions(), TurnGap: s.OrderTurnGap.Std(), Now: now,
+		Address: s.ControlAddress, Region: s.Region, Regions: s.clusterRegions(), Seeds: s.Seeds, TurnGap: s.OrderTurnGap.Std(), Now: now,
 	}
 	i.quotaServer = quota.NewServer(config, i.cluster, i.quotaLimit, i.gateway.configVersion)
 	i.gateway.quota = quota.NewClient(config, i.cluster, i.quotaServer, i.instanceCount, i.gateway.reportPanic, func(organisation string, err error) {
@@ -41,6 +41,15 @@
 	})
 }
 
+// setQuotaSeeds changes the seeds that run a reserve meter.
+func (i *Instance) setQuotaSeeds(seeds []string) {
+	if i.quotaServer == nil {
+		return
+	}
+	i.quotaServer.SetSeeds(seeds)
+	i.gateway.quota.SetSeeds(seeds)
+}
+
 // quotaLimit returns the limit of an organisation in the configuration in force.
 func (i *Instance) quotaLimit(organisation string) (limits.Limit, bool) {
 	table := i.fleet.config.table()
--- a/entry/quota/client.go
+++ b/entry/quota/client.go
@@ -65,11 +65,14 @@
 // called with the error of each call that fails.
 func NewClient(config Config, peers Peers, local *Server, instances func() int, reportPanic recovery.Reporter, reportError func(organisation string, err error)) *Client {
 	return &Client{
-		config: config, finder: newMeterFinder(config, peers, local), instances: instances, reportPanic: reportPanic, reportError: reportError,
+		config: config, finder: newMeterFinder(config, peers, local, reportPanic), instances: instances, reportPanic: reportPanic, reportError: reportError,
 		accounts: make(map[string]*account),
 	}
 }
 
+// SetSeeds changes the seeds.
+func (c *Client) SetSeeds(seeds []string) { c.finder.setSeeds(seeds) }
+
 // LimitOf returns the limit of an organisation, and false if it has none.
 func LimitOf(o *routing.Organisation) (quota.Limit, bool) {
 	if o == nil || o.Rate <= 0 {
@@ -189,7 +192,7 @@
 
 // sendAsk asks a meter and applies the response.
 func (c *Client) sendAsk(a *account, ask quota.ToSend) {
-	response, err := c.finder.take(context.Background(), ask.Meter, []*clusterpb.QuotaAsk{
+	response, err := c.finder.take(context.Background(), ask.Meter, a.name, []*clusterpb.QuotaAsk{
 		{Organisation: a.name, Amount: uint64(ask.Amount), Least: uint64(ask.Least), Returned: uint64(ask.Returned)},
 	})
 	if err != nil {
--- a/entry/quota/config.go
+++ b/entry/quota/config.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/quota"
@@ -26,6 +27,12 @@
 // its workers would have the names of those of the meters.
 const ReservedDataCentre = "quota"
 
+// ReserveMeter is the name of the reserve meter of each seed in calls. It has no right.
+const ReserveMeter = "reserve"
+
+// firstSeeds returns the seeds that run a reserve meter.
+func firstSeeds(seeds []string) []string { return slices.Clone(seeds[:min(len(seeds), quota.Seeds)]) }
+
 // Config is what a Client or Server needs to know of its deployment.
 type Config struct {
 	// Bound is the bound on the spending of each organisation.
@@ -36,6 +43,10 @@
 	// single cluster, Regions holds Region only.
 	Region  string
 	Regions []string
+	// Seeds are the addresses of the instances that run a reserve meter; only the first
+	// quota.Seeds of them count. They may be changed by Client.SetSeeds and
+	// Server.SetSeeds.
+	Seeds []string
 	// TurnGap is the least time between the last use of a right by one holder and the
 	// first by the next.
 	TurnGap time.Duration
@@ -64,5 +75,7 @@
 	ownRegionTimeout   = 60 * time.Millisecond
 	otherRegionTimeout = 150 * time.Millisecond
 	// maxTakeWait bounds how long a request waits for its tokens.
-	maxTakeWait = 300 * time.Millisecond
+	// It allows for one meter that does not respond in time, and then for one in another
+	// region that has to be found, or for two asks of each of four meters.
+	maxTakeWait = 250 * time.Millisecond
 )
--- a/entry/quota/server.go
+++ b/entry/quota/server.go
@@ -23,6 +23,10 @@
 
 	mu      sync.Mutex
 	tenures map[string]*tenure
+	// reserve is the reserve meter, which is asked only while this instance is a seed. It
+	// exists from the start, so that no change of the seeds fills it.
+	reserve *quota.Meter
+	isSeed  bool
 }
 
 // tenure is the meter of a right while this instance holds the right.
@@ -35,7 +39,19 @@
 
 // NewServer returns a server. limits and version describe the configuration in force.
 func NewServer(config Config, peers Peers, limits Limits, version func() uint64) *Server {
-	return &Server{config: config, peers: peers, limits: limits, version: version, tenures: make(map[string]*tenure)}
+	s := &Server{
+		config: config, peers: peers, limits: limits, version: version, tenures: make(map[string]*tenure),
+		reserve: quota.NewReserveMeter(config.Bound, config.Now()),
+	}
+	s.SetSeeds(config.Seeds)
+	return s
+}
+
+// SetSeeds changes the seeds.
+func (s *Server) SetSeeds(seeds []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isSeed = slices.Contains(firstSeeds(seeds), s.config.Address)
 }
 
 // Refresh starts the meters whose right this instance has acquired, so that they fill
@@ -72,6 +88,9 @@
 // checked: if the process is suspended in between, the grants count as made before.
 func (s *Server) Take(in *clusterpb.TakeQuotaRequest) *clusterpb.TakeQuotaResponse {
 	now := s.config.Now()
+	if in.GetMeter() == ReserveMeter {
+		return s.takeReserve(now, in)
+	}
 	fence, held := s.peers.Held(in.GetMeter())
 	if !held || !slices.Contains(Rights(), in.GetMeter()) {
 		return &clusterpb.TakeQuotaResponse{NotHeld: true, Holder: s.peers.Holder(in.GetMeter())}
@@ -79,11 +98,36 @@
 	response := &clusterpb.TakeQuotaResponse{ConfigVersion: s.version()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	meter := s.meter(now, in.GetMeter(), fence)
+	s.serve(now, s.meter(now, in.GetMeter(), fence), in, response)
+	return response
+}
+
+// takeReserve serves an ask of the reserve meter.
+func (s *Server) takeReserve(now time.Duration, in *clusterpb.TakeQuotaRequest) *clusterpb.TakeQuotaResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isSeed {
+		return &clusterpb.TakeQuotaResponse{NotHeld: true}
+	}
+	response := &clusterpb.TakeQuotaResponse{ConfigVersion: s.version()}
+	s.serve(now, s.reserve, in, response)
+	return response
+}
+
+// share returns the share of a meter in the limit of an organisation.
+func (s *Server) share(meter, organisation string, limit quota.Limit) quota.Share {
+	if meter == ReserveMeter {
+		return s.config.Bound.SeedShare(limit)
+	}
+	return s.config.Bound.ShareOf(limit, choice(s.config.Region, meter, organisation))
+}
+
+// serve adds the grants of a meter to a response. s.mu must be held.
+func (s *Server) serve(now time.Duration, meter *quota.Meter, in *clusterpb.TakeQuotaRequest, response *clusterpb.TakeQuotaResponse) {
 	for _, ask := range in.GetAsks() {
 		grant := &clusterpb.QuotaGrant{Organisation: ask.GetOrganisation()}
 		if limit, known := s.limits(ask.GetOrganisation()); known {
-			share := s.config.Bound.ShareOf(limit, choice(s.config.Region, in.GetMeter(), ask.GetOrganisation()))
+			share := s.share(in.GetMeter(), ask.GetOrganisation(), limit)
 			g := meter.Take(now, ask.GetOrganisation(), share, quota.Ask{
 				Amount: boundedAmount(ask.GetAmount()), Least: boundedAmount(ask.GetLeast()), Returned: boundedAmount(ask.GetReturned()),
 			})
@@ -93,7 +137,6 @@
 		}
 		response.Grants = append(response.Grants, grant)
 	}
-	return response
 }
 
 // maxAmount bounds the amounts in messages, so that sums of them don't overflow.
