--- a/coord/quota/preview.go
+++ b/coord/quota/preview.go
@@ -1,9 +1,6 @@
 package quota
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Preview returns how a request would be decided now, without a change of what later
 // requests get. known is false if that takes a call to a meter, a place behind other
@@ -28,12 +25,6 @@
 	if view.pick(now, &Request{need: need}, part) >= 0 {
 		return Result{}, false
 	}
-	empty, responding := maxWait, false
-	used := view.config.MetersUsed(limit)
-	for _, ref := range slices.Concat(view.near, view.remote) {
-		if m := &view.meters[ref.Index]; ref.Choice < used && now >= m.failedUntil {
-			responding, empty = true, min(empty, max(m.emptyUntil-now, 0))
-		}
-	}
+	responding, empty := view.responding(now)
 	return Result{RetryAfter: empty}, responding
 }
