coord/quota: don't refuse while a remote meter is asked; bound token counts

A request was refused as over its quota while an ask ahead of demand to a meter of another region was in progress and no other meter could be asked. A request that exceeds what all meters hold counted as demand, so that the instance emptied the meters for it.

--- a/coord/quota/account.go
+++ b/coord/quota/account.go
@@ -127,6 +127,9 @@
 // Take takes tokens that the account holds. It takes nothing if there are too few, or if
 // other requests wait.
 func (a *Account) Take(now time.Duration, need int64) (Ticket, bool) {
+	if !a.isPossible(need) {
+		return Ticket{}, false // it would be forecast as demand, and meters emptied for it
+	}
 	a.pool.RecordDemand(now, need)
 	if len(a.waiting) > 0 {
 		return Ticket{}, false
@@ -139,13 +142,23 @@
 }
 
 // Wait adds a request that Take refused to those that wait for tokens. notify is called
-// when it is decided, by a later call of a method of the account.
+// when it is decided, by a later call of a method of the account, or by this call if the
+// meters can't hold as much.
 func (a *Account) Wait(need int64, notify func()) *Request {
 	r := &Request{need: need, notify: notify}
+	if !a.isPossible(need) {
+		r.Result = Result{RetryAfter: impossibleRetryAfter}
+		a.Counts.Refused++
+		notify()
+		return r
+	}
 	a.waiting = append(a.waiting, r)
 	return r
 }
 
+// isPossible reports whether all meters together can hold what a request needs.
+func (a *Account) isPossible(need int64) bool { return a.config.Part(a.limit, need) > 0 }
+
 // Abandon removes a request that waits no longer. It returns false if the request has
 // been decided.
 func (a *Account) Abandon(r *Request) bool {
@@ -190,6 +203,9 @@
 		if meter := a.pick(now, head, part); meter >= 0 {
 			return a.askForRequests(now, meter, part), true
 		}
+		if a.awaitsMeter(head) {
+			return ToSend{}, false
+		}
 		a.decideWithoutMeter(now, head, instances)
 	}
 	return a.askAhead(now)
@@ -201,6 +217,17 @@
 	return slices.ContainsFunc(a.meters, func(m meterView) bool { return m.busy && !m.remote })
 }
 
+// awaitsMeter reports whether a meter that has not refused a request is asked for tokens
+// ahead of demand.
+func (a *Account) awaitsMeter(r *Request) bool {
+	for i := range a.meters {
+		if a.meters[i].busy && r.tried&(1<<i) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the meter to ask for a part of what a request needs, or -1.
 func (a *Account) pick(now time.Duration, r *Request, part int64) int {
 	if r.asks >= asksPerMeter*len(a.meters) {
--- a/coord/quota/config.go
+++ b/coord/quota/config.go
@@ -114,6 +114,9 @@
 // It returns 0 if the meters can't hold as much.
 func (c Config) Part(l Limit, missing int64) int64 {
 	capacity, meters := c.ShareOf(l, 0).Capacity, c.MetersUsed(l)*c.Clusters
+	if float64(missing) > capacity*float64(meters) {
+		return 0 // also where the sum below would overflow
+	}
 	for parts := 1; parts <= meters; parts++ {
 		part := (missing + int64(parts) - 1) / int64(parts)
 		if float64(part) <= largestPart*capacity || parts == meters && float64(part) <= capacity {
