--- a/coord/quota/config.go
+++ b/coord/quota/config.go
@@ -124,6 +124,9 @@
 // equalPart divides missing tokens into the fewest equal parts of which each is at most a
 // fraction of the capacity of a bucket, or within the capacity if all meters are needed.
 func equalPart(missing int64, capacity float64, meters int, fraction float64) int64 {
+	if float64(missing) > capacity*float64(meters) {
+		return 0 // also where the sum below would overflow
+	}
 	for parts := 1; parts <= meters; parts++ {
 		part := (missing + int64(parts) - 1) / int64(parts)
 		if float64(part) <= fraction*capacity || parts == meters && float64(part) <= capacity {
