--- a/coord/quota/preview.go
+++ b/coord/quota/preview.go
@@ -6,6 +6,9 @@
 // requests get. known is false if that takes a call to a meter, a place behind other
 // requests or the reserve.
 func (a *Account) Preview(now time.Duration, limit Limit, need int64) (result Result, known bool) {
+	if a.config.Part(limit, need) == 0 {
+		return Result{RetryAfter: impossibleRetryAfter}, true
+	}
 	missing := need - a.Held(now)
 	if len(a.waiting) > 0 {
 		return Result{}, false
@@ -22,7 +25,8 @@
 	if part == 0 {
 		return Result{RetryAfter: impossibleRetryAfter}, true
 	}
-	if view.pick(now, &Request{need: need}, part) >= 0 {
+	request := &Request{need: need}
+	if view.pick(now, request, part) >= 0 || view.awaitsMeter(request) {
 		return Result{}, false
 	}
 	responding, empty := view.responding(now)
