platform: names that differ only in case are findings of a configuration

Fields are matched without regard to case, and the last one wins. Sharing a configuration sorts its fields, so peers could decode other keys than readers of the store from 'apiKeys' and 'APIKeys', or 'tenants' and 'Tenants'. Such fields are now findings, also in a document whose last 'tenants' is empty, which took effect without keys. Repeated fields inside 'Tenants' are found as well. Documents that do not mention organisations are accepted as before.

--- a/coord/strictjson/decode.go
+++ b/coord/strictjson/decode.go
@@ -6,6 +6,7 @@
 	"io"
 	"reflect"
 	"strings"
+	"unicode"
 
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
@@ -38,7 +39,8 @@
 }
 
 // DecodeKnown is like Decode, but an unknown field is no finding: its writer may have
-// added it for a later release.
+// added it for a later release. As in encoding/json, case does not distinguish names of
+// fields, and one that is written in two cases is a finding.
 func DecodeKnown(data []byte, v any) (findings Findings, usable bool) {
 	w := &walker{data: data, decoder: newDecoder(data), allowsUnknown: true}
 	w.checkValue(reflect.TypeOf(v).Elem(), "")
@@ -46,7 +48,7 @@
 	if w.unusable {
 		return w.findings, false
 	}
-	if err := json.Unmarshal(data, v, jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true)); err != nil {
+	if err := json.Unmarshal(data, v, jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true), json.MatchCaseInsensitiveNames(true)); err != nil {
 		w.addFinding(0, "", errorMessage(err))
 		return w.findings, false
 	}
@@ -81,7 +83,8 @@
 	// unusable reports whether there is a finding other than an unknown or
 	// duplicate field.
 	unusable bool
-	// allowsUnknown is set if an unknown field is no finding.
+	// allowsUnknown is set if an unknown field is no finding, and case does not
+	// distinguish names.
 	allowsUnknown bool
 }
 
@@ -135,7 +138,10 @@
 // checkObject compares an object with the struct type t.
 func (w *walker) checkObject(t reflect.Type, path string) {
 	fields := fieldsOf(t)
-	seen := make(map[string]bool)
+	if w.allowsUnknown {
+		fields = foldNames(fields)
+	}
+	seen := make(map[string]string)
 	if !w.readDelimiter(path) {
 		return
 	}
@@ -152,17 +158,26 @@
 }
 
 // checkMember compares a member of an object with the struct's fields. Its name has
-// been read and begins at the byte offset at; seen holds the names before it.
-func (w *walker) checkMember(at int, fields map[string]reflect.Type, seen map[string]bool, name, path string) {
+// been read and begins at the byte offset at; seen holds the names before it by their
+// folded form.
+func (w *walker) checkMember(at int, fields map[string]reflect.Type, seen map[string]string, name, path string) {
 	memberPath := name
 	if path != "" {
 		memberPath = path + "." + name
 	}
-	if seen[name] {
+	key := name
+	if w.allowsUnknown {
+		key = foldName(name)
+	}
+	switch first, found := seen[key]; {
+	case !found:
+		seen[key] = name
+	case first == name:
 		w.addFinding(at, memberPath, "the field is written twice")
+	default:
+		w.addFinding(at, memberPath, fmt.Sprintf("the field is written twice; it is also written as %q", first))
 	}
-	seen[name] = true
-	field, known := fields[name]
+	field, known := fields[key]
 	if known {
 		w.checkValue(field, memberPath)
 		return
@@ -259,6 +274,28 @@
 	return fields
 }
 
+func foldNames(fields map[string]reflect.Type) map[string]reflect.Type {
+	folded := make(map[string]reflect.Type, len(fields))
+	for name, t := range fields {
+		folded[foldName(name)] = t
+	}
+	return folded
+}
+
+// foldName returns the same text for all names that encoding/json takes as equal, which
+// are those that are equal under Unicode case folding.
+func foldName(name string) string {
+	return strings.Map(func(r rune) rune {
+		for {
+			next := unicode.SimpleFold(r)
+			if next <= r { // the smallest rune of those that are equal follows the largest
+				return next
+			}
+			r = next
+		}
+	}, name)
+}
+
 func fieldNames(fields map[string]reflect.Type) []string {
 	names := make([]string, 0, len(fields))
 	for name := range fields {
