entry/revocation: no lock for each request once the instance has started

Started and Current took the mutex of the checker for each request with keys, and Started the one of the version lag. The start is latched in an atomic flag; without strictRevoke, Current decides nothing. TestRequestsDoNotWaitForEachOther failed before the change (a request waited for the lock).

--- a/entry/direct/authenticate.go
+++ b/entry/direct/authenticate.go
@@ -81,12 +81,15 @@
 // did not run.
 func (g *gateway) servingTable() *routing.Table {
 	table := g.fleet.config.table()
-	if table == nil || table.RequiresKeys() && !g.revocation.Started(g.versionLag.behind(now())) {
+	if table == nil || table.RequiresKeys() && !g.revocation.Started(g.configLag) {
 		return nil
 	}
 	return table
 }
 
+// configLag returns how long a newer configuration than the one in force has been known.
+func (g *gateway) configLag() time.Duration { return g.versionLag.behind(now()) }
+
 func revocationConfig(s Settings) guard.Config {
 	return guard.Config{Strict: s.StrictRevoke, MaxAge: s.RevokeAfter.Std(), HasPeers: s.hasOtherSeeds(), LagLimit: s.ConfigApplyLimit.Std()}
 }
--- a/entry/revocation/checker.go
+++ b/entry/revocation/checker.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/revocation"
@@ -34,10 +35,14 @@
 // Checker knows whether the configuration of this instance is confirmed. It is safe for
 // concurrent use.
 type Checker struct {
-	now   func() time.Duration
-	peers Peers
-	mu    sync.Mutex
-	guard *revocation.Guard
+	now    func() time.Duration
+	peers  Peers
+	strict bool
+	// started is set once Started has returned true, after which it always does. Every
+	// request asks.
+	started atomic.Bool
+	mu      sync.Mutex
+	guard   *revocation.Guard
 	// asked counts the questions; they go to the peers in turn.
 	asked    int
 	inFlight int
@@ -56,7 +61,7 @@
 
 // New returns a checker for an instance that starts now.
 func New(config revocation.Config, now func() time.Duration, peers Peers) *Checker {
-	return &Checker{now: now, peers: peers, guard: revocation.NewGuard(config, now())}
+	return &Checker{now: now, peers: peers, strict: config.Strict, guard: revocation.NewGuard(config, now())}
 }
 
 // StoreConfirmed records that the store had no newer configuration than this instance
@@ -75,15 +80,24 @@
 }
 
 // Started reports whether the instance has asked the store and its peers after its start.
-// behind is how long a newer version has been known.
-func (c *Checker) Started(behind time.Duration) bool {
+// behind returns how long a newer version has been known; it is not called after the start.
+func (c *Checker) Started(behind func() time.Duration) bool {
+	if c.started.Load() {
+		return true
+	}
+	lag := behind()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.guard.Started(c.now(), behind)
+	started := c.guard.Started(c.now(), lag)
+	c.started.Store(started)
+	return started
 }
 
 // Current reports whether keys may be judged by the configuration in force.
 func (c *Checker) Current() bool {
+	if !c.strict {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.guard.Current(c.now())
--- a/entry/revocation/checker_test.go
+++ b/entry/revocation/checker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,3 +90,32 @@
 	}
 	require.Len(t, pending, 3, "questions without an answer are bounded")
 }
+
+// TestRequestsDoNotWaitForEachOther guards against a lock that every request takes though
+// the result can't change any more. The clock stops while the lock is held.
+func TestRequestsDoNotWaitForEachOther(t *testing.T) {
+	block := make(chan struct{})
+	var blocks atomic.Bool
+	held := make(chan struct{})
+	c := revocation.New(guard.Config{MaxAge: time.Second}, func() time.Duration {
+		if blocks.CompareAndSwap(true, false) {
+			close(held)
+			<-block
+		}
+		return 0
+	}, &fakePeers{})
+	c.StoreConfirmed(0)
+	require.True(t, c.Started(func() time.Duration { return 0 }))
+	blocks.Store(true)
+	go c.StoreConfirmed(0)
+	<-held
+	defer close(block)
+	done := make(chan bool)
+	go func() { done <- c.Current() && c.Started(func() time.Duration { return time.Hour }) }()
+	select {
+	case got := <-done:
+		require.True(t, got)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "a request waits")
+	}
+}
