entry/direct: only a process that has just started waits for the newest configuration

The end of the start was recorded only by requests and readiness calls under a configuration with organisations. An instance that got organisations after hours and could not fetch a newer version answered 503 for up to configApplyLimit. It is recorded by housekeeping now, under any configuration. TestOnlyAStartWaitsForTheNewestConfiguration failed before the change.

--- a/entry/direct/authenticate.go
+++ b/entry/direct/authenticate.go
@@ -129,7 +129,13 @@
 // refreshConfirmation asks a peer whether the configuration is the newest, if that is due.
 func (i *Instance) refreshConfirmation() {
 	table := i.fleet.config.table()
-	if table == nil || !table.RequiresKeys() {
+	if table == nil {
+		return
+	}
+	// Recorded also without organisations: if they are added later, only a process that
+	// has just started is to wait for a newer version.
+	i.gateway.revocation.Started(i.gateway.configLag)
+	if !table.RequiresKeys() {
 		return
 	}
 	i.gateway.revocation.Refresh(func(ask func()) {
