coord/revocation: a peer without a configuration counts as asked after 0.5 s

When all instances restart, no peer has a configuration, and a reader of the store waited for a later heartbeat or until 1.5 s after the start. A peer without one counts now, but only from 0.5 s: until then, a peer that has a configuration would have answered, and a store that lags behind alone must not decide.

--- a/coord/revocation/guard.go
+++ b/coord/revocation/guard.go
@@ -24,6 +24,11 @@
 	// peer. Only some instances of a region read the store, and these begin 1.2 s after
 	// their start.
 	startTimeout = 1500 * time.Millisecond
+	// emptyPeerTimeout is how long after the start an instance waits for a peer that has a
+	// configuration if one without has responded, which may be starting too. It covers the
+	// answers to the first heartbeats, sent to all seeds at the start, and the next
+	// heartbeat, up to 400 ms later.
+	emptyPeerTimeout = 500 * time.Millisecond
 	// askShare is the share of MaxAge after which peers are asked. The rest is for
 	// attempts at peers that do not respond.
 	askShare = 0.3
@@ -38,8 +43,8 @@
 	startedAt time.Duration
 	started   bool
 	// heardStore and heardPeer are set once the store has responded, and a peer that has a
-	// configuration.
-	heardStore, heardPeer bool
+	// configuration; heardEmptyPeer once a peer has that has none.
+	heardStore, heardPeer, heardEmptyPeer bool
 	confirmed             bool
 	confirmedAt           time.Duration
 	askedAt               time.Duration
@@ -57,8 +62,16 @@
 	g.Confirm(asOf)
 }
 
-// HearPeer records that a peer has said which version it has.
-func (g *Guard) HearPeer(version uint64) { g.heardPeer = g.heardPeer || version > 0 }
+// HearPeer records that a peer has said which version it has; 0 is none.
+func (g *Guard) HearPeer(version uint64) {
+	g.heardPeer = g.heardPeer || version > 0
+	g.heardEmptyPeer = g.heardEmptyPeer || version == 0
+}
+
+// askedPeers reports whether the peers have been asked after a start that was some time ago.
+func (g *Guard) askedPeers(ago time.Duration) bool {
+	return g.heardPeer || !g.config.HasPeers || g.heardEmptyPeer && ago >= emptyPeerTimeout
+}
 
 // Confirm records that this instance's configuration was the newest at a time.
 func (g *Guard) Confirm(asOf time.Duration) {
@@ -75,7 +88,8 @@
 	if g.started {
 		return true
 	}
-	asked := g.heardStore && (g.heardPeer || !g.config.HasPeers) || at-g.startedAt >= startTimeout
+	ago := at - g.startedAt
+	asked := g.heardStore && g.askedPeers(ago) || ago >= startTimeout
 	g.started = asked && (behind == 0 || behind >= g.config.LagLimit)
 	return g.started
 }
--- a/entry/direct/authenticate_test.go
+++ b/entry/direct/authenticate_test.go
@@ -66,3 +66,19 @@
 		require.Equal(t, s.ConfigApplyLimit.Std(), s.StoreReadLimit())
 	}
 }
+
+// TestInstancesThatRestartTogetherDoNotWaitForEachOther guards against a start that is delayed
+// until its timeout because no peer has a configuration yet. A peer that has one is still
+// waited for: it answers the first heartbeats.
+func TestInstancesThatRestartTogetherDoNotWaitForEachOther(t *testing.T) {
+	organisation := routing.Organisation{Name: "a", Keys: []routing.KeyDigest{routing.DigestKey("k")}}
+	var at time.Duration
+	i := startingInstance(&at)
+	i.HandlePeerVersion("peer", 0)
+	at = 100 * time.Millisecond
+	i.installVersion(4, organisation)
+	i.ConfigConfirmed(0)
+	require.Nil(t, i.gateway.servingTable())
+	at = 600 * time.Millisecond
+	require.NotNil(t, i.gateway.servingTable())
+}
