--- a/coord/revocation/guard.go
+++ b/coord/revocation/guard.go
@@ -45,9 +45,9 @@
 	// heardStore and heardPeer are set once the store has responded, and a peer that has a
 	// configuration; heardEmptyPeer once a peer has that has none.
 	heardStore, heardPeer, heardEmptyPeer bool
-	confirmed             bool
-	confirmedAt           time.Duration
-	askedAt               time.Duration
+	confirmed                             bool
+	confirmedAt                           time.Duration
+	askedAt                               time.Duration
 }
 
 // NewGuard returns the guard of an instance that starts at a time.
