--- a/entry/direct/authenticate.go
+++ b/entry/direct/authenticate.go
@@ -100,12 +100,15 @@
 // did not run.
 func (g *gateway) servingTable() *routing.Table {
 	table := g.fleet.config.table()
-	if table == nil || table.RequiresKeys() && !g.revocation.Started(g.versionLag.behind(now())) {
+	if table == nil || table.RequiresKeys() && !g.revocation.Started(g.configLag) {
 		return nil
 	}
 	return table
 }
 
+// configLag returns how long a newer configuration than the one in force has been known.
+func (g *gateway) configLag() time.Duration { return g.versionLag.behind(now()) }
+
 func revocationConfig(s Settings) guard.Config {
 	return guard.Config{Strict: s.StrictRevoke, MaxAge: s.RevokeAfter.Std(), HasPeers: s.hasOtherSeeds(), LagLimit: s.ConfigApplyLimit.Std()}
 }
@@ -145,7 +148,13 @@
 // refreshConfirmation asks a peer whether the configuration is the newest, if that is due.
 func (i *Instance) refreshConfirmation() {
 	table := i.fleet.config.table()
-	if table == nil || !table.RequiresKeys() {
+	if table == nil {
+		return
+	}
+	// Recorded also without organisations: if they are added later, only a process that
+	// has just started is to wait for a newer version.
+	i.gateway.revocation.Started(i.gateway.configLag)
+	if !table.RequiresKeys() {
 		return
 	}
 	i.gateway.revocation.Refresh(func(ask func()) {
