--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -201,16 +201,11 @@
 	}
 }
 
-// revokeReadShare is the share of RevokeAfter that a reader of the store with StrictRevoke
-// may take to learn that there is no change. A confirmation counts from the call, so that
-// one must last for two calls, each of up to 0.8 of this time.
-const revokeReadShare = 0.6
-
 // StoreReadLimit is the time within which a reader of the store must learn of a change, or
 // that there is none.
 func (s Settings) StoreReadLimit() time.Duration {
 	if s.StrictRevoke {
-		return min(s.ConfigApplyLimit.Std(), time.Duration(revokeReadShare*float64(s.RevokeAfter)))
+		return min(s.ConfigApplyLimit.Std(), s.RevokeAfter.Std())
 	}
 	return s.ConfigApplyLimit.Std()
 }
