--- a/cmd/memlimit/serve_test.go
+++ b/cmd/memlimit/serve_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,15 @@
 
 // startServe starts an instance of serve with one engine and one plain service.
 func startServe(t *testing.T) *instance {
+	t.Helper()
+	service, err := outside.StartService("127.0.0.1:0", "service")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = service.Close() })
+	return startServeWith(t, service.Address())
+}
+
+// startServeWith is startServe with a plain service at an address.
+func startServeWith(t *testing.T, serviceAddress string) *instance {
 	t.Helper()
 	const memoryMB, maxBody = smallMemory, smallBody
 	platform, err := outside.StartPlatform("127.0.0.1:0")
@@ -33,9 +43,6 @@
 	engine, err := outside.StartEngine("127.0.0.1:0", outside.EngineConfig{Slots: 8})
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = engine.Close() })
-	service, err := outside.StartService("127.0.0.1:0", "service")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = service.Close() })
 	spec := deployment.Silttolge()
 	spec.Adapters = 8
 	put := func(key string, value []byte) error {
@@ -50,7 +57,7 @@
 		_, _ = io.Copy(io.Discard, response.Body)
 		return response.Body.Close()
 	}
-	snapshot, err := deployment.Snapshot(1, spec.Chunk([]string{engine.Address()}, []string{service.Address()}))
+	snapshot, err := deployment.Snapshot(1, spec.Chunk([]string{engine.Address()}, []string{serviceAddress}))
 	require.NoError(t, err)
 	require.NoError(t, deployment.PublishEndpoints(put, []fleet.EndpointState{}))
 	require.NoError(t, deployment.PublishTables(put, snapshot))
@@ -157,3 +164,22 @@
 		}
 	})
 }
+
+// TestServeSlowReadersOfWholeResponses guards against responses that are read whole for
+// callers that read nothing: the requests are small, so their bytes bound nothing.
+func TestServeSlowReadersOfWholeResponses(t *testing.T) {
+	long := strings.Repeat("x", smallBody)
+	service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text := "ok"
+		if r.URL.Path == "/labels/long" {
+			text = long
+		}
+		_, _ = io.WriteString(w, text)
+	}))
+	t.Cleanup(service.Close)
+	i := startServeWith(t, strings.TrimPrefix(service.URL, "http://"))
+	i.abuseBy(crowd, 1, func(_ int, write func(string) bool) {
+		write("GET /labels/long HTTP/1.1\r\nHost: x\r\n\r\n")
+		time.Sleep(2 * time.Second)
+	})
+}
