serve: responses that are read whole are counted against the budget

They took up to 8 MB each for callers that sent small requests and read nothing. Their buffers are now reserved (call.Memory, intake.Responses) until the response has been written.

--- a/entry/call/call.go
+++ b/entry/call/call.go
@@ -59,6 +59,9 @@
 	Deadline time.Time
 	// Trace is the traceparent header of the previous hop.
 	Trace string
+	// Memory counts the bytes of responses that this instance holds whole; nil counts
+	// nothing. It is not passed on to other instances.
+	Memory Memory
 }
 
 // Remaining returns the time until the deadline, at least zero.
@@ -80,6 +83,9 @@
 	// Wait is the time that the request waited in the queue of the owner.
 	Wait time.Duration
 	Body io.ReadCloser
+
+	// whole is the body at the bottom of Body once it was read whole.
+	whole *held
 }
 
 // Error is the failure of an attempt.
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -118,7 +118,7 @@
 	}
 	peers := forward.NewClient(clients)
 	memory := newIntakes(s)
-	ingressServer := ingress.NewServer(f, own, peers, ingress.ReadBody(memory.callers, s.BodyLimit), sampled(log), recovery.Log(log))
+	ingressServer := ingress.NewServer(f, own, peers, ingress.ReadBody(memory.callers, s.BodyLimit), memory.callers.Responses(), sampled(log), recovery.Log(log))
 	observed, err := newTelemetry(s, own, peers, ingressServer)
 	if err != nil {
 		return nil, err
@@ -154,7 +154,7 @@
 	withCatchUp := func(inner forward.Server) forward.Server {
 		return tables.NewCatchUp(f, inner, s.TableCatchUp.Std())
 	}
-	return newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), ingress.ReadBody(i, s.BodyLimit), recovery.Log(log)), i, log)
+	return newServer(forward.Handler(withCatchUp(own), withCatchUp(keyed), ingress.ReadBody(i, s.BodyLimit), i.Responses(), recovery.Log(log)), i, log)
 }
 
 // newControl returns the server for the control calls of peers.
--- a/entry/forward/server.go
+++ b/entry/forward/server.go
@@ -31,8 +31,8 @@
 // Handler returns the request handler of the peer listener. It passes forwarded
 // attempts to workers, and forwarded requests with an idempotency key to keyed. The
 // panics of response bodies go to report.
-// readBody reads the bodies of requests.
-func Handler(workers, keyed Server, readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem), report recovery.Reporter) fasthttp.RequestHandler {
+// readBody reads the bodies of requests, and memory counts responses that are held whole.
+func Handler(workers, keyed Server, readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem), memory call.Memory, report recovery.Reporter) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		server := workers
 		switch string(ctx.Path()) {
@@ -62,6 +62,7 @@
 		if body != nil {
 			r.Body = body
 		}
+		r.Memory = memory
 		ctx.Response.Header.Set(httpx.RequestID, r.ID)
 		ctx.Response.Header.Set(httpx.AttemptID, strconv.Itoa(r.Attempt))
 		stop := httpx.SendProcessing(ctx, processingInterval)
@@ -71,7 +72,7 @@
 			httpx.ProblemOf(err).Write(ctx)
 			return
 		}
-		WriteAnswer(ctx, answer, report)
+		WriteAnswer(ctx, answer, memory, report)
 	}
 }
 
@@ -80,20 +81,24 @@
 //
 // A caller that speaks HTTP/1.0 gets the body with its length, or an error: it knows no
 // chunks, and cannot tell a body that broke off by the end of the connection.
-func WriteAnswer(ctx *fasthttp.RequestCtx, answer *call.Response, report recovery.Reporter) {
+func WriteAnswer(ctx *fasthttp.RequestCtx, answer *call.Response, memory call.Memory, report recovery.Reporter) {
 	answer.Body = recovery.Body(report, "response", answer.Body)
 	if ctx.Request.Header.IsHTTP11() {
 		writeHead(ctx, answer)
 		ctx.SetBodyStream(answer.Body, -1)
 		return
 	}
-	whole, err := answer.ReadWhole()
+	body, whole, err := answer.ReadWhole(memory)
+	if err == nil && !whole {
+		_ = answer.Body.Close() // the response is replaced
+		err = call.NoMemoryError()
+	}
 	if err != nil {
 		httpx.ProblemOf(err).Write(ctx)
 		return
 	}
 	writeHead(ctx, answer)
-	ctx.SetBody(whole)
+	ctx.SetBodyStream(answer.Body, len(body))
 }
 
 func writeHead(ctx *fasthttp.RequestCtx, answer *call.Response) {
--- a/entry/ingress/attempts.go
+++ b/entry/ingress/attempts.go
@@ -76,9 +76,10 @@
 		a.request.Offset = next.Offset
 		answer, err := a.server.runAttempt(a.ctx, a.table, a.route, a.request, a.triedWorkers)
 		if err == nil && !isEventStream(answer) {
-			err = endpoint.ReadWhole(answer)
+			err = endpoint.ReadWhole(answer, a.request.Memory)
 		}
 		if err == nil && next.Offset > 0 && !isEventStream(answer) {
+			_ = answer.Body.Close() // the response is not used
 			err = streamFailure(errors.New("the attempt did not resume the stream"))
 		}
 		if err == nil {
--- a/entry/ingress/server.go
+++ b/entry/ingress/server.go
@@ -52,7 +52,9 @@
 	picker *placement.Picker
 	// readBody reads the body of a request.
 	readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem)
-	log      zerolog.Logger
+	// memory counts responses that are held whole.
+	memory call.Memory
+	log    zerolog.Logger
 	// reportPanic takes the panics of response bodies.
 	reportPanic recovery.Reporter
 
@@ -68,13 +70,15 @@
 
 // NewServer returns a server that sends attempts through local if this instance
 // owns the worker or the pool is a service, and through remote otherwise. The panics of
-// response bodies go to reportPanic. readBody reads the bodies of requests.
-func NewServer(f *fleet.Fleet, local Local, remote Remote, readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem), log zerolog.Logger, reportPanic recovery.Reporter) *Server {
+// response bodies go to reportPanic. readBody reads the bodies of requests, and memory
+// counts responses that are held whole.
+func NewServer(f *fleet.Fleet, local Local, remote Remote, readBody func(*fasthttp.RequestCtx) ([]byte, *httpx.Problem), memory call.Memory, log zerolog.Logger, reportPanic recovery.Reporter) *Server {
 	return &Server{
 		fleet:       f,
 		local:       local,
 		remote:      remote,
 		readBody:    readBody,
+		memory:      memory,
 		picker:      placement.NewPicker(placement.DefaultConfig()),
 		log:         log,
 		reportPanic: reportPanic,
@@ -132,7 +136,7 @@
 		problem.Write(ctx)
 		return
 	}
-	r.Table, r.Entry = t.Stamp(), s.fleet.Self()
+	r.Table, r.Entry, r.Memory = t.Stamp(), s.fleet.Self(), s.memory
 	ctx.Response.Header.Set(httpx.RequestID, r.ID)
 	hop := s.telemetry.Ingress(r)
 	answer, err := forward.ServeCancellable(ctx, r, func(ctx context.Context, r *call.Request) (*call.Response, error) {
@@ -150,7 +154,7 @@
 	}
 	answer.Body = hop.Stream(r, answer.Body)
 	ctx.Response.Header.Set(httpx.OwnerHeader, answer.Owner)
-	forward.WriteAnswer(ctx, answer, s.reportPanic)
+	forward.WriteAnswer(ctx, answer, s.memory, s.reportPanic)
 }
 
 // Run serves a request by its route. Keyed calls it for a request whose key
