--- a/cmd/memlimit/direct_test.go
+++ b/cmd/memlimit/direct_test.go
@@ -204,3 +204,23 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// TestDirectUnfinishedEvents guards against events of streams that pile up because they
+// never end: a stream is passed on in whole events.
+func TestDirectUnfinishedEvents(t *testing.T) {
+	const memory, callers, models, size = 64, 120, 12, 1000 << 10
+	unfinished := standin.Chunk("id: 1\ndata: " + strings.Repeat("x", size))
+	i := startDirectWith(t, memory, smallBody, models, func(conn net.Conn, r standin.ReceivedRequest) bool {
+		if !strings.HasPrefix(r.Target, "/b/") {
+			return standin.Write(conn, standin.SignedResponse(r, "ok"))
+		}
+		if standin.Write(conn, standin.StreamHeader(r)+unfinished) {
+			time.Sleep(crowdTime)
+		}
+		return false
+	})
+	i.abuseBy(callers, 0, func(n int, write func(string) bool) {
+		write(head("/b/x", n, "Content-Length: 0"))
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/cmd/memlimit/process_test.go
+++ b/cmd/memlimit/process_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,12 +78,18 @@
 // startDirect starts an instance that dispatches directly to two workers, on a machine
 // of memoryMB, with a configuration that allows bodies of maxBody bytes.
 func startDirect(t *testing.T, memoryMB, maxBody int, respond func(net.Conn, standin.ReceivedRequest) bool) *instance {
+	t.Helper()
+	return startDirectWith(t, memoryMB, maxBody, 1, respond)
+}
+
+// startDirectWith is startDirect with a number of workers that run a model.
+func startDirectWith(t *testing.T, memoryMB, maxBody, models int, respond func(net.Conn, standin.ReceivedRequest) bool) *instance {
 	t.Helper()
 	store := standin.NewStore()
-	for _, service := range []string{standin.ModelService, standin.PlainService} {
+	for n, service := range append(slices.Repeat([]string{standin.ModelService}, models), standin.PlainService) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		worker := standin.StartWorker(listener, "w-"+service, service)
+		worker := standin.StartWorker(listener, fmt.Sprintf("w-%s-%d", service, n), service)
 		t.Cleanup(worker.Crash)
 		if respond != nil {
 			worker.SetResponder(respond)
