direct: unfinished events of streams are counted against the budget

An event of which a part has arrived takes its buffer above 8 KB from the budget. Without room, reading from the worker stops for up to two seconds; then the stream is ended as incomplete, or refused with 502 if nothing of it was sent. The search for the end of an event covers only what is new.

--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/entry/decision"
+	"github.com/bulrushwick/bulrushwick/entry/intake"
 	"github.com/bulrushwick/bulrushwick/entry/upstream"
 )
 
@@ -18,6 +19,12 @@
 	s := &eventStream{call: c, exchange: x, response: response, contentType: string(x.Header.ContentType()), lastEventID: c.request.ResumeAfter}
 	if err := s.readEvents(); err != nil {
 		c.discardExchange(x)
+		s.memory.Release()
+		if errors.Is(err, errNoEventMemory) {
+			c.mayHaveRun = true
+			c.fail(ctx, failure{reason: err.Error()})
+			return actionDone
+		}
 		if c.ctx.Err() != nil {
 			return c.handleNoResponse(ctx, &upstream.SendError{Sent: true, Cause: err})
 		}
@@ -72,6 +79,8 @@
 	// them are whole events.
 	buffered   []byte
 	readyBytes int
+	// memory counts the bytes of buffered.
+	memory intake.Held
 	// scannedBytes is the part of readyBytes whose event ids were scanned for
 	// lastEventID.
 	scannedBytes int
@@ -91,6 +100,10 @@
 // errTruncatedEvent is returned if a response ends in the middle of an event.
 var errTruncatedEvent = errors.New("the response ends in the middle of an event")
 
+// errNoEventMemory is returned if an event does not fit into the memory for callers. It
+// says nothing of the worker.
+var errNoEventMemory = errors.New("no memory for an event of the response")
+
 // errRetryBudgetEmpty is returned if resuming exceeds the retry budget.
 var errRetryBudgetEmpty = errors.New("the retry budget is used up")
 
@@ -105,8 +118,14 @@
 			return s.deferredErr
 		}
 		n, err := s.exchange.Read(s.readBuffer[:])
-		s.buffered = append(s.buffered, s.readBuffer[:n]...)
-		s.readyBytes = completeEventBytes(s.buffered)
+		former, room := len(s.buffered), false
+		if s.buffered, room = s.memory.Append(s.ctx, s.intake, s.buffered, s.readBuffer[:n]); !room {
+			return errNoEventMemory
+		}
+		// What was read before holds no whole event, but may hold the first byte of an end.
+		if searched := max(former-1, 0); completeEventBytes(s.buffered[searched:]) > 0 {
+			s.readyBytes = searched + completeEventBytes(s.buffered[searched:])
+		}
 		if errors.Is(err, io.EOF) {
 			s.eof = s.readyBytes == len(s.buffered)
 			err = nil
@@ -159,6 +178,7 @@
 	s.countedBytes -= min(n, s.countedBytes)
 	s.buffered = s.buffered[n:]
 	s.readyBytes -= n
+	s.buffered = s.memory.Shrink(s.buffered)
 	return n, nil
 }
 
@@ -175,6 +195,7 @@
 func (s *eventStream) resume(cause error) error {
 	at := now()
 	s.discardExchange(s.exchange)
+	s.memory.Release()
 	s.buffered, s.readyBytes, s.scannedBytes, s.countedBytes, s.deferredErr = nil, 0, 0, 0, nil
 	canceled := s.ctx.Err() != nil
 	s.log.Warn(decision.AttemptFailed, cause).Str(decision.FieldRequest, s.request.ID).Str(decision.FieldWorker, s.workerID).Str(decision.FieldLastEvent, s.lastEventID).
@@ -182,6 +203,9 @@
 	if canceled {
 		return context.Cause(s.ctx)
 	}
+	if errors.Is(cause, errNoEventMemory) {
+		return cause
+	}
 	s.fleet.conditions.recordResult(at, s.workerID, false)
 	if !s.route.Resumable || s.lastEventID == "" {
 		return cause
@@ -252,6 +276,7 @@
 		return nil
 	}
 	s.closed = true
+	s.memory.Release()
 	s.stopWatch()
 	s.metrics.recordLongestPause(s.route.Rank, s.longestPause)
 	outcome := "answered"
