direct: the bound on bodies at one worker is checked and counted in one step

Requests that were sent at the same moment could exceed it by one body each, since the body was counted after the adapter had been loaded. It is now counted when the worker is claimed.

--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -72,13 +72,12 @@
 
 // beginAttempt counts an attempt as in progress at a worker until end is called on
 // the result. outputTokens is the expected length of the response, and work the expected
-// time at the worker.
+// time at the worker. The request's body must have been counted at the worker.
 func (f *fleet) beginAttempt(id string, r *Request, outputTokens float64, work time.Duration) *attemptUse {
 	f.conditions.sent(id)
-	endBody := f.bodies.begin(id, len(r.Body))
 	endWork := f.organisations.begin(f.config.table(), r, work)
 	return f.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, outputTokens, func() {
-		endBody()
+		f.bodies.end(id, len(r.Body))
 		f.conditions.ended(id)
 		endWork()
 	})
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -279,7 +279,7 @@
 	if refused := c.renewQuota(); refused != nil {
 		return false, refused
 	}
-	return c.fleet.claim(now(), target), nil
+	return c.claimWithBody(target), nil
 }
 
 // checkDispatch returns a failure if the request may not be passed on at all.
--- a/entry/direct/stream.go
+++ b/entry/direct/stream.go
@@ -242,6 +242,7 @@
 		return errors.New(refusal.reason)
 	}
 	if !s.fleet.demand.takeRetry(now(), s.service.Name, s.loader.instanceCount()) {
+		s.fleet.bodies.end(target.ID, len(s.request.Body))
 		return errRetryBudgetEmpty
 	}
 	x, err := s.dispatch(target, s.lastEventID)
