--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -31,6 +31,8 @@
 	ID string
 	// Usable workers are not draining and hold the requested model.
 	Usable bool
+	// unusable is why a worker is not usable, for explanations; see MarkUnusable.
+	unusable Exclusion
 	// Avoid excludes workers that this request was already sent to.
 	Avoid bool
 	// Suspect workers failed recently; see Health.
--- a/entry/direct/organisations.go
+++ b/entry/direct/organisations.go
@@ -171,7 +171,7 @@
 func (o *organisations) decide(at time.Duration, policy fairshare.Policy, service string, r fairshare.Request) fairshare.Verdict {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return policy.Decide(at, r, o.outcomesOf(service))
+	return policy.Decide(at, r, o.outcomes[service])
 }
 
 // record counts a request of a service that was sent to a worker, or rejected for want of
