--- a/coord/bytebudget/budget.go
+++ b/coord/bytebudget/budget.go
@@ -190,3 +190,6 @@
 	}
 	return idleX > idleY
 }
+
+// Evicted reports whether the account was chosen to end.
+func (a *Account) Evicted() bool { return a.evicted }
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -137,6 +137,7 @@
 // refuseEarly sends the error response of a request that was not routed.
 func (g *gateway) refuseEarly(ctx *fasthttp.RequestCtx, status int, reason string) {
 	defer g.activeRequests.Add(-1)
+	intake.LeaveUnread(ctx)
 	g.metrics.countRefusal(strconv.Itoa(status))
 	g.log.Line(decision.Refused).Int(decision.FieldStatus, status).Str(decision.FieldReason, reason).Bytes(decision.FieldHost, ctx.Host()).
 		Bytes(decision.FieldPath, ctx.Path()).Uint64(decision.FieldConfig, g.configVersion()).Send()
--- a/entry/intake/body.go
+++ b/entry/intake/body.go
@@ -226,7 +226,7 @@
 	defer func() { r.waiters-- }()
 	for {
 		now := r.now()
-		if now-began > maxWait {
+		if now-began > maxWait || account.Evicted() {
 			return r.noRoom()
 		}
 		victim := r.budget.Evict(account, n, now-began < patience, now)
@@ -247,6 +247,7 @@
 func (i *Intake) evict(victim *bytebudget.Account) {
 	i.counts.Evicted.Add(1)
 	victim.Owner.(*Conn).reset()
+	i.wake() // the victim may itself wait for bytes
 }
 
 // await waits until bytes are released, or for a part of the patience. i.mu must be held;
@@ -263,6 +264,16 @@
 	i.mu.Lock()
 }
 
+// LeaveUnread records that a request is refused before its body has been read. What still
+// arrives of the body is dropped for a short time when the connection is closed, since the
+// caller would lose the response otherwise.
+func LeaveUnread(ctx *fasthttp.RequestCtx) {
+	conn := of(ctx.Conn())
+	if conn != nil && ctx.Request.IsBodyStream() && conn.phase.Load() != phaseServing {
+		conn.refused.Store(true)
+	}
+}
+
 // refusalOf returns the refusal of a body that could not be read.
 func refusalOf(err error) *Refusal {
 	var networkErr net.Error
--- a/entry/intake/conn.go
+++ b/entry/intake/conn.go
@@ -73,17 +73,29 @@
 	return true
 }
 
-// leastUseful returns the connection that has waited for its next request for longest, or
-// else the one whose request has been arriving for longest, or nil if all requests are
+// staleAfter is how long a header or a body may arrive until its connection is closed
+// before idle ones: otherwise connections that stand still would take the places of those
+// that callers reuse.
+const staleAfter = 5 * time.Second
+
+// leastUseful returns the connection whose request has been arriving for longest, if that
+// is for longer than staleAfter; or else the one that has waited for its next request for
+// longest, the one whose request has been arriving for longest, or nil if all requests are
 // being served. i.mu must be held.
 func (i *Intake) leastUseful() *Conn {
+	now := i.now()
 	var found *Conn
+	var foundRank int32
 	for c := range i.conns {
-		if c.phase.Load() == phaseServing {
+		rank := c.phase.Load()
+		if rank == phaseServing {
 			continue
 		}
-		if found == nil || c.phase.Load() < found.phase.Load() || c.phase.Load() == found.phase.Load() && c.since.Load() < found.since.Load() {
-			found = c
+		if rank != phaseIdle && now-time.Duration(c.since.Load()) > staleAfter {
+			rank = phaseIdle - 1
+		}
+		if found == nil || rank < foundRank || rank == foundRank && c.since.Load() < found.since.Load() {
+			found, foundRank = c, rank
 		}
 	}
 	return found
@@ -220,6 +232,7 @@
 		c.enter(phaseHeader)
 	case fasthttp.StateIdle:
 		c.release()
+		c.refused.Store(false) // the server has read the rest of the body
 		c.enter(phaseIdle)
 	}
 }
--- a/entry/intake/intake_test.go
+++ b/entry/intake/intake_test.go
@@ -220,3 +220,24 @@
 	}
 	require.Eventually(t, func() bool { return i.State().Connections == 0 }, 5*time.Second, 5*time.Millisecond)
 }
+
+// TestStalledConnectionsCloseBeforeIdleOnes guards against connections that stand still in a
+// header or a body and take the places of those that callers reuse.
+func TestStalledConnectionsCloseBeforeIdleOnes(t *testing.T) {
+	i := &Intake{conns: make(map[*Conn]struct{}), start: time.Now().Add(-time.Hour)}
+	now := i.now()
+	connection := func(phase int32, age time.Duration) *Conn {
+		c := &Conn{intake: i}
+		c.phase.Store(phase)
+		c.since.Store(int64(now - age))
+		i.conns[c] = struct{}{}
+		return c
+	}
+	connection(phaseServing, time.Minute)
+	arriving := connection(phaseBody, staleAfter/2)
+	require.Equal(t, arriving, i.leastUseful())
+	idle := connection(phaseIdle, 10*time.Second)
+	require.Equal(t, idle, i.leastUseful(), "a body that has just begun to arrive is kept")
+	stalled := connection(phaseBody, staleAfter+1)
+	require.Equal(t, stalled, i.leastUseful())
+}
