--- a/coord/balance/balance.go
+++ b/coord/balance/balance.go
@@ -239,6 +239,26 @@
 	return best, best.Candidate != nil
 }
 
+// PickLeastContended returns the eligible candidate at which other requests delay this one
+// least, of several the one with the shortest wait; false if none is eligible. It is for
+// requests that may not add to the queue of the candidate that Pick prefers: whether an
+// adapter is preferred at the worker does not count.
+func (c Config) PickLeastContended(r Request, candidates []Candidate) (Choice, bool) {
+	var best Choice
+	for i := range candidates {
+		candidate := &candidates[i]
+		if candidate.Suspect || !isEligible(r, candidate) {
+			continue
+		}
+		choice := c.choice(r, candidate, 0)
+		if best.Candidate == nil || choice.Contention < best.Contention || choice.Contention == best.Contention && choice.Wait < best.Wait {
+			best = choice
+		}
+	}
+	best.Direct = best.Candidate != nil && isDirect(r, best.Candidate)
+	return best, best.Candidate != nil
+}
+
 // choice returns the choice of a candidate.
 func (c Config) choice(r Request, candidate *Candidate, position int) Choice {
 	wait := c.wait(r, candidate, position)
@@ -372,7 +392,11 @@
 	}
 	perRequest := float64(w.RemainingTokens) / float64(w.Running) * float64(r.TokenTime) * orOne(w.StepFactor)
 	wait := c.FullCost.Seconds() * perRequest / fullCostRemainder.Seconds()
-	return time.Duration(min(max(wait, c.MinSlotWait*c.FullCost.Seconds()), c.MaxSlotWait*c.FullCost.Seconds()) * float64(time.Second))
+	longest := c.MaxSlotWait
+	if !w.isLearned() {
+		longest = 1 // a worker like the others must not refuse what it took without figures
+	}
+	return time.Duration(min(max(wait, c.MinSlotWait*c.FullCost.Seconds()), longest*c.FullCost.Seconds()) * float64(time.Second))
 }
 
 // fullCostRemainder is the mean remaining time of the requests in a batch for which
--- a/coord/cost/shared.go
+++ b/coord/cost/shared.go
@@ -1,6 +1,7 @@
 package cost
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -47,8 +48,18 @@
 	sent := NewEstimate(min(max(mean, -maxLogFactor), maxLogFactor), min(max(precision, 0), maxSharedPrecision))
 	w.sum, w.at = w.except(now, peer).Plus(sent), now
 	w.byPeer[peer] = sentEstimate{sent, now}
+	if len(w.byPeer) > maxPeers {
+		maps.DeleteFunc(w.byPeer, func(_ string, e sentEstimate) bool { return now-e.at > forgetPeerAfter })
+	}
 }
 
+// Instances that restart may have new addresses. Estimates of those that have not been
+// heard for forgetPeerAfter have decayed; they are dropped once there are maxPeers.
+const (
+	maxPeers        = 256
+	forgetPeerAfter = 10 * time.Minute
+)
+
 // Sum returns the estimate of all peers.
 func (s *Shared) Sum(now time.Duration, id string) Estimate { return s.Except(now, id, "") }
 
--- a/coord/cost/speeds.go
+++ b/coord/cost/speeds.go
@@ -155,9 +155,17 @@
 // ObserveResponse records the mean time per token of a response.
 func (s *Speeds) ObserveResponse(service, id string, perToken time.Duration) {
 	all, _ := s.entry(service, id)
-	all.tokenTime.add(perToken.Seconds(), averageMemory)
+	value := perToken.Seconds()
+	if all.tokenTime.count > 0 {
+		value = min(value, maxResponseRatio*all.tokenTime.value)
+	}
+	all.tokenTime.add(value, averageMemory)
 }
 
+// maxResponseRatio bounds the time of one response relative to the average: events are
+// timed when the caller takes them, so a slow caller looks like a slow worker.
+const maxResponseRatio = 4
+
 // averageMemory is the number of responses over which times of a service are averaged.
 const averageMemory = 200
 
--- a/entry/direct/admission.go
+++ b/entry/direct/admission.go
@@ -60,6 +60,13 @@
 	if soonest, _ := c.fleet.balance.PickSoonest(request, candidates); c.admission.refuse(c, soonest) == nil {
 		return soonest, nil
 	}
+	if refusal.scarce && c.judged.HasOrganisation {
+		// An organisation above its share is refused where its requests delay others, not
+		// where workers are idle.
+		if least, found := c.fleet.balance.PickLeastContended(request, candidates); found && c.admission.refuse(c, least) == nil {
+			return least, nil
+		}
+	}
 	return choice, refusal
 }
 
@@ -94,7 +101,8 @@
 	if c.service.Engine != nil {
 		batch = max(c.service.Engine.BatchSize, 1)
 	}
-	return fairshare.Work(c.request.PromptTokens, cmp.Or(int(c.learning.expectedTokens), c.request.OutputTokens), batch)
+	work := fairshare.Work(c.request.PromptTokens, cmp.Or(int(c.learning.expectedTokens), c.request.OutputTokens), batch)
+	return min(work, max(c.timeLeft(), 0)) // callers state the tokens, without a bound
 }
 
 // recordOutcome counts for the order of ranks whether the request got a worker. Refusals
--- a/entry/direct/admission_test.go
+++ b/entry/direct/admission_test.go
@@ -105,3 +105,39 @@
 		}
 	}
 }
+
+// TestAnOrganisationAboveItsShareUsesIdleWorkers guards against refusals while workers are
+// idle: the worker with the adapter is busy, and the adapter can be loaded elsewhere.
+func TestAnOrganisationAboveItsShareUsesIdleWorkers(t *testing.T) {
+	candidates := []balance.Candidate{
+		{ID: "busy", Usable: true, Orderable: true, InScope: true, BatchSize: 64, Running: 20, WaitingTokens: 7200, CacheCapacity: 148000, Residency: balance.Resident},
+		{ID: "idle", Usable: true, BatchSize: 64, CacheCapacity: 148000, FreeSlots: 3, Orderable: true, InScope: true},
+	}
+	request := balance.Request{Tokens: 2400}
+	config := balance.DefaultConfig()
+	var preferred balance.Choice
+	for _, request.Adapter = range []string{"a", "b", "c", "d", "e"} { // one whose preferred worker is the busy one
+		if preferred, _ = config.Pick(request, candidates); preferred.Candidate.ID == "busy" {
+			break
+		}
+	}
+	require.Equal(t, "busy", preferred.Candidate.ID)
+	least, found := config.PickLeastContended(request, candidates)
+	require.True(t, found)
+	require.Equal(t, "idle", least.Candidate.ID)
+	require.Less(t, least.Wait, time.Second, "that its preferred worker is another one is no wait")
+}
+
+// TestWaitingForAnAdapterTakesNoConnection guards against workers that are excluded as if
+// their connections were used, while requests only wait there for an adapter.
+func TestWaitingForAnAdapterTakesNoConnection(t *testing.T) {
+	u := newUsage()
+	waiting := u.begin("w", "a", 10, 20, 0, func() {})
+	waiting.waitsForAdapter()
+	require.Equal(t, 1, u.own["w"].running)
+	require.Equal(t, 1, u.own["w"].withoutConnection)
+	waiting.end()
+	waiting.end()
+	require.Zero(t, u.own["w"].running)
+	require.Zero(t, u.own["w"].withoutConnection)
+}
--- a/entry/direct/candidates.go
+++ b/entry/direct/candidates.go
@@ -43,7 +43,7 @@
 			c.RemainingTokens = scaleRemaining(c.RemainingTokens, c.Running, condition.inProgress)
 			c.Running = max(c.Running, condition.inProgress)
 		}
-		if own != nil && own.running >= f.connectionLimit(service, w) {
+		if own != nil && own.running-own.withoutConnection >= f.connectionLimit(service, w) {
 			c.MarkUnusable(balance.ConnectionsUsed)
 		}
 		if service.Engine != nil {
--- a/entry/direct/costs.go
+++ b/entry/direct/costs.go
@@ -127,7 +127,9 @@
 		return func() {}
 	}
 	r := c.request
-	return c.fleet.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, c.learning.expectedTokens, func() {}).end
+	use := c.fleet.usage.begin(id, r.Adapter, r.PromptTokens, r.PromptTokens+r.OutputTokens, c.learning.expectedTokens, func() {})
+	use.waitsForAdapter()
+	return use.end
 }
 
 // forget drops what is known of a worker that is gone or restarted.
--- a/entry/direct/organisations.go
+++ b/entry/direct/organisations.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -145,11 +146,16 @@
 func appendOrganisations(update *clusterpb.News, uses map[string]fairshare.Use) {
 	for name, use := range uses {
 		update.Organisations = append(update.Organisations, &clusterpb.OrganisationUse{
-			Organisation: name, InProgressMs: uint32(use.InProgress.Milliseconds()), RecentMs: uint32(use.Recent.Milliseconds()),
+			Organisation: name, InProgressMs: clampMilliseconds(use.InProgress), RecentMs: clampMilliseconds(use.Recent),
 		})
 	}
 }
 
+// clampMilliseconds returns a duration in milliseconds as far as the wire format holds it.
+func clampMilliseconds(d time.Duration) uint32 {
+	return uint32(min(max(d.Milliseconds(), 0), math.MaxUint32))
+}
+
 // apply stores the use by organisation that a peer sent.
 func (o *organisations) apply(at time.Duration, peer string, update *clusterpb.News) {
 	o.mu.Lock()
--- a/entry/direct/usage.go
+++ b/entry/direct/usage.go
@@ -29,6 +29,9 @@
 // workerUse sums the requests in progress at a worker.
 type workerUse struct {
 	running, waitingTokens, cacheTokens int
+	// withoutConnection is the part of running that waits for an adapter and holds no
+	// connection to the worker yet. It is known of this instance's own requests only.
+	withoutConnection int
 	// remainingTokens is the expected number of output tokens still to be made.
 	remainingTokens int
 	adapters        map[string]int
@@ -291,10 +294,20 @@
 	expectedTokens  float64
 	remainingTokens int
 	ended           bool
+	// withoutConnection is set if the attempt holds no connection to the worker.
+	withoutConnection bool
 	// onEnd is called once when the attempt ends.
 	onEnd func()
 }
 
+// waitsForAdapter records that the attempt holds no connection to its worker.
+func (a *attemptUse) waitsForAdapter() {
+	a.usage.mu.Lock()
+	defer a.usage.mu.Unlock()
+	a.withoutConnection = true
+	a.worker.withoutConnection++
+}
+
 // responseStarted records that the worker has begun to respond: the prompt no
 // longer waits.
 func (a *attemptUse) responseStarted() {
@@ -331,6 +344,9 @@
 	a.ended = true
 	a.onEnd()
 	a.worker.running--
+	if a.withoutConnection {
+		a.worker.withoutConnection--
+	}
 	a.worker.waitingTokens -= a.waitingTokens
 	a.worker.cacheTokens -= a.cacheTokens
 	a.worker.remainingTokens -= a.remainingTokens
