--- a/entry/direct/admission.go
+++ b/entry/direct/admission.go
@@ -37,7 +37,7 @@
 	if verdict == fairshare.Admitted {
 		return nil
 	}
-	refusal := &failure{reason: refusalReasons[verdict], scarce: request.Scarce(verdict)}
+	refusal := &failure{reason: refusalReasons[verdict], scarce: request.Scarce(verdict), yields: verdict != fairshare.TooLate}
 	if request.HasOrganisation {
 		refusal.retryAfter = a.policy.RetryAfter(request, verdict, rand.Float64())
 	} else {
@@ -60,7 +60,7 @@
 	if soonest, _ := c.fleet.balance.PickSoonest(request, candidates); c.admission.refuse(c, soonest) == nil {
 		return soonest, nil
 	}
-	if refusal.scarce && c.judged.HasOrganisation {
+	if refusal.yields {
 		// An organisation above its share is refused where its requests delay others, not
 		// where workers are idle.
 		if least, found := c.fleet.balance.PickLeastContended(request, candidates); found && c.admission.refuse(c, least) == nil {
--- a/entry/direct/admission_test.go
+++ b/entry/direct/admission_test.go
@@ -122,10 +122,19 @@
 		}
 	}
 	require.Equal(t, "busy", preferred.Candidate.ID)
-	least, found := config.PickLeastContended(request, candidates)
-	require.True(t, found)
-	require.Equal(t, "idle", least.Candidate.ID)
-	require.Less(t, least.Wait, time.Second, "that its preferred worker is another one is no wait")
+	c := newTestCall(4 * time.Second)
+	c.route.TargetLatency = time.Second
+	c.fleet.config.install(tableOf("flood", "a", "b", "c").Config, nil)
+	table := c.fleet.config.table()
+	for name, work := range map[string]time.Duration{"flood": 30 * time.Second, "a": time.Second, "b": time.Second, "c": time.Second} {
+		c.fleet.organisations.begin(table, &Request{Organisation: &routing.Organisation{Name: name}}, work)
+	}
+	c.request.Organisation = &routing.Organisation{Name: "flood"}
+	require.NotNil(t, c.admission.refuse(c, preferred), "it is above its share, and the worker is busy")
+	choice, refusal := c.choose(request, candidates)
+	require.Nil(t, refusal)
+	require.Equal(t, "idle", choice.Candidate.ID)
+	require.Less(t, choice.Wait, time.Second, "that its preferred worker is another one is no wait")
 }
 
 // TestWaitingForAnAdapterTakesNoConnection guards against workers that are excluded as if
--- a/entry/direct/gateway.go
+++ b/entry/direct/gateway.go
@@ -189,6 +189,8 @@
 	retryAfter time.Duration
 	// scarce is set if the request was refused for want of workers or adapter slots.
 	scarce bool
+	// yields is set if the request was refused for the sake of others.
+	yields bool
 }
 
 // checkRetry returns nil if the request may be sent again; it has taken a retry
