--- a/review/stand-ins-2/client.go
+++ b/review/stand-ins-2/client.go
@@ -29,8 +29,10 @@
 	status   int
 	complete bool
 	signed   bool
-	body     string
-	err      error
+	// kept is set if the connection had carried another request before.
+	kept bool
+	body string
+	err  error
 }
 
 func (a *attempt) String() string {
@@ -50,6 +52,8 @@
 	reader *bufio.Reader
 	// closes is set once an answer said that the connection will be closed.
 	closes bool
+	// sent is the number of requests sent.
+	sent int
 }
 
 func dial(r *record, address string) (*client, error) {
@@ -62,8 +66,14 @@
 
 // send sends a request and returns when its last byte is written.
 func (c *client) send(method, path string, deadline time.Duration, body string) (*attempt, error) {
-	a := &attempt{id: newID(), path: path}
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, host, a.id, deadline.Milliseconds())
+	return c.sendWith(method, path, deadline, "", body)
+}
+
+// sendWith sends a request with more header lines.
+func (c *client) sendWith(method, path string, deadline time.Duration, header, body string) (*attempt, error) {
+	a := &attempt{id: newID(), path: path, kept: c.sent > 0}
+	c.sent++
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, path, host, a.id, deadline.Milliseconds()) + header
 	if method != http.MethodGet {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -24,7 +24,7 @@
 }
 
 var cases = map[string]func(*world) error{
-	"stop-hup": stopHup,
+	"stop-hup": stopHup, "cut-watches": cutWatches, "stop-slow-reader": stopSlowReader, "slow-readers": slowReaders,
 }
 
 func main() {
--- a/review/stand-ins-2/worker.go
+++ b/review/stand-ins-2/worker.go
@@ -21,12 +21,14 @@
 	ended string
 }
 
-// worker is a worker of a service without models. It follows X-Expect-Instance, the
+// worker is a worker of a service. It follows X-Expect-Instance, the
 // deadline, its slots and the close of a connection.
 type worker struct {
 	id, service, address string
-	slots                int
-	record               *record
+	// model is the model that it holds; empty for a service without models.
+	model  string
+	slots  int
+	record *record
 	// serve works on a request and writes the answer. Its context ends with the
 	// connection, with the deadline and when the worker ends.
 	serve func(ctx context.Context, w http.ResponseWriter, r *http.Request, body []byte) error
@@ -54,10 +56,14 @@
 
 // entry returns the worker's entry in the store.
 func (w *worker) entry(state string) string {
-	encoded, _ := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": w.service, "address": w.address, "zone": "a", "version": "1", "slots": w.slots, "state": state,
 		"coldRemainingMs": 0, "sequence": 1, "born": startedAt.UnixMilli(),
-	})
+	}
+	if w.model != "" {
+		fields["models"] = []any{map[string]any{"name": w.model, "version": 1, "adapters": []string{}}}
+	}
+	encoded, _ := json.Marshal(fields)
 	return string(encoded)
 }
 
@@ -87,6 +93,10 @@
 		out.Header().Set("X-Instance-Id", w.id)
 		return
 	}
+	if r.URL.Path == "/bulrushwick/report" && w.model != "" {
+		w.report(out)
+		return
+	}
 	id := r.Header.Get("X-Request-Id")
 	out.Header().Set("X-Request-Id", id)
 	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
@@ -135,15 +145,14 @@
 
 // afterWork returns a serve function that answers with size bytes after some work.
 func afterWork(work time.Duration, size int) func(context.Context, http.ResponseWriter, *http.Request, []byte) error {
-	return func(ctx context.Context, w http.ResponseWriter, r *http.Request, _ []byte) error {
+	return func(ctx context.Context, w http.ResponseWriter, _ *http.Request, _ []byte) error {
 		select {
 		case <-time.After(work):
 		case <-ctx.Done():
 			return context.Cause(ctx)
 		}
 		w.Header().Set("Content-Length", strconv.Itoa(size))
-		text := strings.Repeat(r.Header.Get("X-Request-Id")+"\n", size/8+1)
-		_, err := io.WriteString(w, text[:size])
+		_, err := io.WriteString(w, strings.Repeat("label\n", size/6+1)[:size])
 		return err
 	}
 }
