--- a/review/stand-ins-2/case6.go
+++ b/review/stand-ins-2/case6.go
@@ -109,22 +109,27 @@
 		stopped.signal(syscall.SIGKILL)
 		<-stopped.ended
 	}
-	return w.judgeLost(attempts, workers, stoppedAt)
+	return w.judgeLost(attempts, workers, stoppedAt, time.Time{})
 }
 
 // judgeLost returns errBroken if an order that was passed on to a worker ended without a
 // complete answer between SIGTERM and 1 s after graceS, though neither its deadline was
-// reached nor the worker broke off by itself.
-func (w *world) judgeLost(attempts []*attempt, workers []*worker, stoppedAt time.Time) error {
+// reached nor the worker broke off by itself. If the process exited before the client
+// noticed the end of its connection, exitedAt is the end.
+func (w *world) judgeLost(attempts []*attempt, workers []*worker, stoppedAt, exitedAt time.Time) error {
 	lost := 0
 	for _, a := range attempts {
 		for _, each := range workers {
 			for _, r := range each.list() {
-				inTime := a.endedAt.After(stoppedAt) && a.endedAt.Before(stoppedAt.Add(graceS+time.Second)) && a.endedAt.Before(a.sentAt.Add(orderDeadline))
+				end := a.endedAt
+				if !exitedAt.IsZero() && exitedAt.Before(end) {
+					end = exitedAt
+				}
+				inTime := end.After(stoppedAt) && end.Before(stoppedAt.Add(graceS+time.Second)) && end.Before(a.sentAt.Add(orderDeadline))
 				if r.id == a.id && !a.complete && inTime {
 					lost++
 					w.record.print("LOST: %s was sent %.1f s before SIGTERM and ran at %s (%s), and its client got %v, %.1f s after SIGTERM",
-						a.id, stoppedAt.Sub(a.sentAt).Seconds(), r.worker, r.ended, a, a.endedAt.Sub(stoppedAt).Seconds())
+						a.id, stoppedAt.Sub(a.sentAt).Seconds(), r.worker, r.ended, a, end.Sub(stoppedAt).Seconds())
 				}
 			}
 		}
--- a/review/stand-ins-2/case9.go
+++ b/review/stand-ins-2/case9.go
@@ -15,7 +15,7 @@
 	// slowAnswer is the size of a worker's answer, and slowRate the bytes that a client
 	// reads in a second.
 	slowAnswer = 260_000
-	slowRate   = 25_000
+	slowRate   = 20_000
 	// slowWindow is the size of the client's receive buffer.
 	slowWindow = 4 << 10
 	// slowClients is the number of clients.
@@ -52,7 +52,7 @@
 		group.Go(func() { c.receive(attempts[n], slowly) })
 	}
 	time.Sleep(slowBefore)
-	stoppedAt := time.Now()
+	stoppedAt, exitedAt := time.Now(), time.Time{}
 	if w.trouble {
 		stopped.signal(syscall.SIGTERM)
 		select {
@@ -61,6 +61,7 @@
 			stopped.signal(syscall.SIGKILL)
 			<-stopped.ended
 		}
+		exitedAt = time.Now()
 	}
 	group.Wait()
 	for _, a := range attempts {
@@ -68,7 +69,7 @@
 			return fmt.Errorf("the answer to %s has %d bytes and looks complete", a.id, len(a.body))
 		}
 	}
-	return w.judgeLost(attempts, workers, stoppedAt)
+	return w.judgeLost(attempts, workers, stoppedAt, exitedAt)
 }
 
 // slowReader reads rate bytes a second.
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -24,7 +24,10 @@
 }
 
 var cases = map[string]func(*world) error{
-	"stop-hup": stopHup, "cut-watches": cutWatches, "stop-slow-reader": stopSlowReader, "slow-readers": slowReaders,
+	"stop-hup":         stopHup,
+	"slow-readers":     slowReaders,
+	"cut-watches":      cutWatches,
+	"stop-slow-reader": stopSlowReader,
 }
 
 func main() {
