--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -28,6 +28,7 @@
 	"slow-readers":     slowReaders,
 	"cut-watches":      cutWatches,
 	"stop-slow-reader": stopSlowReader,
+	"evicted-answers":  evictedAnswers,
 }
 
 func main() {
