Signals: handlers live as long as the process; SIGHUP in a graceful stop cuts nothing

Cause: watchSettings returned when SIGTERM ended its context, and its deferred signal.Stop removed the only handler of SIGHUP; the default effect ends the process. The exit status "signal: hangup" shows it.

The handlers are now installed by the first statement of main and never removed. An instance that is stopping ignores changed settings.

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -14,7 +14,8 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// A closed terminal ends a command in the same way, so that it ends its processes.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	if err := command().ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
--- a/cmd/bulrushwick/direct.go
+++ b/cmd/bulrushwick/direct.go
@@ -4,10 +4,8 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,7 +16,7 @@
 	"github.com/bulrushwick/bulrushwick/platform"
 )
 
-func directCommand(log zerolog.Logger) *cobra.Command {
+func directCommand(log zerolog.Logger, hangups <-chan os.Signal) *cobra.Command {
 	var file string
 	c := &cobra.Command{
 		Use:     "direct --settings FILE",
@@ -30,7 +28,7 @@
 			if file == "" {
 				file = platform.SettingsFile()
 			}
-			return runDirect(cmd.Context(), file, log)
+			return runDirect(cmd.Context(), file, hangups, log)
 		},
 	}
 	c.Flags().StringVar(&file, "settings", "", "settings file in JSON")
@@ -45,10 +43,11 @@
 	megabyte    = 1 << 20
 )
 
-func runDirect(ctx context.Context, file string, log zerolog.Logger) error {
+func runDirect(ctx context.Context, file string, hangups <-chan os.Signal, log zerolog.Logger) error {
 	if file == "" {
 		return errors.New("no settings file given: set --settings")
 	}
+	loaded := versionOf(file)
 	s, err := direct.LoadSettings(file)
 	if err != nil {
 		logFindings(log, file, err)
@@ -63,9 +62,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	go watchSettings(ctx, file, instance)
+	go watchSettings(file, loaded, hangups, instance)
 	return errors.Join(instance.Run(ctx), decisions.Close())
 }
 
@@ -73,41 +70,48 @@
 // changes, since it may be replaced without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// watchSettings reloads the settings on SIGHUP and when the file has changed, until
-// ctx ends.
-func watchSettings(ctx context.Context, file string, instance *direct.Instance) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// watchSettings reloads the settings at each hangup, and when the file is no longer of
+// the version that was loaded. It runs until the process exits: the handler of hangups
+// must outlast a graceful stop.
+func watchSettings(file string, loaded fileVersion, hangups <-chan os.Signal, instance *direct.Instance) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	loaded := modificationTime(file)
+	failure := "" // of the latest reload
 	for {
+		requested := false
 		select {
-		case <-ctx.Done():
-			return
-		case <-hangup:
+		case <-hangups:
+			requested = true
 		case <-ticker.C:
-			if modificationTime(file).Equal(loaded) {
+			if versionOf(file) == loaded && failure == "" {
 				continue
 			}
 		}
-		loaded = modificationTime(file)
+		version := versionOf(file)
 		s, err := direct.LoadSettings(file)
 		if err != nil {
-			instance.ReloadFailed(err)
+			// A failed load is repeated, since the file may be in the middle of being written.
+			if requested || err.Error() != failure {
+				instance.ReloadFailed(err)
+			}
+			failure = err.Error()
 			continue
 		}
+		loaded, failure = version, ""
 		instance.Reload(s)
 	}
 }
 
-// modificationTime returns the modification time of the file. It is zero if the
-// file can't be read, which the next load reports.
-func modificationTime(file string) time.Time {
+// fileVersion distinguishes versions of a file; it is zero if the file can't be read.
+type fileVersion struct {
+	modified time.Time
+	size     int64
+}
+
+func versionOf(file string) fileVersion {
 	info, err := os.Stat(file)
 	if err != nil {
-		return time.Time{}
+		return fileVersion{}
 	}
-	return info.ModTime()
+	return fileVersion{modified: info.ModTime(), size: info.Size()}
 }
--- a/cmd/bulrushwick/main.go
+++ b/cmd/bulrushwick/main.go
@@ -5,28 +5,29 @@
 	"context"
 	"errors"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	"github.com/bulrushwick/bulrushwick/cmd/internal/signals"
 	"github.com/bulrushwick/bulrushwick/coord/strictjson"
 	"github.com/bulrushwick/bulrushwick/entry/daemon"
 	"github.com/bulrushwick/bulrushwick/entry/settings"
 )
 
 func main() {
+	ctx, hangups := signals.Handle()
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	if err := rootCommand(log).Execute(); err != nil {
+	if err := rootCommand(log, hangups).ExecuteContext(ctx); err != nil {
 		log.Error().Err(err).Str("event", "failed").Send()
 		os.Exit(1)
 	}
 }
 
-func rootCommand(log zerolog.Logger) *cobra.Command {
+// rootCommand returns the command line of a process that receives SIGHUP from hangups.
+func rootCommand(log zerolog.Logger, hangups <-chan os.Signal) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "bulrushwick",
 		Short:         "Serve requests against LoRA adapters on a shared fleet of model engines",
@@ -40,16 +41,17 @@
 		Example: "  bulrushwick serve --settings entry-a.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runServe(cmd.Context(), file, log)
+			return runServe(cmd.Context(), file, hangups, log)
 		},
 	}
 	serve.Flags().StringVar(&file, "settings", "", "settings file in JSON")
 	_ = serve.MarkFlagRequired("settings")
-	root.AddCommand(serve, directCommand(log))
+	root.AddCommand(serve, directCommand(log, hangups))
 	return root
 }
 
-func runServe(ctx context.Context, file string, log zerolog.Logger) error {
+func runServe(ctx context.Context, file string, hangups <-chan os.Signal, log zerolog.Logger) error {
+	go logHangups(hangups, log)
 	s, err := settings.Load(file)
 	if err != nil {
 		logFindings(log, file, err)
@@ -61,6 +63,9 @@
 	if err != nil {
 		return err
 	}
+	if ctx.Err() != nil {
+		return nil // stopped before a listener was open
+	}
 	addresses, err := d.Listen()
 	if err != nil {
 		return err
@@ -71,11 +76,16 @@
 		Str("control", addresses.Control).
 		Str("operator", addresses.Operator).
 		Send()
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	return d.Run(ctx)
 }
 
+// logHangups logs each SIGHUP: settings are read at the start only.
+func logHangups(hangups <-chan os.Signal, log zerolog.Logger) {
+	for range hangups {
+		log.Warn().Str("event", "not_reloaded").Str("message", "changed settings take effect at the next start").Send()
+	}
+}
+
 // logFindings logs each finding in a settings file.
 func logFindings(log zerolog.Logger, file string, err error) {
 	var findings strictjson.Findings
--- a/cmd/bulrushwick/main_test.go
+++ b/cmd/bulrushwick/main_test.go
@@ -22,7 +22,7 @@
   "queueLimit": "many"
 }`), 0o600))
 	var log bytes.Buffer
-	c := rootCommand(zerolog.New(&log))
+	c := rootCommand(zerolog.New(&log), nil)
 	c.SetArgs([]string{"serve", "--settings", file})
 	require.Error(t, c.ExecuteContext(t.Context()))
 	for _, want := range []string{
--- a/cmd/e2e/stop_test.go
+++ b/cmd/e2e/stop_test.go
@@ -89,3 +89,40 @@
 	require.True(t, done, "the stream ended without its final marker")
 	s.instances[0].await(t, "stopped")
 }
+
+// TestNoSignalCutsAnInstance guards against signals that end a process while it runs or
+// during its graceful stop, and cut a stream: SIGHUP has no meaning for `bulrushwick
+// serve`, and a second SIGTERM does not change a stop.
+func TestNoSignalCutsAnInstance(t *testing.T) {
+	s := startSystem(t, deployment.Silttolge(), 1)
+	adapter := s.adapterVersions(1)[0]
+	instance := s.instances[0]
+	stream, err := post(s.callerAddresses[0], "/v1/completions", completionBody{adapter.String(), "label", longStreamTokens, true}, nil)
+	require.NoError(t, err)
+	defer func() { _ = stream.Body.Close() }()
+	require.NoError(t, checkServed(stream, adapter.String()))
+	for _, signal := range []syscall.Signal{syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGHUP} {
+		instance.signal(signal)
+	}
+	instance.await(t, "not_reloaded")
+	instance.signal(syscall.SIGTERM)
+	instance.await(t, "leaving")
+	go func() {
+		for ticker := time.NewTicker(10 * time.Millisecond); ; {
+			select {
+			case <-instance.exited:
+				return
+			case <-ticker.C:
+				instance.signal(syscall.SIGHUP)
+				instance.signal(syscall.SIGTERM)
+			}
+		}
+	}()
+	text, done, err := readEvents(stream.Body)
+	require.NoError(t, err)
+	require.True(t, done, "the stream ended without its final marker")
+	require.Equal(t, standin.Answer(adapter.String(), "label", longStreamTokens), text)
+	instance.await(t, "stopped")
+	<-instance.exited
+	require.Zero(t, instance.command.ProcessState.ExitCode())
+}
--- a/cmd/internal/soak/checks.go
+++ b/cmd/internal/soak/checks.go
@@ -30,6 +30,9 @@
 		if i.unexpectedExits > 0 {
 			broken = append(broken, fmt.Sprintf("%s exited unexpectedly %d times", i.settings.Instance, i.unexpectedExits))
 		}
+		for _, s := range i.fatalSignals {
+			broken = append(broken, fmt.Sprintf("%s was ended by a signal that it should handle: %v", i.settings.Instance, s))
+		}
 	}
 	return broken
 }
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -21,6 +21,7 @@
 type faults struct {
 	deployment *deployment
 	random     *rand.Rand
+	kinds      []fault
 	wait       sync.WaitGroup
 	injected   []string
 }
@@ -70,10 +71,7 @@
 	}},
 	{"changed settings", func(f *faults, _ time.Duration) {
 		i := f.instance()
-		seeds := []string{f.instance().settings.ControlAddress, f.instance().settings.ControlAddress}
-		if i.writeSettings(seeds) == nil {
-			i.signal(syscall.SIGHUP)
-		}
+		f.changeSettings(i, f.seeds())
 	}},
 	{"control calls partitioned one way", func(f *faults, duration time.Duration) { f.partition(f.instance().control, duration, true, false) }},
 	{"control calls partitioned", func(f *faults, duration time.Duration) { f.partition(f.instance().control, duration, true, true) }},
@@ -98,6 +96,70 @@
 	{"worker slow", func(f *faults, duration time.Duration) { f.slow(f.link(), duration) }},
 }
 
+// signalKinds are series of signals. They are injected beside faultKinds, from random
+// numbers of their own, so that a seed injects the same faultKinds with or without them.
+var signalKinds = []fault{
+	{"stop and changed settings", func(f *faults, duration time.Duration) { f.stopWith(duration, syscall.SIGHUP) }},
+	{"stop twice and changed settings", func(f *faults, duration time.Duration) { f.stopWith(duration, syscall.SIGTERM, syscall.SIGHUP) }},
+	{"settings change several times", func(f *faults, duration time.Duration) {
+		i, pause := f.instance(), duration/hangups
+		seeds := f.seeds()
+		f.endAfter(0, func() {
+			for range hangups {
+				f.changeSettings(i, seeds)
+				time.Sleep(pause)
+			}
+		})
+	}},
+	{"unused signals", func(f *faults, _ time.Duration) {
+		i := f.instance()
+		i.signal(syscall.SIGUSR1)
+		i.signal(syscall.SIGUSR2)
+		i.signal(syscall.SIGPIPE)
+	}},
+}
+
+// hangups is the number of times that settings change in a series.
+const hangups = 5
+
+// stopWith stops an instance and starts it again. From the stop to its exit the instance
+// gets further signals, of which hangups come with changed settings; maxPause bounds the
+// pause between two.
+func (f *faults) stopWith(maxPause time.Duration, series ...syscall.Signal) {
+	i, seeds := f.instance(), f.seeds()
+	pause := time.Millisecond + maxPause/hangups
+	f.endAfter(0, func() {
+		exited := make(chan struct{})
+		go func() {
+			defer close(exited)
+			i.stop(syscall.SIGTERM)
+		}()
+		for n := 0; ; n++ {
+			select {
+			case <-exited:
+				f.start(i)
+				return
+			case <-time.After(pause):
+			}
+			if s := series[n%len(series)]; s == syscall.SIGHUP {
+				f.changeSettings(i, seeds)
+			} else {
+				i.signal(s)
+			}
+		}
+	})
+}
+
+func (f *faults) seeds() []string {
+	return []string{f.instance().settings.ControlAddress, f.instance().settings.ControlAddress}
+}
+
+func (f *faults) changeSettings(i *instance, seeds []string) {
+	if i.writeSettings(seeds) == nil {
+		i.signal(syscall.SIGHUP)
+	}
+}
+
 func (f *faults) instance() *instance {
 	return f.deployment.instances[f.random.IntN(len(f.deployment.instances))]
 }
@@ -137,7 +199,7 @@
 func (f *faults) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(f.random.Int64N(int64(maxFaultPause))))
-		k := faultKinds[f.random.IntN(len(faultKinds))]
+		k := f.kinds[f.random.IntN(len(f.kinds))]
 		duration := time.Duration(f.random.Int64N(int64(maxFaultDuration)))
 		f.injected = append(f.injected, k.name)
 		k.inject(f, duration)
--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -36,6 +36,9 @@
 	exited   chan struct{}
 	// unexpectedExits is the number of exits that were not requested by a signal.
 	unexpectedExits int
+	// fatalSignals are the signals, other than SIGKILL, that ended a process instead of
+	// being handled.
+	fatalSignals []syscall.Signal
 }
 
 // runs is the number of runs in this process.
@@ -120,6 +123,9 @@
 	if !i.stopping {
 		i.unexpectedExits++
 	}
+	if status, ok := command.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() && status.Signal() != syscall.SIGKILL {
+		i.fatalSignals = append(i.fatalSignals, status.Signal())
+	}
 	i.command = nil
 	close(exited)
 }
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -57,13 +57,14 @@
 		return outcome, err
 	}
 	c := &callers{deployment: d}
-	f := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 2))} //nolint:gosec // faults need no secrecy
-	recoveryErr := runFaults(ctx, config, c, f)
+	f := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 2)), kinds: faultKinds}        //nolint:gosec // faults need no secrecy
+	signals := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 3)), kinds: signalKinds} //nolint:gosec // faults need no secrecy
+	recoveryErr := runFaults(ctx, config, c, f, signals)
 	outcome.Broken = check(d, c, responder)
 	if recoveryErr != nil {
 		outcome.Broken = append(outcome.Broken, recoveryErr.Error())
 	}
-	outcome.Faults, outcome.Requests = len(f.injected), len(c.results)
+	outcome.Faults, outcome.Requests = len(f.injected)+len(signals.injected), len(c.results)
 	for _, r := range c.results {
 		if r.complete && r.status == okStatus {
 			outcome.Served++
@@ -83,7 +84,7 @@
 
 // runFaults injects faults while callers send requests, and waits until everything is
 // served again.
-func runFaults(ctx context.Context, config Config, c *callers, f *faults) error {
+func runFaults(ctx context.Context, config Config, c *callers, f, signals *faults) error {
 	callerContext, stop := context.WithCancel(ctx)
 	var wait sync.WaitGroup
 	for n := range config.Callers {
@@ -95,7 +96,10 @@
 		wait.Go(func() { c.probe(callerContext, i, random) })
 	}
 	faultContext, end := context.WithTimeout(ctx, config.FaultDuration)
-	f.run(faultContext)
+	var injection sync.WaitGroup
+	injection.Go(func() { f.run(faultContext) })
+	injection.Go(func() { signals.run(faultContext) })
+	injection.Wait()
 	end()
 	err := c.awaitServed(ctx, time.Now(), config.RecoveryTimeout)
 	if err == nil {
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -75,6 +75,9 @@
 		"a silent store hides changes": {
 			"platform/store.go", "watchWaitShare   = 0.5", "watchWaitShare   = 2.0", "not in force in time",
 		},
+		"a hangup ends a process that is stopping": {
+			"cmd/internal/signals/signals.go", "signal.Notify(hangups, syscall.SIGHUP)", "_ = syscall.SIGHUP", "ended by a signal",
+		},
 		"two holders of one worker": {
 			"coord/quorum/machine.go", "max(0, state.promise.formerExpiry+m.config.TurnGap-now)", "time.Duration(0)", "an order of",
 		},
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -146,6 +146,9 @@
 // Run serves until ctx ends, and then stops gracefully. An error means that the
 // instance could not listen or serve.
 func (i *Instance) Run(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return nil // stopped before a listener was open
+	}
 	listeners, err := i.listen()
 	if err != nil {
 		return err
@@ -279,9 +282,17 @@
 
 func (i *Instance) sleepUntil(at time.Duration) { time.Sleep(at - now()) }
 
+// errReloadInStop is logged for settings that change during a graceful stop.
+var errReloadInStop = errors.New("the instance is stopping; the settings take effect at the next start")
+
 // Reload applies changed settings to a running instance: only the seeds. Every
-// other change takes effect at the next start.
+// other change takes effect at the next start. An instance that is stopping has left
+// its cluster, and ignores the change.
 func (i *Instance) Reload(s Settings) {
+	if i.gateway.draining.Load() {
+		i.ReloadFailed(errReloadInStop)
+		return
+	}
 	i.cluster.With(func(at time.Duration, m *quorum.Machine) { m.SetSeeds(at, s.Seeds) })
 	i.setQuotaSeeds(s.Seeds)
 	i.log.Line(decision.Reloaded).Strs(decision.FieldSeeds, s.Seeds).Send()
