Store: a cut watch is no outage, and keeps no removed worker in use

Cause: each failed call was taken for an outage of the store, also a watch that was cut, and each return began anew the two seconds in which a deleted entry counts as expired. In the log the worker is lapsed between store_lost and store_returned 0.14 s apart, and the second cut, of the operator's feed alone, extends the grace.

An outage now counts only if it lasted as long as an entry needs to expire, by all calls together: from the end of a connection, or the beginning of a call that timed out, to the next response. Shorter failures begin and extend no grace. A removal keeps its revision also at the end of a grace, for unknown workers, and against older news of peers. New: event store_outage, counter store_outages, setting workerHeartbeat.

--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -96,9 +96,9 @@
 	{"worker slow", func(f *faults, duration time.Duration) { f.slow(f.link(), duration) }},
 }
 
-// signalKinds are series of signals. They are injected beside faultKinds, from random
+// seriesKinds are series of signals and of cut watches. They are injected beside faultKinds, from random
 // numbers of their own, so that a seed injects the same faultKinds with or without them.
-var signalKinds = []fault{
+var seriesKinds = []fault{
 	{"stop and changed settings", func(f *faults, duration time.Duration) { f.stopWith(duration, syscall.SIGHUP) }},
 	{"stop twice and changed settings", func(f *faults, duration time.Duration) { f.stopWith(duration, syscall.SIGTERM, syscall.SIGHUP) }},
 	{"settings change several times", func(f *faults, duration time.Duration) {
@@ -111,6 +111,14 @@
 			}
 		})
 	}},
+	{"watches cut", func(f *faults, duration time.Duration) {
+		f.endAfter(0, func() {
+			for range watchCuts {
+				f.deployment.store.CutWatches()
+				time.Sleep(duration / watchCuts)
+			}
+		})
+	}},
 	{"unused signals", func(f *faults, _ time.Duration) {
 		i := f.instance()
 		i.signal(syscall.SIGUSR1)
@@ -119,8 +127,9 @@
 	}},
 }
 
-// hangups is the number of times that settings change in a series.
-const hangups = 5
+// hangups is the number of times that settings change in a series, and watchCuts that of
+// cuts.
+const hangups, watchCuts = 5, 5
 
 // stopWith stops an instance and starts it again. From the stop to its exit the instance
 // gets further signals, of which hangups come with changed settings; maxPause bounds the
--- a/cmd/internal/soak/run.go
+++ b/cmd/internal/soak/run.go
@@ -57,14 +57,14 @@
 		return outcome, err
 	}
 	c := &callers{deployment: d}
-	f := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 2)), kinds: faultKinds}        //nolint:gosec // faults need no secrecy
-	signals := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 3)), kinds: signalKinds} //nolint:gosec // faults need no secrecy
-	recoveryErr := runFaults(ctx, config, c, f, signals)
+	f := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 2)), kinds: faultKinds}       //nolint:gosec // faults need no secrecy
+	series := &faults{deployment: d, random: rand.New(rand.NewPCG(config.Seed, 3)), kinds: seriesKinds} //nolint:gosec // faults need no secrecy
+	recoveryErr := runFaults(ctx, config, c, f, series)
 	outcome.Broken = check(d, c, responder)
 	if recoveryErr != nil {
 		outcome.Broken = append(outcome.Broken, recoveryErr.Error())
 	}
-	outcome.Faults, outcome.Requests = len(f.injected)+len(signals.injected), len(c.results)
+	outcome.Faults, outcome.Requests = len(f.injected)+len(series.injected), len(c.results)
 	for _, r := range c.results {
 		if r.complete && r.status == okStatus {
 			outcome.Served++
@@ -84,7 +84,7 @@
 
 // runFaults injects faults while callers send requests, and waits until everything is
 // served again.
-func runFaults(ctx context.Context, config Config, c *callers, f, signals *faults) error {
+func runFaults(ctx context.Context, config Config, c *callers, f, series *faults) error {
 	callerContext, stop := context.WithCancel(ctx)
 	var wait sync.WaitGroup
 	for n := range config.Callers {
@@ -98,7 +98,7 @@
 	faultContext, end := context.WithTimeout(ctx, config.FaultDuration)
 	var injection sync.WaitGroup
 	injection.Go(func() { f.run(faultContext) })
-	injection.Go(func() { signals.run(faultContext) })
+	injection.Go(func() { series.run(faultContext) })
 	injection.Wait()
 	end()
 	err := c.awaitServed(ctx, time.Now(), config.RecoveryTimeout)
--- a/coord/worker/registry.go
+++ b/coord/worker/registry.go
@@ -22,7 +22,7 @@
 	// Gone means that the worker was removed.
 	Gone
 	// Lapsed means that the entry is missing from the store after an outage. The
-	// worker is still used until ReturnGrace has passed.
+	// worker is still used until Config.ReturnGrace has passed.
 	Lapsed
 )
 
@@ -42,22 +42,32 @@
 }
 
 // Registry is an instance's view of the worker entries in the metadata store.
-// Entries may expire while the store is unavailable, so until ReturnGrace after its
-// return a worker whose entry is missing is kept as lapsed. A Registry is not safe
-// for concurrent use.
+// Entries may expire while the store is unavailable. After such an outage a worker whose
+// entry is missing is therefore kept as lapsed for Config.ReturnGrace, counted from the
+// store's first response. In calm, and after failures that are too short for an entry to
+// expire, a missing entry means that the worker was removed.
+//
+// A worker that is gone comes back only with an entry that is newer than its removal, and
+// a lapsed one likewise. A Registry is not safe for concurrent use.
 type Registry struct {
 	workers map[string]*entryState
-	// graceEndsAt is the time from which missing entries count as deleted.
-	graceEndsAt      time.Duration
-	storeUnavailable bool
+	outage  outageDetector
 	// tombstones holds the revisions at which workers were removed, so that updates
 	// with an older revision don't restore them.
 	tombstones map[string]uint64
+	// newestRemoval is the removal with the highest revision that the store reported.
+	newestRemoval Removal
 	// leaving holds the start time of the processes that said that they leave, by
 	// worker. It outlives the entry, which may lapse and be listed again.
 	leaving map[string]int64
 }
 
+// Removal is the removal of a worker's entry.
+type Removal struct {
+	ID       string
+	Revision uint64
+}
+
 // leavingSweepSize is the number of processes in Registry.leaving beyond which those
 // without an entry are dropped.
 const leavingSweepSize = 4096
@@ -66,13 +76,20 @@
 type entryState struct {
 	worker   Worker
 	revision uint64
-	// missing is set while the entry is lapsed.
-	missing bool
+	// missing is set while the entry is lapsed: it was missing as of missingRevision.
+	missing         bool
+	missingRevision uint64
 }
 
+// lastRevision returns the revision up to which the state of the entry is known.
+func (k *entryState) lastRevision() uint64 { return max(k.revision, k.missingRevision) }
+
 // NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
-	return &Registry{workers: make(map[string]*entryState), tombstones: make(map[string]uint64), leaving: make(map[string]int64)}
+func NewRegistry(config Config) *Registry {
+	return &Registry{
+		workers: make(map[string]*entryState), outage: outageDetector{config: config},
+		tombstones: make(map[string]uint64), leaving: make(map[string]int64),
+	}
 }
 
 // Missing reports whether a worker's entry is lapsed: missing from the store but
@@ -82,17 +99,24 @@
 	return k != nil && k.missing
 }
 
-// StoreLost records that the store is unavailable.
-func (r *Registry) StoreLost() { r.storeUnavailable = true }
+// CallFailed records a call to the store without a usable response. since is the time
+// from which on the call doesn't show that the store was available: its beginning if it
+// timed out, and its end if it was refused or its connection was closed.
+func (r *Registry) CallFailed(since time.Duration) { r.outage.failed(since) }
 
-// StoreReturned records that the store is available again.
-func (r *Registry) StoreReturned(now time.Duration) {
-	if r.storeUnavailable {
-		r.storeUnavailable = false
-		r.graceEndsAt = now + ReturnGrace
+// ReadingBegins records that this instance reads the store from now on. The workers that
+// it knows from others are unconfirmed, as after an outage.
+func (r *Registry) ReadingBegins() {
+	if len(r.workers) > 0 {
+		r.outage.failed(r.outage.respondedAt)
 	}
 }
 
+// StoreResponded records a response of the store, which must be done before its contents
+// are applied. It returns the length of the outage that the response ends, or 0 if there
+// was none in which entries may have expired.
+func (r *Registry) StoreResponded(now time.Duration) time.Duration { return r.outage.responded(now) }
+
 // Put applies an entry that was written at revision. Revisions older than the known
 // one, or than the removal of the worker, are ignored.
 func (r *Registry) Put(w Worker, revision uint64) []Event {
@@ -107,7 +131,7 @@
 		r.workers[w.ID] = &entryState{worker: w, revision: revision}
 		return []Event{{Worker: w, Change: Appeared, Revision: revision}}
 	}
-	if revision < k.revision {
+	if revision < k.revision || k.missing && revision <= k.missingRevision {
 		return nil
 	}
 	change := Updated
@@ -118,7 +142,7 @@
 		change = StartedDraining
 	}
 	structural := !k.worker.hasSameStructure(w)
-	k.worker, k.revision, k.missing = w, revision, false
+	k.worker, k.revision, k.missing, k.missingRevision = w, revision, false, 0
 	return []Event{{Worker: w, Change: change, Revision: revision, Structural: structural}}
 }
 
@@ -179,23 +203,29 @@
 	}
 }
 
-// Delete applies the deletion of an entry at revision. While the store is
-// unavailable or has only just returned, the worker lapses instead.
+// Delete applies the deletion of an entry at revision, as reported by the store. If the
+// entry may have expired in an outage, the worker lapses instead.
 func (r *Registry) Delete(now time.Duration, id string, revision uint64) []Event {
+	if revision >= r.newestRemoval.Revision {
+		r.newestRemoval = Removal{ID: id, Revision: revision}
+	}
 	k, exists := r.workers[id]
-	if !exists || revision < k.revision {
+	if !exists {
+		r.tombstones[id] = max(r.tombstones[id], revision)
 		return nil
 	}
-	if r.storeUnavailable || now < r.graceEndsAt {
-		if k.missing {
-			return nil
-		}
-		k.missing = true
-		return []Event{{Worker: k.worker, Change: Lapsed, Revision: revision}}
+	if revision < k.revision {
+		return nil
 	}
-	delete(r.workers, id)
-	r.tombstones[id] = revision
-	return []Event{{Worker: k.worker, Change: Gone, Revision: revision}}
+	if !r.outage.mayBeRenewed(now) {
+		return r.remove(id, k, revision)
+	}
+	lapsed := !k.missing
+	k.missing, k.missingRevision = true, max(k.missingRevision, revision)
+	if !lapsed {
+		return nil
+	}
+	return []Event{{Worker: k.worker, Change: Lapsed, Revision: revision}}
 }
 
 // Entry is a worker with the revision of its entry in the store.
@@ -208,7 +238,11 @@
 // another instance that reads the store.
 func (r *Registry) DeleteFromPeer(id string, revision uint64) []Event {
 	k, exists := r.workers[id]
-	if !exists || revision < k.revision {
+	if !exists {
+		r.tombstones[id] = max(r.tombstones[id], revision)
+		return nil
+	}
+	if revision < k.revision {
 		return nil
 	}
 	return r.remove(id, k, revision)
@@ -217,6 +251,7 @@
 // remove removes a worker and keeps a tombstone.
 func (r *Registry) remove(id string, k *entryState, revision uint64) []Event {
 	delete(r.workers, id)
+	revision = max(revision, k.lastRevision())
 	r.tombstones[id] = revision
 	return []Event{{Worker: k.worker, Change: Gone, Revision: revision}}
 }
@@ -239,21 +274,24 @@
 }
 
 // Tick removes the lapsed workers whose entry was not renewed before the end of the
-// grace period.
+// grace period. In a further outage they are kept, since they could not renew it.
 func (r *Registry) Tick(now time.Duration) []Event {
-	if r.storeUnavailable || now < r.graceEndsAt {
+	if r.outage.mayBeRenewed(now) {
 		return nil
 	}
 	var events []Event
 	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
 		if k := r.workers[id]; k.missing {
-			delete(r.workers, id)
-			events = append(events, Event{Worker: k.worker, Change: Gone, Revision: k.revision})
+			events = append(events, r.remove(id, k, 0)...)
 		}
 	}
 	return events
 }
 
+// NewestRemoval returns the removal with the highest revision that the store reported; its
+// ID is empty if there was none.
+func (r *Registry) NewestRemoval() Removal { return r.newestRemoval }
+
 // Workers returns every known worker, including lapsed ones, sorted by ID.
 func (r *Registry) Workers() []Worker {
 	all := make([]Worker, 0, len(r.workers))
--- a/coord/worker/registry_test.go
+++ b/coord/worker/registry_test.go
@@ -17,15 +17,18 @@
 	return changes
 }
 
+// testConfig is for workers that renew their entry every 1.2 s.
+var testConfig = DefaultConfig(1200 * time.Millisecond)
+
 func TestADeletedEntryIsGoneAtOnce(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	r.Put(Worker{ID: "w", Born: 1}, 4)
 	require.Equal(t, []Change{Gone}, changesOf(r.Delete(time.Second, "w", 5)))
 	require.Empty(t, r.Workers())
 }
 
 func TestAnOldRevisionChangesNothing(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	r.Put(Worker{ID: "w", Draining: true}, 9)
 	require.Empty(t, r.Put(Worker{ID: "w"}, 8))
 	require.Empty(t, r.Delete(0, "w", 8))
@@ -33,22 +36,101 @@
 }
 
 func TestLapsedEntriesAreKeptUntilTheGraceEnds(t *testing.T) {
-	r := NewRegistry()
+	const returned = 10 * time.Second
+	r := NewRegistry(testConfig)
 	r.Put(Worker{ID: "back"}, 1)
 	r.Put(Worker{ID: "lost"}, 2)
-	r.StoreLost()
-	require.Equal(t, []Change{Lapsed}, changesOf(r.Delete(0, "back", 3)))
-	r.StoreReturned(10 * time.Second)
-	require.Equal(t, []Change{Lapsed}, changesOf(r.Replace(10*time.Second, nil, 5)))
+	r.CallFailed(returned - testConfig.MinOutage)
+	require.Equal(t, []Change{Lapsed}, changesOf(r.Delete(returned, "back", 3)))
+	require.Equal(t, testConfig.MinOutage, r.StoreResponded(returned))
+	require.Equal(t, []Change{Lapsed}, changesOf(r.Replace(returned, nil, 5)))
 	require.Len(t, r.Workers(), 2)
-	require.Empty(t, r.Tick(10*time.Second+ReturnGrace-1))
+	require.Empty(t, r.Tick(returned+testConfig.ReturnGrace-1))
 	r.Put(Worker{ID: "back"}, 6)
-	require.Equal(t, []Change{Gone}, changesOf(r.Tick(10*time.Second+ReturnGrace)))
+	require.Equal(t, []Change{Gone}, changesOf(r.Tick(returned+testConfig.ReturnGrace)))
 	require.Equal(t, "back", r.Workers()[0].ID)
 }
 
+// TestACutWatchStartsNoGrace guards against a removed worker that stays in use because
+// the store cuts watches: such a failure is too short for an entry to expire.
+func TestACutWatchStartsNoGrace(t *testing.T) {
+	r := NewRegistry(testConfig)
+	r.Put(Worker{ID: "w"}, 1)
+	r.CallFailed(10 * time.Second)
+	require.Zero(t, r.StoreResponded(10*time.Second+testConfig.MinOutage-1))
+	require.Equal(t, []Change{Gone}, changesOf(r.Delete(10*time.Second+testConfig.MinOutage, "w", 2)))
+}
+
+// TestCutWatchesDoNotExtendAGrace guards against lapsed workers that stay in use for as
+// long as the store goes on cutting watches.
+func TestCutWatchesDoNotExtendAGrace(t *testing.T) {
+	r := NewRegistry(testConfig)
+	r.Put(Worker{ID: "w"}, 1)
+	r.CallFailed(0)
+	require.Equal(t, 10*time.Second, r.StoreResponded(10*time.Second))
+	require.Equal(t, []Change{Lapsed}, changesOf(r.Delete(10*time.Second, "w", 2)))
+	end := 10*time.Second + testConfig.ReturnGrace
+	for at := 10 * time.Second; at < end; at += testConfig.MinOutage {
+		r.CallFailed(at)
+		require.Empty(t, r.Tick(at))
+		require.Zero(t, r.StoreResponded(at+testConfig.MinOutage/2))
+	}
+	r.CallFailed(end - 1)
+	require.Equal(t, []Change{Gone}, changesOf(r.Tick(end)))
+}
+
+// TestAResponseToAnotherCallShowsThatTheStoreWasAvailable covers a call that timed out
+// beside others that the store answered.
+func TestAResponseToAnotherCallShowsThatTheStoreWasAvailable(t *testing.T) {
+	r := NewRegistry(testConfig)
+	r.Put(Worker{ID: "w"}, 1)
+	require.Zero(t, r.StoreResponded(9900*time.Millisecond))
+	r.CallFailed(5 * time.Second)
+	require.Zero(t, r.StoreResponded(10*time.Second))
+	require.Equal(t, []Change{Gone}, changesOf(r.Delete(10*time.Second, "w", 2)))
+}
+
+// TestALapsedWorkerReturnsOnlyWithANewerEntry guards against a removal that older news of
+// a peer, or an entry that was on its way, takes back.
+func TestALapsedWorkerReturnsOnlyWithANewerEntry(t *testing.T) {
+	r := NewRegistry(testConfig)
+	r.Put(Worker{ID: "w"}, 4)
+	r.CallFailed(0)
+	r.StoreResponded(10 * time.Second)
+	r.Delete(10*time.Second, "w", 7)
+	require.Empty(t, r.PutFromPeer(Worker{ID: "w"}, 4))
+	require.Empty(t, r.Put(Worker{ID: "w"}, 6))
+	require.True(t, r.Missing("w"))
+	events := r.Tick(10*time.Second + testConfig.ReturnGrace)
+	require.Equal(t, []Change{Gone}, changesOf(events))
+	require.EqualValues(t, 7, events[0].Revision, "peers are told the revision of the removal")
+	require.Empty(t, r.PutFromPeer(Worker{ID: "w"}, 7))
+	require.Equal(t, []Change{Appeared}, changesOf(r.Put(Worker{ID: "w"}, 8)))
+}
+
+// TestARemovalOfAnUnknownWorkerIsRemembered covers a peer that passes on an entry after
+// the store has reported its deletion.
+func TestARemovalOfAnUnknownWorkerIsRemembered(t *testing.T) {
+	r := NewRegistry(testConfig)
+	require.Empty(t, r.Delete(time.Second, "w", 7))
+	require.Empty(t, r.PutFromPeer(Worker{ID: "w"}, 6))
+	require.Empty(t, r.DeleteFromPeer("v", 7))
+	require.Empty(t, r.PutFromPeer(Worker{ID: "v"}, 6))
+	require.Equal(t, Removal{ID: "w", Revision: 7}, r.NewestRemoval())
+}
+
+// TestWorkersKnownFromOthersLapse covers an instance that begins to read the store when
+// it has just returned, and knows workers from its peers.
+func TestWorkersKnownFromOthersLapse(t *testing.T) {
+	r := NewRegistry(testConfig)
+	r.PutFromPeer(Worker{ID: "w"}, 4)
+	r.ReadingBegins()
+	require.NotZero(t, r.StoreResponded(10*time.Second))
+	require.Equal(t, []Change{Lapsed}, changesOf(r.Replace(10*time.Second, nil, 9)))
+}
+
 func TestARestartUnderTheSameIDIsReported(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	r.Put(Worker{ID: "w", Born: 1, Models: []ModelState{{Name: "m"}}}, 1)
 	require.Equal(t, []Change{Restarted}, changesOf(r.Put(Worker{ID: "w", Born: 2}, 2)))
 	require.False(t, r.Workers()[0].HasModel("m"))
@@ -56,7 +138,7 @@
 }
 
 func TestAnOlderEntryFromAnotherInstanceIsIgnored(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	held := Worker{ID: "w", Born: 1, Models: []ModelState{{Name: "m", Adapters: []string{"a@1"}}}}
 	r.Put(held, 5)
 	bare := Worker{ID: "w", Born: 1, Models: []ModelState{{Name: "m"}}}
@@ -72,7 +154,7 @@
 // TestAWorkerThatSaidThatItLeavesStaysLeaving covers a worker whose entry goes on to
 // say that it is ready: it is written late, or the store does not respond.
 func TestAWorkerThatSaidThatItLeavesStaysLeaving(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	ready := Worker{ID: "w", Born: 7}
 	r.Put(ready, 1)
 	events := r.MarkLeaving("w", 7)
@@ -91,7 +173,7 @@
 }
 
 func TestThatAWorkerLeavesIsTakenFromAnOlderEntryOfAPeer(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	r.Put(Worker{ID: "w", Born: 7, Models: []ModelState{{Name: "m", Adapters: []string{"a@1"}}}}, 9)
 	told := Worker{ID: "w", Born: 7, Draining: true, Leaving: true, Models: []ModelState{{Name: "m"}}}
 	require.Equal(t, []Change{StartedDraining}, changesOf(r.PutFromPeer(told, 4)))
@@ -103,7 +185,7 @@
 }
 
 func TestProcessesThatLeftAreForgotten(t *testing.T) {
-	r := NewRegistry()
+	r := NewRegistry(testConfig)
 	r.Put(Worker{ID: "kept", Born: 1}, 1)
 	r.MarkLeaving("kept", 1)
 	for i := range leavingSweepSize + 1 {
--- a/coord/worker/worker.go
+++ b/coord/worker/worker.go
@@ -2,8 +2,6 @@
 // which are draining, and which models and adapters they hold.
 package worker
 
-import "time"
-
 // ModelState is a model that a worker holds.
 type ModelState struct {
 	Name    string
@@ -41,11 +39,6 @@
 	return false
 }
 
-// ReturnGrace is how long workers whose entry is missing after an outage of the store
-// are kept, since workers renew their entries when it returns. The operators specify
-// about two seconds for that.
-const ReturnGrace = 2 * time.Second
-
 // hasSameStructure reports whether two entries differ in nothing but adapters and
 // versions of models.
 func (w *Worker) hasSameStructure(other Worker) bool {
--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -31,6 +31,7 @@
 	EntryRejected    Event = "entry_rejected"
 	StoreLost        Event = "store_lost"
 	StoreReturned    Event = "store_returned"
+	StoreOutage      Event = "store_outage"
 	ReportFailed     Event = "report_failed"
 	QuotaUsed        Event = "quota_used"
 	QuotaMeter       Event = "quota_meter"
@@ -68,6 +69,7 @@
 	{name: EntryRejected, text: "an entry of the metadata store is unusable", fields: []Field{FieldKey, FieldError}},
 	{name: StoreLost, text: "the metadata store is unavailable", fields: []Field{FieldError}},
 	{name: StoreReturned, text: "the metadata store is available again", fields: []Field{}},
+	{name: StoreOutage, text: "the metadata store responds after an outage in which entries may have expired; workers without an entry are kept for the grace period", fields: []Field{FieldTookMS}},
 	{name: ReportFailed, text: "a worker's report could not be read", fields: []Field{FieldWorker, FieldError}},
 	{name: QuotaUsed, text: "what an organisation's requests used of its quota here since the process started", fields: []Field{FieldOrganisation, FieldQuotaHeld, FieldQuotaAsked, FieldQuotaGranted, FieldQuotaSpent, FieldQuotaReserve, FieldQuotaReturned, FieldQuotaReturnedLate, FieldQuotaRefused, FieldQuotaUnreachable, FieldQuotaCalls, FieldQuotaFailures}},
 	{name: QuotaMeter, text: "the level of an organisation's bucket at a meter that this instance runs", fields: []Field{FieldRight, FieldOrganisation, FieldQuotaLevel}},
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -275,7 +275,7 @@
 		r.cancel()
 		r.cancel = nil
 		r.setReading(false)
-		r.StoreReturned() // from now on the other readers report lapsed entries
+		r.StoreResponded() // from now on the other readers report lapsed entries
 	}
 }
 
@@ -297,6 +297,7 @@
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.setReading(true)
+	r.fleet.changeWorkers(func(registry *worker.Registry) []worker.Event { registry.ReadingBegins(); return nil })
 	go recovery.Loop(ctx, r.gateway.reportPanic, "store", func(ctx context.Context) { r.ports.Directory.Run(ctx, r.Instance) })
 }
 
--- a/entry/direct/fleet.go
+++ b/entry/direct/fleet.go
@@ -41,7 +41,7 @@
 
 func newFleet(s Settings) *fleet {
 	f := &fleet{
-		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(), conditions: newConditions(),
+		settings: s, balance: balance.DefaultConfig(), config: &configuration{}, workers: newKnownWorkers(worker.DefaultConfig(s.WorkerHeartbeat.Std())), conditions: newConditions(),
 		usage: newUsage(), costs: newCosts(s.LearnedCost), residency: newResidency(), versions: newAdapterVersions(), demand: newDemand(s), organisations: newOrganisations(s),
 		bodies: newWorkerBodies(s.MaxWorkerBodyMB),
 	}
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -310,10 +310,24 @@
 	return true
 }
 
-// StoreLost implements DirectorySink. Entries of workers that vanish while the
-// store is unavailable don't count as gone.
+// CallFailed implements DirectorySink.
+func (i *Instance) CallFailed(openFor time.Duration) {
+	since := now() - openFor
+	i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { r.CallFailed(since); return nil })
+}
+
+// StoreResponded implements DirectorySink.
+func (i *Instance) StoreResponded() {
+	outage := time.Duration(0)
+	i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { outage = r.StoreResponded(now()); return nil })
+	if outage > 0 {
+		i.metrics.countStoreOutage()
+		i.log.Line(decision.StoreOutage).Dur(decision.FieldTookMS, outage).Send()
+	}
+}
+
+// StoreLost implements DirectorySink.
 func (i *Instance) StoreLost(err error) {
-	i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { r.StoreLost(); return nil })
 	i.directorySync.setStoreUnavailable(true)
 	if !errors.Is(err, context.Canceled) {
 		i.log.Warn(decision.StoreLost, err).Send()
@@ -322,7 +336,6 @@
 
 // StoreReturned implements DirectorySink.
 func (i *Instance) StoreReturned() {
-	i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { r.StoreReturned(now()); return nil })
 	i.directorySync.setStoreUnavailable(false)
 	i.log.Line(decision.StoreReturned).Send()
 }
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -84,6 +84,9 @@
 // countPanic counts a panic by the task that it was confined to.
 func (m *metrics) countPanic(task string) { m.tagged("task", task).Counter("panics").Inc(1) }
 
+// countStoreOutage counts an outage of the store in which entries may have expired.
+func (m *metrics) countStoreOutage() { m.scope.Counter("store_outages").Inc(1) }
+
 // countRetry counts a retried request by the cause of the retry.
 func (m *metrics) countRetry(cause string) { m.tagged("cause", cause).Counter("repeats").Inc(1) }
 
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -173,9 +173,15 @@
 	AdapterVersion(model, adapter string, version int64)
 	// EntryRejected reports an entry that is invalid.
 	EntryRejected(key string, err error)
-	// StoreLost reports that the store does not respond.
+	// CallFailed reports a call to the store without a usable response. openFor is how long
+	// ago the call began if it timed out, since the store may have been unavailable all the
+	// while; 0 if it was refused or its connection was closed.
+	CallFailed(openFor time.Duration)
+	// StoreResponded reports a response of the store, before its contents are reported.
+	StoreResponded()
+	// StoreLost reports that a reader gets no response from the store.
 	StoreLost(err error)
-	// StoreReturned reports that the store responds again.
+	// StoreReturned reports that the reader gets responses again.
 	StoreReturned()
 	// Panicked reports a panic in a background task of the Directory.
 	Panicked(p *recovery.Panic)
--- a/entry/direct/settings.go
+++ b/entry/direct/settings.go
@@ -61,6 +61,9 @@
 	// ConfigApplyLimit is the time within which a published configuration must
 	// be in force on every instance, as the operators require.
 	ConfigApplyLimit settings.Duration `json:"configApplyLimit"`
+	// WorkerHeartbeat is the interval at which workers renew their entry in the store,
+	// which expires after three of them.
+	WorkerHeartbeat settings.Duration `json:"workerHeartbeat"`
 	// StopGrace is the time between the signal to stop and the kill.
 	StopGrace settings.Duration `json:"stopGrace"`
 	// RepeatRatio is the fraction of the requests of a window that all instances
@@ -97,6 +100,7 @@
 		CPUShare:         1,
 		OrderTurnGap:     settings.Duration(3 * time.Second),
 		ConfigApplyLimit: settings.Duration(2500 * time.Millisecond),
+		WorkerHeartbeat:  settings.Duration(1200 * time.Millisecond),
 		StopGrace:        settings.Duration(8 * time.Second),
 		RepeatRatio:      0.2,
 		RepeatSlack:      10,
@@ -139,7 +143,7 @@
 	}
 	s.checkAddresses(find)
 	for field, value := range map[string]settings.Duration{
-		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
+		"orderTurnGap": s.OrderTurnGap, "configApplyLimit": s.ConfigApplyLimit, "workerHeartbeat": s.WorkerHeartbeat, "stopGrace": s.StopGrace, "repeatWindow": s.RepeatWindow,
 		"revokeAfter": s.RevokeAfter, "bodyTimeout": s.BodyTimeout,
 	} {
 		if value <= 0 {
--- a/entry/direct/workers.go
+++ b/entry/direct/workers.go
@@ -23,8 +23,8 @@
 	listDigest uint64
 }
 
-func newKnownWorkers() *knownWorkers {
-	return &knownWorkers{registry: worker.NewRegistry(), byID: make(map[string]worker.Worker)}
+func newKnownWorkers(config worker.Config) *knownWorkers {
+	return &knownWorkers{registry: worker.NewRegistry(config), byID: make(map[string]worker.Worker)}
 }
 
 // change applies a change to the registry.
