Fetched listings: a removed worker whose entry was the newest is removed

An instance that has the store's contents from its peers went on using a removed worker: a listing removes what it lacks up to the highest revision among its entries, and the removed entry was newer.

TestAListingWithoutTheNewestEntryRemovesIt failed before: two workers instead of one.

--- a/entry/direct/workers.go
+++ b/entry/direct/workers.go
@@ -66,7 +66,9 @@
 	return k.registry.Missing(id)
 }
 
-// entries returns every worker in the form sent to peers.
+// entries returns every worker in the form sent to peers. The newest removal is added, so
+// that the highest revision among them is that of the listing: a receiver would otherwise
+// keep a removed worker whose entry is newer than all others.
 func (k *knownWorkers) entries() []*clusterpb.WorkerEntry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -74,6 +76,9 @@
 	for _, e := range k.registry.Entries() {
 		encoded = append(encoded, encodeWorker(e.Worker, e.Revision, false))
 	}
+	if removal := k.registry.NewestRemoval(); removal.ID != "" && k.byID[removal.ID].ID == "" {
+		encoded = append(encoded, encodeWorker(worker.Worker{ID: removal.ID}, removal.Revision, true))
+	}
 	return encoded
 }
 
