A status of 000 is no success

Cause: fasthttp reports the status 0 as 200. The status is now read from the status line before the header is parsed; what is not three digits from 100 on is no response. An interim response with a body, or that switches protocols, is none either.

--- a/cmd/e2e/faulty_test.go
+++ b/cmd/e2e/faulty_test.go
@@ -209,3 +209,48 @@
 	require.GreaterOrEqual(t, response.StatusCode, 500, "%s", body)
 	require.Equal(t, "unknown", response.Header.Get(httpx.Outcome), "%s", body)
 }
+
+// TestAnInvalidStatusOrABrokenHeadIsNoAnswer guards against a response of an endpoint with
+// the status 000, or with a head that breaks off, that a caller gets as a success.
+func TestAnInvalidStatusOrABrokenHeadIsNoAnswer(t *testing.T) {
+	s, endpoints := startRawSystem(t)
+	adapter := s.adapterVersions(1)[0]
+	plain := fmt.Sprintf(`{"model":%q,"choices":[{"text":"label"}]}`, adapter)
+	events := "data: " + plain + "\n\ndata: [DONE]\n\n"
+	whole := map[string]string{
+		"body":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(plain), plain),
+		"events": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(events), events),
+	}
+	answers := make(map[string]*rawAnswer)
+	for kind, text := range whole {
+		for _, status := range []string{"000", "000 OK", "001 OK", "099 OK", "00 OK", "20x OK", "101 Switching Protocols"} {
+			answers[kind+", "+status] = &rawAnswer{head: strings.Replace(text, "200 OK", status, 1)}
+			answers[kind+", interim, "+status] = &rawAnswer{head: "HTTP/1.1 102 Processing\r\n\r\n" + strings.Replace(text, "200 OK", status, 1)}
+		}
+		answers[kind+", interim with a body"] = &rawAnswer{head: strings.Replace(text, "200 OK", "102 Processing", 1) + text}
+		head := text[:strings.Index(text, "\r\n\r\n")+len("\r\n\r\n")]
+		for _, length := range []int{0, 4, 9, 12, 15, 16, 17, len(head) / 2, len(head) - 3, len(head) - 2, len(head) - 1} {
+			answers[fmt.Sprintf("%s, closed after %d", kind, length)] = &rawAnswer{head: head[:length]}
+			answers[fmt.Sprintf("%s, reset after %d", kind, length)] = &rawAnswer{head: head[:length], reset: true}
+		}
+	}
+	for name, answer := range answers {
+		for _, e := range endpoints {
+			e.answer.Store(answer)
+		}
+		for _, text := range s.callerRequests(startTimeout) {
+			conn, err := net.Dial("tcp", s.callerAddresses[0])
+			require.NoError(t, err)
+			require.NoError(t, conn.SetDeadline(time.Now().Add(startTimeout)))
+			_, err = io.WriteString(conn, text)
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err, "%s: %s", name, text)
+			body, err := io.ReadAll(response.Body)
+			if err == nil {
+				require.GreaterOrEqual(t, response.StatusCode, 500, "%s: %s got %q", name, text, body)
+			}
+			require.NoError(t, conn.Close())
+		}
+	}
+}
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -153,7 +153,7 @@
 // streaming.
 func readResponseHeader(response *fasthttp.Response, reader *bufio.Reader, isHeadRequest bool) error {
 	for {
-		if err := response.Header.Read(reader); err != nil {
+		if err := ReadHeader(&response.Header, reader); err != nil {
 			return err
 		}
 		status := response.StatusCode()
--- a/entry/platform/client.go
+++ b/entry/platform/client.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/table"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
 // Keys that the platform publishes.
@@ -33,6 +34,7 @@
 // NewClient returns a client of the platform at address.
 func NewClient(address string) *Client {
 	return &Client{address: address, http: &fasthttp.Client{
+		DialTimeout:               httpx.DialChecked,
 		NoDefaultUserAgentHeader:  true,
 		MaxResponseBodySize:       table.MaxChunkBytes,
 		MaxIdemponentCallAttempts: 1,
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
 // ErrUnexpectedResponse is returned if a connection carries bytes that are not a
@@ -166,7 +168,7 @@
 // the body reader.
 func (x *Exchange) readHeader() error {
 	for range maxInformational + 1 {
-		if err := x.Header.Read(x.conn.reader); err != nil {
+		if err := httpx.ReadHeader(&x.Header, x.conn.reader); err != nil {
 			return fmt.Errorf("read response header: %w", err)
 		}
 		if x.Header.StatusCode() >= fasthttp.StatusOK {
