--- a/entry/httpx/status.go
+++ b/entry/httpx/status.go
@@ -40,8 +40,8 @@
 // peekStatus waits for the status line of the next response and returns its status. It
 // consumes nothing.
 func peekStatus(reader *bufio.Reader) (int, error) {
-	for {
-		_, err := reader.Peek(reader.Buffered() + 1)
+	for needed := 1; ; needed = reader.Buffered() + 1 {
+		_, err := reader.Peek(needed)
 		received, _ := reader.Peek(reader.Buffered()) // never fails
 		status, complete, invalid := parseStatusLine(received)
 		switch {
--- a/entry/httpx/status_test.go
+++ b/entry/httpx/status_test.go
@@ -40,6 +40,21 @@
 	}
 }
 
+// TestAHeaderThatHasArrivedIsReadAtOnce guards against a header that waits for more bytes
+// though all of it has arrived, together with the response before it.
+func TestAHeaderThatHasArrivedIsReadAtOnce(t *testing.T) {
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go func() { _, _ = io.WriteString(far, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 204 No\r\n\r\n") }()
+	require.NoError(t, near.SetDeadline(time.Now().Add(3*time.Second)))
+	reader := bufio.NewReader(near)
+	for _, status := range []int{102, 204} {
+		var header fasthttp.ResponseHeader
+		require.NoError(t, ReadHeader(&header, reader))
+		require.Equal(t, status, header.StatusCode())
+	}
+}
+
 // TestCheckedConnections checks each response on a kept connection of a fasthttp client.
 func TestCheckedConnections(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
