Store: a return from an older copy takes back nothing that is known

Before, entries that were written again were ignored while their revision was below the known one, a watch went on from a revision that named another change, and an instance that had missed a revocation took the copy's word that its configuration was the newest.

coord/revision orders changes by era and revision; readers list again in a new era. Until what was lost has had the time to be written again, what the copy lacks counts as lapsed, and what it still has of a worker that left, drains or was restarted is held back; then the store is right. Nothing it says confirms a configuration for two seconds.

--- a/cmd/bulrushctl/explaindirect.go
+++ b/cmd/bulrushctl/explaindirect.go
@@ -123,6 +123,9 @@
 	for i, t := range c.Terms {
 		parts[i] = t.Name + " " + formatTime(t.Time)
 	}
+	if c.OlderEra {
+		parts = append(parts, "entry not seen since the store returned from a copy")
+	}
 	return strings.Join(parts, ", ")
 }
 
--- a/cmd/internal/soak/faults.go
+++ b/cmd/internal/soak/faults.go
@@ -119,6 +119,15 @@
 			}
 		})
 	}},
+	{"store returns from a copy", func(f *faults, duration time.Duration) {
+		store := f.deployment.store
+		store.Copy()
+		f.endAfter(duration, func() {
+			lost := store.ReturnFromCopy()
+			time.Sleep(rewriteDelay)
+			store.Rewrite(lost)
+		})
+	}},
 	{"unused signals", func(f *faults, _ time.Duration) {
 		i := f.instance()
 		i.signal(syscall.SIGUSR1)
@@ -127,6 +136,9 @@
 	}},
 }
 
+// rewriteDelay is how long after the return of the store what it lost is written again.
+const rewriteDelay = time.Second
+
 // hangups is the number of times that settings change in a series, and watchCuts that of
 // cuts.
 const hangups, watchCuts = 5, 5
--- a/coord/worker/outage.go
+++ b/coord/worker/outage.go
@@ -13,6 +13,8 @@
 	// A longer grace tolerates workers that are slower to renew their entry; a shorter one
 	// stops sooner to use those that were removed meanwhile.
 	ReturnGrace time.Duration
+	// EntryLifetime is how long after its last renewal the store keeps an entry.
+	EntryLifetime time.Duration
 }
 
 // expiryHeartbeats is the number of missed renewals after which the store removes an
@@ -25,8 +27,9 @@
 	return Config{
 		// An entry expires only if the outage meets all renewals but the last before it and
 		// the first after it. The rest is a margin, since renewals are not punctual.
-		MinOutage:   (expiryHeartbeats - 2) * heartbeat / 2,
-		ReturnGrace: 2 * time.Second,
+		MinOutage:     (expiryHeartbeats - 2) * heartbeat / 2,
+		ReturnGrace:   2 * time.Second,
+		EntryLifetime: expiryHeartbeats * heartbeat,
 	}
 }
 
--- a/coord/worker/outage_test.go
+++ b/coord/worker/outage_test.go
@@ -60,7 +60,7 @@
 func newWorld(config Config) *world {
 	w := &world{registry: NewRegistry(config), now: time.Minute, revision: 1, listed: true}
 	w.registry.StoreResponded(w.now)
-	w.registry.Put(Worker{ID: "w"}, w.revision)
+	w.registry.Put(Worker{ID: "w"}, v(w.revision))
 	return w
 }
 
@@ -133,13 +133,13 @@
 	w.registry.StoreResponded(at)
 	switch {
 	case listing && w.listed:
-		w.note(w.registry.Replace(at, []Entry{{Worker{ID: "w"}, w.revision}}, w.revision))
+		w.note(w.registry.Replace(at, []Entry{{Worker{ID: "w"}, v(w.revision)}}, v(w.revision)))
 	case listing:
-		w.note(w.registry.Replace(at, nil, w.revision))
+		w.note(w.registry.Replace(at, nil, v(w.revision)))
 	case w.listed:
-		w.note(w.registry.Put(Worker{ID: "w"}, w.revision))
+		w.note(w.registry.Put(Worker{ID: "w"}, v(w.revision)))
 	default:
-		w.note(w.registry.Delete(at, "w", w.revision))
+		w.note(w.registry.Delete(at, "w", v(w.revision)))
 	}
 }
 
--- a/coord/worker/registry.go
+++ b/coord/worker/registry.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 )
 
 // Change is the kind of change of a worker's known state.
@@ -35,8 +37,8 @@
 type Event struct {
 	Worker Worker
 	Change Change
-	// Revision is the store's revision of the entry or of its deletion.
-	Revision uint64
+	// Version is the store's version of the entry or of its deletion.
+	Version revision.Version
 	// Structural is set for an update that changes more than the list of adapters.
 	Structural bool
 }
@@ -48,14 +50,23 @@
 // expire, a missing entry means that the worker was removed.
 //
 // A worker that is gone comes back only with an entry that is newer than its removal, and
-// a lapsed one likewise. A Registry is not safe for concurrent use.
+// a lapsed one likewise.
+//
+// A store that returns in a new era has lost its latest contents. Until these are written
+// again, what it lacks counts as lapsed, and what it still has of a worker that left, was
+// restarted or began to drain since is held back; see era.go.
+//
+// A Registry is not safe for concurrent use.
 type Registry struct {
+	config  Config
 	workers map[string]*entryState
 	outage  outageDetector
-	// tombstones holds the revisions at which workers were removed, so that updates
-	// with an older revision don't restore them.
-	tombstones map[string]uint64
-	// newestRemoval is the removal with the highest revision that the store reported.
+	era     eraState
+	// now is the latest time that the registry was told.
+	now time.Duration
+	// tombstones holds the removals of workers, so that older updates don't restore them.
+	tombstones map[string]tombstone
+	// newestRemoval is the newest removal that the store reported.
 	newestRemoval Removal
 	// leaving holds the start time of the processes that said that they leave, by
 	// worker. It outlives the entry, which may lapse and be listed again.
@@ -64,8 +75,14 @@
 
 // Removal is the removal of a worker's entry.
 type Removal struct {
-	ID       string
-	Revision uint64
+	ID      string
+	Version revision.Version
+}
+
+// tombstone is the removal of a worker, whose process started at born; 0 if unknown.
+type tombstone struct {
+	version revision.Version
+	born    int64
 }
 
 // leavingSweepSize is the number of processes in Registry.leaving beyond which those
@@ -74,21 +91,20 @@
 
 // entryState is the last known entry of a worker.
 type entryState struct {
-	worker   Worker
-	revision uint64
-	// missing is set while the entry is lapsed: it was missing as of missingRevision.
-	missing         bool
-	missingRevision uint64
+	worker  Worker
+	version revision.Version
+	// missing is set while the entry is lapsed: it was missing as of missingVersion.
+	// deleted is set if its deletion was reported, and not only that a listing lacks it.
+	missing, deleted bool
+	missingVersion   revision.Version
 }
 
-// lastRevision returns the revision up to which the state of the entry is known.
-func (k *entryState) lastRevision() uint64 { return max(k.revision, k.missingRevision) }
-
 // NewRegistry returns an empty registry.
 func NewRegistry(config Config) *Registry {
 	return &Registry{
-		workers: make(map[string]*entryState), outage: outageDetector{config: config},
-		tombstones: make(map[string]uint64), leaving: make(map[string]int64),
+		config: config, workers: make(map[string]*entryState), outage: outageDetector{config: config},
+		era:        eraState{held: make(map[string]Entry)},
+		tombstones: make(map[string]tombstone), leaving: make(map[string]int64),
 	}
 }
 
@@ -115,23 +131,34 @@
 // StoreResponded records a response of the store, which must be done before its contents
 // are applied. It returns the length of the outage that the response ends, or 0 if there
 // was none in which entries may have expired.
-func (r *Registry) StoreResponded(now time.Duration) time.Duration { return r.outage.responded(now) }
+func (r *Registry) StoreResponded(now time.Duration) time.Duration {
+	r.now = max(r.now, now)
+	return r.outage.responded(now)
+}
 
-// Put applies an entry that was written at revision. Revisions older than the known
-// one, or than the removal of the worker, are ignored.
-func (r *Registry) Put(w Worker, revision uint64) []Event {
+// Put applies an entry that was written at a version. Versions older than the known one, or
+// than the removal of the worker, are ignored.
+func (r *Registry) Put(w Worker, version revision.Version) []Event {
+	r.observeEra(version.Era())
+	if r.holdBack(w, version) {
+		return nil
+	}
+	return r.put(w, version)
+}
+
+func (r *Registry) put(w Worker, version revision.Version) []Event {
 	k, exists := r.workers[w.ID]
-	if !exists && revision <= r.tombstones[w.ID] {
+	if !exists && !version.After(r.tombstones[w.ID].version) {
 		return nil
 	}
 	if r.isLeaving(w.ID, w.Born) {
 		w.Leaving, w.Draining = true, true
 	}
 	if !exists {
-		r.workers[w.ID] = &entryState{worker: w, revision: revision}
-		return []Event{{Worker: w, Change: Appeared, Revision: revision}}
+		r.workers[w.ID] = &entryState{worker: w, version: version}
+		return []Event{{Worker: w, Change: Appeared, Version: version}}
 	}
-	if revision < k.revision || k.missing && revision <= k.missingRevision {
+	if k.version.After(version) || k.missing && !version.After(k.missingVersion) {
 		return nil
 	}
 	change := Updated
@@ -142,23 +169,30 @@
 		change = StartedDraining
 	}
 	structural := !k.worker.hasSameStructure(w)
-	k.worker, k.revision, k.missing, k.missingRevision = w, revision, false, 0
-	return []Event{{Worker: w, Change: change, Revision: revision, Structural: structural}}
+	if k.missing {
+		r.era.summary.Regained++
+	}
+	*k = entryState{worker: w, version: version}
+	return []Event{{Worker: w, Change: change, Version: version, Structural: structural}}
 }
 
-// PutFromPeer applies an entry that another instance read at revision. Such an entry
+// PutFromPeer applies an entry that another instance read at a version. Such an entry
 // lacks the adapters, so it replaces the known one only if it is newer and differs in
 // more than adapters, or if the known one is lapsed. That a process leaves is taken
 // from an older entry too.
-func (r *Registry) PutFromPeer(w Worker, revision uint64) []Event {
+func (r *Registry) PutFromPeer(w Worker, version revision.Version) []Event {
 	var events []Event
 	if w.Leaving {
 		events = r.MarkLeaving(w.ID, w.Born)
 	}
-	if k, exists := r.workers[w.ID]; exists && !k.missing && (revision <= k.revision || k.worker.hasSameStructure(w)) {
+	k, exists := r.workers[w.ID]
+	if exists && !k.missing && (!version.After(k.version) || k.worker.hasSameStructure(w)) {
 		return events
 	}
-	return append(events, r.Put(w, revision)...)
+	if !exists && version.Era() < r.era.listedAt.Era() {
+		return append(events, r.putUnlisted(w, version)...)
+	}
+	return append(events, r.Put(w, version)...)
 }
 
 // MarkLeaving records that the process of a worker that started at born, or at an
@@ -179,7 +213,7 @@
 		change = Updated
 	}
 	k.worker.Leaving, k.worker.Draining = true, true
-	return []Event{{Worker: k.worker, Change: change, Revision: k.revision, Structural: true}}
+	return []Event{{Worker: k.worker, Change: change, Version: k.version, Structural: true}}
 }
 
 // isLeaving reports whether the process that started at born said that it leaves.
@@ -203,92 +237,130 @@
 	}
 }
 
-// Delete applies the deletion of an entry at revision, as reported by the store. If the
+// Delete applies the deletion of an entry at a version, as reported by the store. If the
 // entry may have expired in an outage, the worker lapses instead.
-func (r *Registry) Delete(now time.Duration, id string, revision uint64) []Event {
-	if revision >= r.newestRemoval.Revision {
-		r.newestRemoval = Removal{ID: id, Revision: revision}
-	}
+func (r *Registry) Delete(now time.Duration, id string, version revision.Version) []Event {
+	r.now = max(r.now, now)
+	r.observeEra(version.Era())
+	delete(r.era.held, id)
+	r.noteRemoval(id, version)
 	k, exists := r.workers[id]
 	if !exists {
-		r.tombstones[id] = max(r.tombstones[id], revision)
+		r.bury(id, version, 0)
 		return nil
 	}
-	if revision < k.revision {
+	k.deleted = k.deleted || !k.version.After(version)
+	return r.lapseOrRemove(id, k, version, r.outage.mayBeRenewed(now))
+}
+
+// lapseOrRemove handles that an entry is missing as of a version, and may yet return.
+func (r *Registry) lapseOrRemove(id string, k *entryState, version revision.Version, mayReturn bool) []Event {
+	if k.version.After(version) {
 		return nil
 	}
-	if !r.outage.mayBeRenewed(now) {
-		return r.remove(id, k, revision)
+	if !mayReturn {
+		return r.remove(id, k, version)
 	}
 	lapsed := !k.missing
-	k.missing, k.missingRevision = true, max(k.missingRevision, revision)
+	k.missing, k.missingVersion = true, revision.Latest(k.missingVersion, version)
 	if !lapsed {
 		return nil
 	}
-	return []Event{{Worker: k.worker, Change: Lapsed, Revision: revision}}
+	return []Event{{Worker: k.worker, Change: Lapsed, Version: version}}
 }
 
-// Entry is a worker with the revision of its entry in the store.
+// Entry is a worker with the version of its entry in the store.
 type Entry struct {
-	Worker   Worker
-	Revision uint64
+	Worker  Worker
+	Version revision.Version
 }
 
-// DeleteFromPeer applies the removal of a worker as of revision, as reported by
+// DeleteFromPeer applies the removal of a worker as of a version, as reported by
 // another instance that reads the store.
-func (r *Registry) DeleteFromPeer(id string, revision uint64) []Event {
+func (r *Registry) DeleteFromPeer(id string, version revision.Version) []Event {
 	k, exists := r.workers[id]
 	if !exists {
-		r.tombstones[id] = max(r.tombstones[id], revision)
+		r.bury(id, version, 0)
 		return nil
 	}
-	if revision < k.revision {
+	if k.version.After(version) {
 		return nil
 	}
-	return r.remove(id, k, revision)
+	return r.remove(id, k, version)
 }
 
 // remove removes a worker and keeps a tombstone.
-func (r *Registry) remove(id string, k *entryState, revision uint64) []Event {
+func (r *Registry) remove(id string, k *entryState, version revision.Version) []Event {
 	delete(r.workers, id)
-	revision = max(revision, k.lastRevision())
-	r.tombstones[id] = revision
-	return []Event{{Worker: k.worker, Change: Gone, Revision: revision}}
+	version = revision.Latest(version, revision.Latest(k.version, k.missingVersion))
+	r.bury(id, version, k.worker.Born)
+	return []Event{{Worker: k.worker, Change: Gone, Version: version}}
+}
+
+// noteRemoval keeps the newest removal that the store reported.
+func (r *Registry) noteRemoval(id string, version revision.Version) {
+	if !r.newestRemoval.Version.After(version) {
+		r.newestRemoval = Removal{ID: id, Version: version}
+	}
+}
+
+// bury records the removal of a worker whose process started at born, 0 if unknown.
+func (r *Registry) bury(id string, version revision.Version, born int64) {
+	former := r.tombstones[id]
+	if born == 0 {
+		born = former.born
+	}
+	r.tombstones[id] = tombstone{revision.Latest(former.version, version), born}
 }
 
-// Replace applies a complete listing of the store as of revision at. Known workers
+// Replace applies a complete listing of the store as of a version. Known workers
 // that it lacks are deleted.
-func (r *Registry) Replace(now time.Duration, entries []Entry, at uint64) []Event {
+func (r *Registry) Replace(now time.Duration, entries []Entry, at revision.Version) []Event {
+	r.now = max(r.now, now)
+	r.observeEra(at.Era())
+	if at.Era() > r.era.listedAt.Era() {
+		r.era.listedAt = at
+	}
 	var events []Event
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Worker.ID] = true
-		events = append(events, r.Put(e.Worker, e.Revision)...)
+		events = append(events, r.Put(e.Worker, e.Version)...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
+		if k := r.workers[id]; !listed[id] {
+			events = append(events, r.lapseOrRemove(id, k, at, r.mayBeWritten(now))...)
+			r.noteRemoval(id, at)
+		}
+	}
+	for id := range r.era.held {
 		if !listed[id] {
-			events = append(events, r.Delete(now, id, at)...)
+			delete(r.era.held, id)
 		}
 	}
 	return events
 }
 
 // Tick removes the lapsed workers whose entry was not renewed before the end of the
-// grace period. In a further outage they are kept, since they could not renew it.
+// grace period, and applies what was held back in a new era once it has settled. In a
+// further outage lapsed workers are kept, since they could not renew their entry.
 func (r *Registry) Tick(now time.Duration) []Event {
+	r.now = max(r.now, now)
+	events := r.settleEra(now)
 	if r.outage.mayBeRenewed(now) {
-		return nil
+		return events
 	}
-	var events []Event
+	lacksWrites := r.MayLackWrites(now)
 	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
-		if k := r.workers[id]; k.missing {
-			events = append(events, r.remove(id, k, 0)...)
+		if k := r.workers[id]; k.missing && (k.deleted || !lacksWrites) {
+			r.era.summary.Dropped++
+			events = append(events, r.remove(id, k, revision.Version{})...)
 		}
 	}
 	return events
 }
 
-// NewestRemoval returns the removal with the highest revision that the store reported; its
+// NewestRemoval returns the newest removal that the store reported; its
 // ID is empty if there was none.
 func (r *Registry) NewestRemoval() Removal { return r.newestRemoval }
 
@@ -301,12 +373,12 @@
 	return all
 }
 
-// Entries returns every known worker, including lapsed ones, with the revision of
+// Entries returns every known worker, including lapsed ones, with the version of
 // its entry, sorted by ID.
 func (r *Registry) Entries() []Entry {
 	all := make([]Entry, 0, len(r.workers))
 	for _, id := range slices.Sorted(maps.Keys(r.workers)) {
-		all = append(all, Entry{Worker: r.workers[id].worker, Revision: r.workers[id].revision})
+		all = append(all, Entry{Worker: r.workers[id].worker, Version: r.workers[id].version})
 	}
 	return all
 }
--- a/entry/decision/events.go
+++ b/entry/decision/events.go
@@ -32,6 +32,9 @@
 	StoreLost        Event = "store_lost"
 	StoreReturned    Event = "store_returned"
 	StoreOutage      Event = "store_outage"
+	StoreEra         Event = "store_era"
+	StoreEraSettled  Event = "store_era_settled"
+	StoreEraRejected Event = "store_era_rejected"
 	ReportFailed     Event = "report_failed"
 	QuotaUsed        Event = "quota_used"
 	QuotaMeter       Event = "quota_meter"
@@ -70,6 +73,9 @@
 	{name: StoreLost, text: "the metadata store is unavailable", fields: []Field{FieldError}},
 	{name: StoreReturned, text: "the metadata store is available again", fields: []Field{}},
 	{name: StoreOutage, text: "the metadata store responds after an outage in which entries may have expired; workers without an entry are kept for the grace period", fields: []Field{FieldTookMS}},
+	{name: StoreEra, text: "the metadata store has returned from an older copy, in a new era", fields: []Field{FieldVersionBefore, FieldVersion}},
+	{name: StoreEraSettled, text: "what the store lost has had the time to be written again: what became of the workers", fields: []Field{FieldKept, FieldDropped, FieldRegained, FieldHeldBack, FieldApplied}},
+	{name: StoreEraRejected, text: "a response of the metadata store states no valid era, or an older one, and was not used", fields: []Field{FieldError}},
 	{name: ReportFailed, text: "a worker's report could not be read", fields: []Field{FieldWorker, FieldError}},
 	{name: QuotaUsed, text: "what an organisation's requests used of its quota here since the process started", fields: []Field{FieldOrganisation, FieldQuotaHeld, FieldQuotaAsked, FieldQuotaGranted, FieldQuotaSpent, FieldQuotaReserve, FieldQuotaReturned, FieldQuotaReturnedLate, FieldQuotaRefused, FieldQuotaUnreachable, FieldQuotaCalls, FieldQuotaFailures}},
 	{name: QuotaMeter, text: "the level of an organisation's bucket at a meter that this instance runs", fields: []Field{FieldRight, FieldOrganisation, FieldQuotaLevel}},
--- a/entry/decision/fields.go
+++ b/entry/decision/fields.go
@@ -84,6 +84,17 @@
 	FieldReplaced      Field = "replaced"
 )
 
+// Fields of the eras of the metadata store.
+const (
+	FieldVersion       Field = "version"
+	FieldVersionBefore Field = "version_before"
+	FieldKept          Field = "kept"
+	FieldDropped       Field = "dropped"
+	FieldRegained      Field = "regained"
+	FieldHeldBack      Field = "held_back"
+	FieldApplied       Field = "applied"
+)
+
 // Fields of the learned costs of requests.
 const (
 	FieldRemainingTokens Field = "remaining_tokens"
@@ -209,6 +220,13 @@
 	{name: FieldRequests, text: "requests in progress"},
 	{name: FieldCut, text: "requests that were still in progress at the end"},
 	{name: FieldReplaced, text: "lines that were overwritten because the output was too slow"},
+	{name: FieldVersion, text: "era and revision of the store, as ERA/REVISION"},
+	{name: FieldVersionBefore, text: "the latest known era and revision of the store before"},
+	{name: FieldKept, text: "workers that were known at the beginning of the era and are in use"},
+	{name: FieldDropped, text: "workers whose entry the copy lacked and that did not write it again"},
+	{name: FieldRegained, text: "workers whose entry the copy lacked and that wrote it again"},
+	{name: FieldHeldBack, text: "entries of the copy that contradicted what was known: a removal, a restart or draining"},
+	{name: FieldApplied, text: "of these, the ones that the store still had at the end"},
 	{name: FieldOrganisation, text: "organisation of the request or the quota; empty for a request without a key"},
 	{name: FieldQuotaHeld, text: "tokens that can be spent now"},
 	{name: FieldQuotaAsked, text: "tokens asked of meters"},
--- a/entry/direct/authenticate.go
+++ b/entry/direct/authenticate.go
@@ -113,8 +113,14 @@
 	return guard.Config{Strict: s.StrictRevoke, MaxAge: s.RevokeAfter.Std(), HasPeers: s.hasOtherSeeds(), LagLimit: s.ConfigApplyLimit.Std()}
 }
 
-// ConfigConfirmed implements DirectorySink.
-func (i *Instance) ConfigConfirmed(age time.Duration) { i.gateway.revocation.StoreConfirmed(age) }
+// ConfigConfirmed implements DirectorySink. A store that has returned from an older copy
+// confirms nothing until the operator has written again what it lost: the configuration
+// that this instance has may be the one of the copy.
+func (i *Instance) ConfigConfirmed(age time.Duration) {
+	if !i.fleet.workers.storeMayLackWrites(now()) {
+		i.gateway.revocation.StoreConfirmed(age)
+	}
+}
 
 // ConfirmationSources implements revocation.Peers. The seeds may belong to another cluster,
 // which may reach the store if this one does not.
--- a/entry/direct/costs_test.go
+++ b/entry/direct/costs_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/balance"
 	"github.com/bulrushwick/bulrushwick/coord/cost"
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -23,7 +24,7 @@
 		f.changeWorkers(func(r *worker.Registry) []worker.Event {
 			return r.Put(worker.Worker{
 				ID: fmt.Sprintf("model-worker-%03d", i), Service: "model", DataCentre: "d0", Slots: 64, Born: 1, Models: []worker.ModelState{{Name: "m"}},
-			}, uint64(i+1))
+			}, revision.Decode(uint64(i+1)))
 		})
 	}
 	engine := &routing.Engine{BatchSize: 64, CacheTokens: 148_000, AdapterSlots: 5}
@@ -83,7 +84,7 @@
 		require.Equal(t, 568, candidates[1].KeptTokens)
 		require.InDelta(t, 30, request.OutputTokens, 5, "10 events of 3 tokens, though the hint says 60")
 		c.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
-			return r.Put(worker.Worker{ID: candidates[2].ID, Service: "model", DataCentre: "d0", Slots: 64, Born: 2}, 100)
+			return r.Put(worker.Worker{ID: candidates[2].ID, Service: "model", DataCentre: "d0", Slots: 64, Born: 2}, revision.Decode(100))
 		})
 		_, candidates = c.candidates(at)
 		require.InDelta(t, 1, candidates[2].StepFactor, 0, "a restarted worker starts from the prior")
--- a/entry/direct/directory.go
+++ b/entry/direct/directory.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/recovery"
@@ -82,9 +83,9 @@
 
 // encodeWorker leaves out the adapters, which change with every order; the
 // instance that controls the worker sends them.
-func encodeWorker(w worker.Worker, revision uint64, gone bool) *clusterpb.WorkerEntry {
+func encodeWorker(w worker.Worker, version revision.Version, gone bool) *clusterpb.WorkerEntry {
 	entry := &clusterpb.WorkerEntry{
-		Id: w.ID, Revision: revision, Gone: gone, Service: w.Service, Address: w.Address, DataCentre: w.DataCentre,
+		Id: w.ID, Revision: version.Encode(), Gone: gone, Service: w.Service, Address: w.Address, DataCentre: w.DataCentre,
 		Slots: uint32(w.Slots), Draining: w.Draining, Leaving: w.Leaving, Born: w.Born,
 	}
 	for _, m := range w.Models {
@@ -115,7 +116,7 @@
 		if c.Change == worker.Lapsed || c.Change == worker.Updated && !c.Structural {
 			continue
 		}
-		s.workers[c.Worker.ID] = workerUpdate{entry: encodeWorker(c.Worker, c.Revision, c.Change == worker.Gone), expiresAt: at + updateTTL}
+		s.workers[c.Worker.ID] = workerUpdate{entry: encodeWorker(c.Worker, c.Version, c.Change == worker.Gone), expiresAt: at + updateTTL}
 	}
 }
 
--- a/entry/direct/directory_test.go
+++ b/entry/direct/directory_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -117,7 +118,7 @@
 func TestHeartbeatsCarryUpdatesUntilTheyExpire(t *testing.T) {
 	s := newDirectorySync()
 	s.addWorkerChanges(0, []worker.Event{
-		{Worker: worker.Worker{ID: "a"}, Change: worker.Gone, Revision: 4},
+		{Worker: worker.Worker{ID: "a"}, Change: worker.Gone, Version: revision.Decode(4)},
 		{Worker: worker.Worker{ID: "b"}, Change: worker.Updated},
 		{Worker: worker.Worker{ID: "c"}, Change: worker.Lapsed},
 	})
--- a/entry/direct/explain.go
+++ b/entry/direct/explain.go
@@ -198,7 +198,7 @@
 	for n, evaluation := range evaluations {
 		described[n] = describeCandidate(evaluation, p.request)
 		if w, known := i.fleet.workers.find(evaluation.Candidate.ID); known {
-			described[n].DataCentre = w.DataCentre
+			described[n].DataCentre, described[n].OlderEra = w.DataCentre, i.fleet.workers.isFromOlderEra(w.ID)
 		}
 	}
 	return described
--- a/entry/direct/explain_test.go
+++ b/entry/direct/explain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/fairshare"
 	"github.com/bulrushwick/bulrushwick/coord/quarantine"
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -57,7 +58,7 @@
 	require.True(t, i.fleet.config.install(config, nil))
 	for n, id := range []string{"w0", "w1", "w2"} {
 		i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
-			return r.Put(worker.Worker{ID: id, Service: "other", Slots: 4, Born: 1, Draining: n == 2, Models: []worker.ModelState{{Name: "m"}}}, uint64(n+1))
+			return r.Put(worker.Worker{ID: id, Service: "other", Slots: 4, Born: 1, Draining: n == 2, Models: []worker.ModelState{{Name: "m"}}}, revision.Decode(uint64(n+1)))
 		})
 	}
 	at := now()
@@ -110,7 +111,7 @@
 	}
 	require.True(t, i.fleet.config.install(config, nil))
 	i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
-		return r.Put(worker.Worker{ID: "w0", Service: "s", Slots: 4, Born: 1, Models: []worker.ModelState{{Name: "m"}}}, 1)
+		return r.Put(worker.Worker{ID: "w0", Service: "s", Slots: 4, Born: 1, Models: []worker.ModelState{{Name: "m"}}}, revision.Decode(1))
 	})
 	table := i.fleet.config.table()
 	i.ConfigConfirmed(0)
--- a/entry/direct/fetch.go
+++ b/entry/direct/fetch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -82,10 +83,10 @@
 // replaceListing replaces the known workers by a reader's whole listing.
 func (i *Instance) replaceListing(state *clusterpb.FetchStateResponse) {
 	listed := make(map[string]bool)
-	newest := uint64(0)
+	var newest revision.Version
 	for _, entry := range state.GetWorkers() {
 		listed[entry.GetId()] = true
-		newest = max(newest, entry.GetRevision())
+		newest = revision.Latest(newest, revision.Decode(entry.GetRevision()))
 	}
 	i.applyEntries(state.GetWorkers(), state.GetVersions())
 	for _, w := range i.fleet.workers.all() {
--- a/entry/direct/fetch_test.go
+++ b/entry/direct/fetch_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
 	"github.com/bulrushwick/bulrushwick/entry/decision"
@@ -75,16 +76,16 @@
 	older := worker.Worker{ID: "older", Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 1, Born: 1}
 	newest := worker.Worker{ID: "newest", Service: "s", Address: "10.0.0.2:1", DataCentre: "a", Slots: 1, Born: 1}
 	for _, i := range []*Instance{reader, follower} {
-		i.WorkerPut(older, 4)
-		i.WorkerPut(newest, 9)
+		i.WorkerPut(older, revision.Decode(4))
+		i.WorkerPut(newest, revision.Decode(9))
 	}
 	request := &clusterpb.FetchStateRequest{Directory: true}
 	follower.replaceListing(reader.State(request))
 	require.Len(t, follower.fleet.workers.all(), 2)
-	reader.WorkerDeleted("newest", 12)
+	reader.WorkerDeleted("newest", revision.Decode(12))
 	follower.replaceListing(reader.State(request))
 	require.Len(t, follower.fleet.workers.all(), 1)
-	reader.WorkerPut(newest, 13)
+	reader.WorkerPut(newest, revision.Decode(13))
 	follower.replaceListing(reader.State(request))
 	require.Len(t, follower.fleet.workers.all(), 2)
 }
--- a/entry/direct/instance.go
+++ b/entry/direct/instance.go
@@ -326,7 +326,7 @@
 		case due := <-ticker.C:
 			i.metrics.recordLoopDelay(time.Since(due))
 		}
-		i.handleWorkerChanges(i.fleet.changeWorkers(tickRegistry))
+		i.tickWorkers()
 		i.orders.refresh(ctx)
 		i.fleet.setInstanceCount(i.cluster.MemberCount())
 		at := now()
--- a/entry/direct/levels.go
+++ b/entry/direct/levels.go
@@ -22,6 +22,7 @@
 		storeUnavailable = 1
 	}
 	m.setGauge("store_away", storeUnavailable)
+	m.setGauge("store_era", float64(i.fleet.workers.storeEra()))
 	m.setGauge("quarantined_parts", float64(i.gateway.guard.quarantinedParts()))
 	waiting, inTransit := i.orders.countAdapters()
 	m.setGauge("adapters_waiting", float64(waiting))
--- a/entry/direct/local.go
+++ b/entry/direct/local.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
@@ -84,9 +85,9 @@
 		}
 		i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
 			if entry.GetGone() {
-				return r.DeleteFromPeer(entry.GetId(), entry.GetRevision())
+				return r.DeleteFromPeer(entry.GetId(), revision.Decode(entry.GetRevision()))
 			}
-			return r.PutFromPeer(w, entry.GetRevision())
+			return r.PutFromPeer(w, revision.Decode(entry.GetRevision()))
 		}))
 	}
 	for _, v := range versions {
@@ -219,21 +220,44 @@
 }
 
 // Workers implements DirectorySink.
-func (i *Instance) Workers(entries []worker.Entry, at uint64) {
+func (i *Instance) Workers(entries []worker.Entry, at revision.Version) {
 	i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.Replace(now(), entries, at) }))
 }
 
 // WorkerPut implements DirectorySink.
-func (i *Instance) WorkerPut(w worker.Worker, revision uint64) {
-	i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.Put(w, revision) }))
+func (i *Instance) WorkerPut(w worker.Worker, version revision.Version) {
+	i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.Put(w, version) }))
 }
 
 // WorkerDeleted implements DirectorySink.
-func (i *Instance) WorkerDeleted(id string, revision uint64) {
-	i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.Delete(now(), id, revision) }))
+func (i *Instance) WorkerDeleted(id string, version revision.Version) {
+	i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { return r.Delete(now(), id, version) }))
 }
 
-func tickRegistry(r *worker.Registry) []worker.Event { return r.Tick(now()) }
+// EraBegan implements DirectorySink.
+func (i *Instance) EraBegan(before, at revision.Version) {
+	i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event { r.EraBegan(now(), at.Era()); return nil })
+	i.metrics.countStoreEra()
+	i.log.Line(decision.StoreEra).Stringer(decision.FieldVersionBefore, before).Stringer(decision.FieldVersion, at).Send()
+}
+
+// EraRejected implements DirectorySink.
+func (i *Instance) EraRejected(err error) { i.log.Warn(decision.StoreEraRejected, err).Send() }
+
+// tickWorkers ends the grace periods of workers whose entry is missing.
+func (i *Instance) tickWorkers() {
+	var summary worker.EraSummary
+	settled := false
+	i.handleWorkerChanges(i.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
+		events := r.Tick(now())
+		summary, settled = r.TakeEraSummary()
+		return events
+	}))
+	if settled {
+		i.log.Line(decision.StoreEraSettled).Int(decision.FieldKept, summary.Known-summary.Dropped).Int(decision.FieldDropped, summary.Dropped).
+			Int(decision.FieldRegained, summary.Regained).Int(decision.FieldHeldBack, summary.HeldBack).Int(decision.FieldApplied, summary.Applied).Send()
+	}
+}
 
 // handleWorkerChanges shares and logs changes of workers, and closes
 // connections to those that are gone or restarted: their addresses may be given
--- a/entry/direct/metrics.go
+++ b/entry/direct/metrics.go
@@ -36,6 +36,8 @@
 	}, metricsReportInterval)
 	m := &metrics{scope: scope, reporter: reporter}
 	m.tagged("task", "request").Counter("panics").Inc(0) // exported from the start, so that an alarm sees the first one
+	m.scope.Counter("store_outages").Inc(0)
+	m.scope.Counter("store_eras").Inc(0)
 	for failed := range keyFailures {
 		m.unauthenticated(failed).Inc(0)
 	}
@@ -87,6 +89,9 @@
 // countStoreOutage counts an outage of the store in which entries may have expired.
 func (m *metrics) countStoreOutage() { m.scope.Counter("store_outages").Inc(1) }
 
+// countStoreEra counts a return of the store from an older copy.
+func (m *metrics) countStoreEra() { m.scope.Counter("store_eras").Inc(1) }
+
 // countRetry counts a retried request by the cause of the retry.
 func (m *metrics) countRetry(cause string) { m.tagged("cause", cause).Counter("repeats").Inc(1) }
 
--- a/entry/direct/orders_test.go
+++ b/entry/direct/orders_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
@@ -150,9 +151,9 @@
 }
 
 // register writes the worker's entry.
-func (o *orderTest) register(revision uint64) {
+func (o *orderTest) register(written uint64) {
 	o.fleet.changeWorkers(func(r *worker.Registry) []worker.Event {
-		return r.Put(worker.Worker{ID: "w", Service: "llm", Address: "10.0.0.9:1", DataCentre: "a", Slots: 8, Born: o.born}, revision)
+		return r.Put(worker.Worker{ID: "w", Service: "llm", Address: "10.0.0.9:1", DataCentre: "a", Slots: 8, Born: o.born}, revision.Decode(written))
 	})
 }
 
--- a/entry/direct/orderwatch_test.go
+++ b/entry/direct/orderwatch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
@@ -48,7 +49,7 @@
 	f.changeWorkers(func(r *worker.Registry) []worker.Event {
 		var events []worker.Event
 		for id, dataCentre := range map[string]string{"w1": "a", "w2": "a", "w3": "b"} {
-			events = append(events, r.Put(worker.Worker{ID: id, Service: "llm", Address: "10.0.0.9:1", DataCentre: dataCentre, Slots: 1, Born: 1}, 1)...)
+			events = append(events, r.Put(worker.Worker{ID: id, Service: "llm", Address: "10.0.0.9:1", DataCentre: dataCentre, Slots: 1, Born: 1}, revision.Decode(1))...)
 		}
 		return events
 	})
--- a/entry/direct/ports.go
+++ b/entry/direct/ports.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bulrushwick/bulrushwick/coord/condition"
+	"github.com/bulrushwick/bulrushwick/coord/revision"
 	"github.com/bulrushwick/bulrushwick/coord/routing"
 	"github.com/bulrushwick/bulrushwick/coord/slots"
 	"github.com/bulrushwick/bulrushwick/coord/worker"
@@ -166,10 +167,16 @@
 	// ConfigConfirmed reports that all configurations that were in the store some time ago
 	// have been passed to Config.
 	ConfigConfirmed(age time.Duration)
-	// Workers replaces all workers by a listing as of revision at.
-	Workers(entries []worker.Entry, at uint64)
-	WorkerPut(w worker.Worker, revision uint64)
-	WorkerDeleted(id string, revision uint64)
+	// EraBegan reports that the store has returned from an older copy, in an era that was
+	// not known, before its contents are reported. before is the last known version and at
+	// the first of the era.
+	EraBegan(before, at revision.Version)
+	// EraRejected reports a response that states no usable era, and was not used.
+	EraRejected(err error)
+	// Workers replaces all workers by a listing as of a version.
+	Workers(entries []worker.Entry, at revision.Version)
+	WorkerPut(w worker.Worker, version revision.Version)
+	WorkerDeleted(id string, version revision.Version)
 	AdapterVersion(model, adapter string, version int64)
 	// EntryRejected reports an entry that is invalid.
 	EntryRejected(key string, err error)
--- a/entry/direct/workers.go
+++ b/entry/direct/workers.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -66,18 +67,39 @@
 	return k.registry.Missing(id)
 }
 
+// storeMayLackWrites reports whether the store has lately returned from an older copy.
+func (k *knownWorkers) storeMayLackWrites(at time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registry.MayLackWrites(at)
+}
+
+// storeEra returns the era of the store.
+func (k *knownWorkers) storeEra() uint64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registry.Era()
+}
+
+// isFromOlderEra reports whether a worker's entry was not seen in the store's era yet.
+func (k *knownWorkers) isFromOlderEra(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.registry.IsFromOlderEra(id)
+}
+
 // entries returns every worker in the form sent to peers. The newest removal is added, so
-// that the highest revision among them is that of the listing: a receiver would otherwise
+// that the latest version among them is that of the listing: a receiver would otherwise
 // keep a removed worker whose entry is newer than all others.
 func (k *knownWorkers) entries() []*clusterpb.WorkerEntry {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var encoded []*clusterpb.WorkerEntry
 	for _, e := range k.registry.Entries() {
-		encoded = append(encoded, encodeWorker(e.Worker, e.Revision, false))
+		encoded = append(encoded, encodeWorker(e.Worker, e.Version, false))
 	}
 	if removal := k.registry.NewestRemoval(); removal.ID != "" && k.byID[removal.ID].ID == "" {
-		encoded = append(encoded, encodeWorker(worker.Worker{ID: removal.ID}, removal.Revision, true))
+		encoded = append(encoded, encodeWorker(worker.Worker{ID: removal.ID}, removal.Version, true))
 	}
 	return encoded
 }
--- a/entry/explain/explain.go
+++ b/entry/explain/explain.go
@@ -130,6 +130,9 @@
 	Terms    []Term       `json:"terms"`
 	// Wait is the part of the estimate that admission judges.
 	Wait Milliseconds `json:"waitMs"`
+	// OlderEra is set if the worker's entry was not seen yet since the store returned from
+	// an older copy.
+	OlderEra bool `json:"olderEra,omitempty"`
 	// HoldOff is how long the worker asked for no request.
 	HoldOff   Milliseconds `json:"holdOffMs,omitempty"`
 	Residency string       `json:"residency,omitempty"`
