--- a/cmd/bulrushctl/standin.go
+++ b/cmd/bulrushctl/standin.go
@@ -1,12 +1,16 @@
 package main
 
 import (
+	"net"
+	"net/http"
 	"os"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
+	standins "github.com/bulrushwick/bulrushwick/platform/standin"
+	"github.com/bulrushwick/bulrushwick/platform/wire"
 	"github.com/bulrushwick/bulrushwick/standin"
 )
 
@@ -29,6 +33,7 @@
 		engineCommand(&address),
 		serviceCommand(&address),
 		linkCommand(&address),
+		metadataCommand(&address),
 	)
 	return c
 }
@@ -132,3 +137,43 @@
 	_ = c.MarkFlagRequired("to")
 	return c
 }
+
+// metadataServer is a stand-in of the metadata store that listens.
+type metadataServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// Address implements listener.
+func (m *metadataServer) Address() string { return m.listener.Addr().String() }
+
+// Close implements listener.
+func (m *metadataServer) Close() error { return m.server.Close() }
+
+func startMetadata(address string) (*metadataServer, error) {
+	opened, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	store := standins.NewStore()
+	store.Put(wire.KeyConfig, standins.Configuration)
+	m := &metadataServer{listener: opened, server: &http.Server{Handler: standins.NewControlledStore(store), ReadHeaderTimeout: time.Second}}
+	go func() { _ = m.server.Serve(opened) }() // it returns when the server is closed
+	return m, nil
+}
+
+func metadataCommand(address *string) *cobra.Command {
+	return &cobra.Command{
+		Use:   "metadata",
+		Short: "Stand in for the metadata store of the users' platform",
+		Long: "Serve a metadata store with an example configuration. POST requests under " + standins.ControlPath + "\n" +
+			"write and disturb it: put?key=KEY, remove?key=KEY, copy, return?rewrite=1s (from the\n" +
+			"copy, in a new era), cut (the pending watches), failing?on=true and failing.",
+		Example: "  bulrushctl standin metadata --listen 127.0.0.1:8142\n  curl -X POST 127.0.0.1:8142" + standins.ControlPath + "copy",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			m, err := startMetadata(*address)
+			return serveStandin(cmd, m, err)
+		},
+	}
+}
--- a/coord/worker/era_test.go
+++ b/coord/worker/era_test.go
@@ -274,3 +274,17 @@
 	neverBelieve.EntryLifetime = time.Hour
 	require.Contains(t, findProblems(neverBelieve, eraVariant{}, shortHistorySteps), "the store is not believed in the end")
 }
+
+// TestNewsOfAFormerReleaseIsOfTheFirstEra covers an instance of a release that knows
+// revisions only: it reports changes of a later era by their revision.
+func TestNewsOfAFormerReleaseIsOfTheFirstEra(t *testing.T) {
+	r := NewRegistry(testConfig)
+	r.StoreResponded(time.Minute)
+	r.Put(Worker{ID: "w", Born: 1}, inEra(3, 5))
+	r.Replace(time.Minute, []Entry{{Worker{ID: "w", Born: 1}, inEra(3, 5)}}, inEra(3, 5))
+	require.Empty(t, r.PutFromPeer(Worker{ID: "w", Born: 1, Draining: true}, revision.Decode(9)))
+	require.Empty(t, r.DeleteFromPeer("w", revision.Decode(9)))
+	require.Empty(t, r.PutFromPeer(Worker{ID: "v", Born: 1}, revision.Decode(9)), "the listing of the era lacks it")
+	require.Len(t, r.Workers(), 1)
+	require.NotEmpty(t, r.PutFromPeer(Worker{ID: "w", Born: 1, Draining: true}, inEra(3, 6)))
+}
