bulrushctl: SIGHUP ends a command only where it is not ignored, as under nohup

Since SIGHUP ends a command like SIGTERM, one that was started with nohup ended with its terminal. Seen by hand: with SIGHUP ignored the stand-in lives, without it ends.

--- a/cmd/bulrushctl/main.go
+++ b/cmd/bulrushctl/main.go
@@ -14,8 +14,12 @@
 )
 
 func main() {
-	// A closed terminal ends a command in the same way, so that it ends its processes.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	ends := []os.Signal{os.Interrupt, syscall.SIGTERM}
+	if !signal.Ignored(syscall.SIGHUP) { // as under nohup
+		// A closed terminal ends a command in the same way, so that it ends its processes.
+		ends = append(ends, syscall.SIGHUP)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), ends...)
 	defer stop()
 	if err := command().ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
