--- a/cmd/bulrushctl/check_test.go
+++ b/cmd/bulrushctl/check_test.go
@@ -97,8 +97,8 @@
 	require.Equal(t, exitFailed, code)
 	require.Equal(t, strings.Split(`bad.tmpl:3:3: dataCentre: is empty
 bad.tmpl:12:20: limits.memory: the platform has no such field
-bad.tmpl:16:3: seedss: unknown field; did you mean "seeds"?
-bad.tmpl:16:16: stopGrace: must be above zero
+bad.tmpl:17:3: seedss: unknown field; did you mean "seeds"?
+bad.tmpl:17:16: stopGrace: must be above zero
 `, "\n"), strings.Split(out, "\n"))
 }
 
