Soak: signals that meet a process before it runs, and a mutation under nohup

A signal within some milliseconds of exec, more under load, ends a process whose runtime has not started, which no program can avoid: it counted as ended by a signal, or as an unexpected exit. Such an exit before the first line of the log is left out now; all later ones count.

--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -111,20 +112,37 @@
 	}
 	i.command, i.stopping, i.exited = command, false, make(chan struct{})
 	i.incarnation++
-	go i.awaitExit(command, log, i.exited)
+	go i.awaitExit(command, log, logSize(log), i.exited)
 	return nil
 }
 
-func (i *instance) awaitExit(command *exec.Cmd, log *os.File, exited chan struct{}) {
+// logSize returns the size of a log, or 0 if it is unknown.
+func logSize(log *os.File) int64 {
+	info, err := log.Stat()
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
+// handledSignals are the signals that instances handle once they run.
+var handledSignals = []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE}
+
+// awaitExit records how a process ends, whose log had a size at its start.
+func (i *instance) awaitExit(command *exec.Cmd, log *os.File, sizeAtStart int64, exited chan struct{}) {
 	_ = command.Wait() // whether the exit was expected follows from stopping
+	hasLogged := logSize(log) > sizeAtStart
 	_ = log.Close()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if !i.stopping {
-		i.unexpectedExits++
-	}
-	if status, ok := command.ProcessState.Sys().(syscall.WaitStatus); ok && status.Signaled() && status.Signal() != syscall.SIGKILL {
+	status, ok := command.ProcessState.Sys().(syscall.WaitStatus)
+	bySignal := ok && status.Signaled() && status.Signal() != syscall.SIGKILL
+	switch {
+	case bySignal && !hasLogged && slices.Contains(handledSignals, status.Signal()): // before it could handle them
+	case bySignal:
 		i.fatalSignals = append(i.fatalSignals, status.Signal())
+	case !i.stopping:
+		i.unexpectedExits++
 	}
 	i.command = nil
 	close(exited)
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -65,6 +67,9 @@
 // TestSoakFindsMutations shows that the soak detects bugs: each mutation of the
 // source must be found within four seeds.
 func TestSoakFindsMutations(t *testing.T) {
+	// A child of a process that ignores SIGHUP, as under nohup, would ignore it too; one
+	// that handles it gives its children the default effect.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	for name, m := range map[string]struct{ file, old, replacement, finds string }{
 		"a non-idempotent request is retried after its first byte": {
 			"entry/direct/gateway.go", "case c.mayHaveRun && !c.route.Retryable():", "case false:", "ran 2 times",
