--- a/cmd/internal/soak/process.go
+++ b/cmd/internal/soak/process.go
@@ -82,7 +82,8 @@
 	return i, nil
 }
 
-// writeSettings writes the settings file with the given seeds.
+// writeSettings replaces the settings file by one with the given seeds. A process that
+// starts meanwhile reads the former file or the new one.
 func (i *instance) writeSettings(seeds []string) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -91,7 +92,11 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(i.file, data, 0o600)
+	next := i.file + ".new"
+	if err := os.WriteFile(next, data, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, i.file)
 }
 
 // start starts the process unless it is running.
@@ -128,24 +133,32 @@
 // handledSignals are the signals that instances handle once they run.
 var handledSignals = []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGPIPE}
 
-// awaitExit records how a process ends, whose log had a size at its start.
+// awaitExit records how a process ends, whose log had a size at its start. One that a signal
+// ended before it could handle any is started again, as by a supervisor.
 func (i *instance) awaitExit(command *exec.Cmd, log *os.File, sizeAtStart int64, exited chan struct{}) {
 	_ = command.Wait() // whether the exit was expected follows from stopping
 	hasLogged := logSize(log) > sizeAtStart
 	_ = log.Close()
-	i.mu.Lock()
-	defer i.mu.Unlock()
 	status, ok := command.ProcessState.Sys().(syscall.WaitStatus)
 	bySignal := ok && status.Signaled() && status.Signal() != syscall.SIGKILL
+	wasNotRunning := bySignal && !hasLogged && slices.Contains(handledSignals, status.Signal())
+	i.mu.Lock()
 	switch {
-	case bySignal && !hasLogged && slices.Contains(handledSignals, status.Signal()): // before it could handle them
+	case wasNotRunning:
 	case bySignal:
 		i.fatalSignals = append(i.fatalSignals, status.Signal())
 	case !i.stopping:
 		i.unexpectedExits++
 	}
 	i.command = nil
+	startAgain := wasNotRunning && !i.stopping
 	close(exited)
+	i.mu.Unlock()
+	if startAgain && i.start() != nil {
+		i.mu.Lock()
+		i.unexpectedExits++ // it could not be started again
+		i.mu.Unlock()
+	}
 }
 
 // signal sends a signal to the process if it is running. SIGKILL and SIGTERM make
