--- a/review/stand-ins-3/instance.go
+++ b/review/stand-ins-3/instance.go
@@ -19,6 +19,7 @@
 	log                                            string
 	command                                        *exec.Cmd
 	done                                           chan struct{}
+	began                                          time.Time
 	rec                                            *record
 	document                                       map[string]any
 }
@@ -98,7 +99,7 @@
 	if err := i.command.Start(); err != nil {
 		return err
 	}
-	i.done = make(chan struct{})
+	i.done, i.began = make(chan struct{}), time.Now()
 	command, done := i.command, i.done
 	go func() {
 		err := command.Wait()
--- a/review/stand-ins-3/parts.go
+++ b/review/stand-ins-3/parts.go
@@ -208,7 +208,8 @@
 			continue
 		}
 		ends++
-		p.rec.add("memory", "%s holds %d MB of %d: it is over the memory of its machine, for the %d. time", i.name, kb>>10, suzgec.memoryMB, ends)
+		p.rec.add("memory", "%s holds %d MB of %d: it is over the memory of its machine, for the %d. time, %.1f s after its start and with %.1f s of processor time",
+			i.name, kb>>10, suzgec.memoryMB, ends, time.Since(i.began).Seconds(), processorTime(i.command.Process.Pid).Seconds())
 		i.signalPlatform(syscall.SIGKILL)
 		<-i.done
 		time.Sleep(300 * time.Millisecond)
@@ -233,3 +234,18 @@
 	}
 	return 0, fmt.Errorf("process %d states no resident memory", pid)
 }
+
+// processorTime returns the processor time that a process has used; 0 if it can't be read.
+func processorTime(pid int) time.Duration {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
