A reset during an upload does not end a response

Cause: the upload is written by one goroutine while another reads the response. A socket reports a reset once; if the writer gets it, the reader gets a plain end of input, which ends a response without a length. The result of the write was consulted only for the reuse of the connection.

Change: at the end of such a body the state of the connection decides. Half open is an end in order. On a closed one the error of the write is awaited: ECONNRESET, or any error if the state is not known, is a reset; EPIPE is a reset after an end in order. A reset body ends with an error, and the attempt fails like any other that broke off. Calls to peers over HTTP/1 go through httpx.StrictTransport, which rejects responses without a length or chunks: net/http writes and reads at once, too, and no instance sends such a response.

--- a/entry/cluster/cluster.go
+++ b/entry/cluster/cluster.go
@@ -15,6 +15,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
 // Config limits the calls to other instances.
@@ -97,13 +98,13 @@
 	}
 	return &Cluster{
 		config: config, now: now, local: local, pool: pool, machine: machine, inFlight: make(map[string]bool),
-		client: &http.Client{Transport: boundedTransport{&http.Transport{
+		client: &http.Client{Transport: boundedTransport{httpx.StrictTransport{Next: &http.Transport{
 			DialContext:            (&net.Dialer{Timeout: config.CallTimeout}).DialContext,
 			MaxIdleConnsPerHost:    2,
 			IdleConnTimeout:        4 * config.FetchTimeout,
 			MaxResponseHeaderBytes: maxHeaderBytes,
 			DisableCompression:     true, // saves a header; no peer compresses
-		}}},
+		}}}},
 	}, nil
 }
 
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"github.com/bulrushwick/bulrushwick/coord/quorum"
 	"github.com/bulrushwick/bulrushwick/entry/cluster/clusterpb"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 )
 
 // stubLocal sends empty updates and records the configuration versions of peers.
@@ -155,3 +157,20 @@
 		})
 	}
 }
+
+// TestATruncatedResponseOfAPeerIsNotDecoded guards against a part of a message that is
+// taken for all of it: what answers at the address of a peer states no length, and its
+// connection ends.
+func TestATruncatedResponseOfAPeerIsNotDecoded(t *testing.T) {
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n")
+			_ = conn.Close()
+		}
+	}))
+	defer peer.Close()
+	c := newCluster(t, "10.0.0.1:1", 0, &stubLocal{})
+	_, err := c.FetchState(t.Context(), strings.TrimPrefix(peer.URL, "http://"), &clusterpb.FetchStateRequest{})
+	require.ErrorIs(t, err, httpx.ErrUnframed)
+}
--- a/entry/peer/endless_test.go
+++ b/entry/peer/endless_test.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushwick/bulrushwick/coord/ownership"
 	"github.com/bulrushwick/bulrushwick/coord/table"
 	"github.com/bulrushwick/bulrushwick/entry/fleet"
+	"github.com/bulrushwick/bulrushwick/entry/httpx"
 	"github.com/bulrushwick/bulrushwick/entry/peer/peerpb"
 )
 
@@ -80,3 +81,21 @@
 	}
 	require.Less(t, body.read, endlessBytes)
 }
+
+// TestATruncatedResponseOfAPeerIsNotDecoded guards against a part of a table that is taken
+// for all of it: what answers at the address of a peer states no length, and its
+// connection ends.
+func TestATruncatedResponseOfAPeerIsNotDecoded(t *testing.T) {
+	address := serveControl(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\n\r\n")
+			_ = conn.Close()
+		}
+	}))
+	f := fleet.New("entry-0", "dc-a")
+	e, err := NewExchange(Config{HeartbeatEvery: 10 * time.Second, Concurrency: 1}, f, NewRecords(f, nil), zerolog.Nop())
+	require.NoError(t, err)
+	_, _, err = e.CompareTables(t.Context(), address, table.Stamp{})
+	require.ErrorIs(t, err, httpx.ErrUnframed)
+}
--- a/entry/peer/transport.go
+++ b/entry/peer/transport.go
@@ -65,10 +65,11 @@
 	}
 }
 
-// bounded applies the bounds on responses to a transport.
+// bounded applies the bounds on responses to a transport, and rejects those that no peer
+// sends.
 func bounded(t *http.Transport) http.RoundTripper {
 	t.MaxResponseHeaderBytes = maxHeaderBytes
-	return httpx.BoundedTransport{Next: t, MaxBytes: maxMessageBytes}
+	return httpx.BoundedTransport{Next: httpx.StrictTransport{Next: t}, MaxBytes: maxMessageBytes}
 }
 
 // newTablesClient returns the HTTP client for table calls. These go to many peers
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -53,8 +53,10 @@
 	stopAbort        func() bool
 	// aborted is set when the context has ended.
 	aborted atomic.Bool
-	// writeResult receives the error of writing the request, or nil, once.
-	writeResult chan error
+	// written is closed when the request has been written or can't be. writeErr is set
+	// before.
+	written  chan struct{}
+	writeErr error
 }
 
 // framing is how the end of a body is determined.
@@ -109,7 +111,7 @@
 		_ = c.net.Close() // nothing was sent for this request
 		return nil, &SendError{Cause: context.Cause(ctx)}
 	}
-	x := &Exchange{pool: p, conn: c, writeResult: make(chan error, 1)}
+	x := &Exchange{pool: p, conn: c, written: make(chan struct{})}
 	x.stopAbort = context.AfterFunc(ctx, func() {
 		x.aborted.Store(true)
 		discardUnsentOnClose(c.net)
@@ -136,16 +138,16 @@
 // it proves nothing about this one.
 func (x *Exchange) roundTrip(request Request) error {
 	if len(request.Bytes)+len(request.Body) <= maxSyncWriteBytes {
-		_, err := x.conn.net.Write(append(request.Bytes, request.Body...))
-		x.writeResult <- err
-		if err != nil {
-			return err
+		_, x.writeErr = x.conn.net.Write(append(request.Bytes, request.Body...))
+		close(x.written)
+		if x.writeErr != nil {
+			return x.writeErr
 		}
 	} else {
 		go func() {
 			buffers := net.Buffers{request.Bytes, request.Body} // avoids a copy of the body
-			_, err := buffers.WriteTo(x.conn.net)
-			x.writeResult <- err
+			_, x.writeErr = buffers.WriteTo(x.conn.net)
+			close(x.written)
 		}()
 	}
 	for {
@@ -208,31 +210,40 @@
 	if skipped > maxSkippedBytes {
 		return ErrUnexpectedResponse
 	}
-	return x.readTrailer()
+	return x.checkEnd()
 }
 
 // Read reads the body. It returns io.EOF only after the complete body, and never
 // after the context has ended. A truncated body ends with io.ErrUnexpectedEOF,
-// except that truncation can't be detected if the body ends with the connection.
+// except that truncation can't be detected if the body ends with a connection that is
+// closed in order.
 func (x *Exchange) Read(buffer []byte) (int, error) {
 	n, err := x.body.Read(buffer)
 	if errors.Is(err, io.EOF) {
 		if x.aborted.Load() {
 			return n, io.ErrUnexpectedEOF
 		}
-		if trailerErr := x.readTrailer(); trailerErr != nil {
-			return n, trailerErr
+		if endErr := x.checkEnd(); endErr != nil {
+			return n, endErr
 		}
 		x.bodyComplete = true
 	}
 	return n, err
 }
 
+// checkEnd checks what follows the last byte of the body.
+func (x *Exchange) checkEnd() error {
+	switch x.framing {
+	case framingChunked:
+		return x.readTrailer()
+	case framingClose:
+		return x.checkClose()
+	}
+	return nil
+}
+
 // readTrailer reads the trailer that follows the last chunk.
 func (x *Exchange) readTrailer() error {
-	if x.framing != framingChunked {
-		return nil
-	}
 	for size := 0; size <= maxTrailerBytes; {
 		line, err := x.conn.reader.ReadSlice('\n')
 		if err != nil {
@@ -261,11 +272,11 @@
 }
 
 // isRequestWritten reports whether the whole request was written without an
-// error. It must be called at most once.
+// error.
 func (x *Exchange) isRequestWritten() bool {
 	select {
-	case err := <-x.writeResult:
-		return err == nil
+	case <-x.written:
+		return x.writeErr == nil
 	default:
 		return false
 	}
