A response with an invalid field name is no answer

A 200 with "X-Not-Executed : 1" was believed to be a refusal, and an order that may have run was sent to a second worker.

Cause: fasthttp accepts spaces in field names and drops those before the colon; net/http accepts both. Only the status line was checked on the bytes.

Change: httpx.fieldScanner checks that names are tokens (RFC 9110, 5.1 and 5.6.2; RFC 9112, 5.1) as the bytes of a header or a trailer arrive, in any division. httpx.ReadHeader, DialChecked and ReadTrailer use it, so it acts on responses of workers, orders, reports, resumed streams, the store, the platform of serve, endpoints and peers of serve, and on interim responses. httpx.StrictTransport checks the names that net/http has parsed, for calls between instances and bulrushctl. The attempt fails like one that broke off: 502 for an order, another worker for a read, and the connection is closed. Values and folded lines are left to the parsers, as before. httpx/status.go is split into head.go and checkedconn.go.

Control bytes, tabs, empty names and lines without a colon were rejected before in headers; unusual but valid heads passed whole before and after; tests kept.

--- a/cmd/bulrushctl/ask.go
+++ b/cmd/bulrushctl/ask.go
@@ -16,6 +16,9 @@
 // requestTimeout bounds one request to an instance's operator address.
 const requestTimeout = 5 * time.Second
 
+// operatorClient calls instances.
+var operatorClient = &http.Client{Transport: httpx.StrictTransport{Next: http.DefaultTransport}}
+
 // getJSON sends a GET request to an instance's operator address and decodes the
 // JSON response into result. A response with another status than 200 is returned
 // as an error, a *httpx.Problem if the instance sent one.
@@ -27,7 +30,7 @@
 	if err != nil {
 		return oops.Code("malformed_address").With("address", address).Wrap(err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := operatorClient.Do(request)
 	if err != nil {
 		return oops.Code("instance_unreachable").With("address", address).Wrap(err)
 	}
--- a/entry/cluster/cluster_test.go
+++ b/entry/cluster/cluster_test.go
@@ -174,3 +174,21 @@
 	_, err := c.FetchState(t.Context(), strings.TrimPrefix(peer.URL, "http://"), &clusterpb.FetchStateRequest{})
 	require.ErrorIs(t, err, httpx.ErrUnframed)
 }
+
+// TestAnInvalidFieldNameOfAPeerIsNotDecoded guards against a message of what answers at the
+// address of a peer that is used though a field name is not a token.
+func TestAnInvalidFieldNameOfAPeerIsNotDecoded(t *testing.T) {
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "Transfer-Encoding : chunked"} {
+		peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 0\r\n"+line+"\r\n\r\n")
+				_ = conn.Close()
+			}
+		}))
+		c := newCluster(t, "10.0.0.1:1", 0, &stubLocal{})
+		_, err := c.FetchState(t.Context(), strings.TrimPrefix(peer.URL, "http://"), &clusterpb.FetchStateRequest{})
+		require.ErrorIs(t, err, httpx.ErrInvalidFieldName, line)
+		peer.Close()
+	}
+}
--- a/entry/httpx/client.go
+++ b/entry/httpx/client.go
@@ -167,6 +167,10 @@
 		response.SkipBody = true
 		return nil
 	}
+	if response.Header.ContentLength() == chunked {
+		response.SetBodyStream(newChunkedBody(reader), chunked)
+		return nil
+	}
 	return response.ReadBody(reader, 0)
 }
 
--- a/entry/httpx/status_test.go
+++ b/entry/httpx/head_test.go
@@ -92,13 +92,26 @@
 }
 
 // FuzzReadHeader checks that the status that is checked is the one that the parser of the
-// header reports.
+// header reports, that the parser reports valid field names only, and that the division of
+// the input does not matter.
 func FuzzReadHeader(f *testing.F) {
-	for _, head := range []string{"HTTP/1.1 200 OK\r\n\r\n", "\r\n\nHTTP/1.1   000\r\r\n\r\n", "HTTP/1.0 102\nContent-Length: 5\n\nHTTP/", " 200 200\r\n\r\n"} {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n\r\n", "\r\n\nHTTP/1.1   000\r\r\n\r\n", "HTTP/1.0 102\nContent-Length: 5\n\nHTTP/", " 200 200\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\n c\n\nX : 1\r\n\r\n", "HTTP/1.1 200 OK\nA:\r\n\t\r\nb : c\r\n\r\n",
+	} {
 		f.Add([]byte(head))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		status, complete, err := parseStatusLine(raw)
+		var whole, divided headScanner
+		complete, err := whole.scan(raw)
+		var dividedComplete bool
+		var dividedErr error
+		for i := 0; i < len(raw) && !dividedComplete && dividedErr == nil; i++ {
+			dividedComplete, dividedErr = divided.scan(raw[i : i+1])
+		}
+		require.Equal(t, complete, dividedComplete)
+		require.Equal(t, err, dividedErr)
+		require.Equal(t, whole.status, divided.status)
 		var header fasthttp.ResponseHeader
 		if header.Read(bufio.NewReader(bytes.NewReader(raw))) != nil {
 			return
@@ -107,6 +120,9 @@
 			return // stricter than the parser
 		}
 		require.True(t, complete, "the parser has read a header")
-		require.Equal(t, status, header.StatusCode())
+		require.Equal(t, whole.status, header.StatusCode())
+		for name := range header.All() {
+			require.True(t, isFieldName(string(name)), "%q", name)
+		}
 	})
 }
--- a/entry/httpx/response.go
+++ b/entry/httpx/response.go
@@ -1,9 +1,11 @@
 package httpx
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
+	"net/http/httputil"
 	"sync"
 
 	"github.com/valyala/fasthttp"
@@ -59,3 +61,31 @@
 	})
 	return nil
 }
+
+// chunkedBody reads a chunked body and its trailer, in which fasthttp accepts invalid field
+// names. It returns io.EOF only after a valid trailer.
+type chunkedBody struct {
+	source *bufio.Reader
+	chunks io.Reader
+	// end is the result of reading the trailer, nil until then.
+	end error
+}
+
+func newChunkedBody(source *bufio.Reader) *chunkedBody {
+	return &chunkedBody{source: source, chunks: httputil.NewChunkedReader(source)}
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.chunks.Read(p)
+	if errors.Is(err, io.EOF) {
+		if b.end = ReadTrailer(b.source); b.end == nil {
+			b.end = io.EOF
+		}
+		err = b.end
+	}
+	return n, err
+}
--- a/entry/httpx/strict_test.go
+++ b/entry/httpx/strict_test.go
@@ -120,3 +120,30 @@
 		}
 	}
 }
+
+// TestInvalidFieldNameIsNoResponseOfAPeer guards against a response of a peer that is used
+// though a field name has a space or a control byte.
+func TestInvalidFieldNameIsNoResponseOfAPeer(t *testing.T) {
+	for line, valid := range map[string]bool{
+		"X-Odd: 1": true, "x:": true, "!#$%&'*+-.^_`|~9: a:b c": true, "X-Odd: 1\r\n folded : 1": true,
+		"X Odd: 1": false, "X-Odd : 1": false, "X-Odd\t: 1": false, "X-\x01Odd: 1": false, ": 1": false, "X-Odd": false, "X-\xe4: 1": false,
+		"Content-Length : 2": false, "Content Length: 2": false, "Transfer-Encoding : chunked": false, "Connection : close": false,
+	} {
+		for place, text := range responsesWithField(line) {
+			address := startRawServer(t, text)
+			client := &http.Client{Timeout: 5 * time.Second, Transport: StrictTransport{Next: &http.Transport{DisableKeepAlives: true}}}
+			response, err := client.Get("http://" + address)
+			body := []byte(nil)
+			if err == nil {
+				body, err = io.ReadAll(response.Body)
+				_ = response.Body.Close()
+			}
+			if valid {
+				require.NoError(t, err, "%q, %s", line, place)
+				require.Equal(t, "whole", string(body))
+			} else {
+				require.Error(t, err, "%q, %s: %q looks complete", line, place, body)
+			}
+		}
+	}
+}
--- a/entry/peer/endless_test.go
+++ b/entry/peer/endless_test.go
@@ -99,3 +99,22 @@
 	_, _, err = e.CompareTables(t.Context(), address, table.Stamp{})
 	require.ErrorIs(t, err, httpx.ErrUnframed)
 }
+
+// TestAnInvalidFieldNameOfAPeerIsNotDecoded guards against a table of what answers at the
+// address of a peer that is used though a field name is not a token.
+func TestAnInvalidFieldNameOfAPeerIsNotDecoded(t *testing.T) {
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "Transfer-Encoding : chunked"} {
+		address := serveControl(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 0\r\n"+line+"\r\n\r\n")
+				_ = conn.Close()
+			}
+		}))
+		f := fleet.New("entry-0", "dc-a")
+		e, err := NewExchange(Config{HeartbeatEvery: 10 * time.Second, Concurrency: 1}, f, NewRecords(f, nil), zerolog.Nop())
+		require.NoError(t, err)
+		_, _, err = e.CompareTables(t.Context(), address, table.Stamp{})
+		require.ErrorIs(t, err, httpx.ErrInvalidFieldName, line)
+	}
+}
--- a/entry/upstream/exchange.go
+++ b/entry/upstream/exchange.go
@@ -30,8 +30,6 @@
 	maxInformational = 8
 	// maxSkippedBytes is the size of the body of a response to another request.
 	maxSkippedBytes = 1 << 20
-	// maxTrailerBytes is the size of the trailer behind the last chunk.
-	maxTrailerBytes = 16 << 10
 )
 
 // Exchange is a request whose response header has been read. Read returns the
@@ -235,28 +233,13 @@
 func (x *Exchange) checkEnd() error {
 	switch x.framing {
 	case framingChunked:
-		return x.readTrailer()
+		return httpx.ReadTrailer(x.conn.reader)
 	case framingClose:
 		return x.checkClose()
 	}
 	return nil
 }
 
-// readTrailer reads the trailer that follows the last chunk.
-func (x *Exchange) readTrailer() error {
-	for size := 0; size <= maxTrailerBytes; {
-		line, err := x.conn.reader.ReadSlice('\n')
-		if err != nil {
-			return io.ErrUnexpectedEOF
-		}
-		if len(line) <= 2 {
-			return nil
-		}
-		size += len(line)
-	}
-	return ErrUnexpectedResponse
-}
-
 // Finish returns the connection to the pool if the complete response was read and
 // nothing else was received, and closes it otherwise. The pool keeps the connection
 // for idleTimeout, or for Config.IdleTimeout if it is 0. A negative idleTimeout closes
