Control bytes are tried in the status line, too

TestControlBytesInAHeader tried them among the fields only. The reason phrase is left out: nothing passes it on.

--- a/entry/httpx/fieldname_test.go
+++ b/entry/httpx/fieldname_test.go
@@ -94,15 +94,20 @@
 	}
 }
 
-// TestControlBytesInAHeader puts a control byte at each place of the fields of a header.
+// TestControlBytesInAHeader puts a control byte at each place of a header but its reason
+// phrase, which no reader uses.
 func TestControlBytesInAHeader(t *testing.T) {
-	const status, fields = "HTTP/1.1 200 OK\r\n", "X-Request-Id: r1\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n"
+	const status, reason, fields = "HTTP/1.1 200 ", "OK\r\n", "X-Request-Id: r1\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n"
 	for b := range 0x80 {
 		if b >= ' ' && b != 0x7f || strings.ContainsRune("\t\r\n", rune(b)) {
 			continue
 		}
+		for place := range len(status) {
+			head := status[:place] + string(rune(b)) + status[place:] + reason + fields
+			require.Error(t, readDivided(t, head), "%q", head)
+		}
 		for place := range len(fields) {
-			head := status + fields[:place] + string(rune(b)) + fields[place:]
+			head := status + reason + fields[:place] + string(rune(b)) + fields[place:]
 			require.Error(t, readDivided(t, head), "%q", head)
 		}
 	}
